--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; run one with `python -m bench NAME`."""
--- /dev/null
+++ b/jujubefold/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution for a service mesh."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/jujubefold/clock.py
@@ -0,0 +1,58 @@
+"""Clock port: the runtime's time, and a twin that tests advance."""
+
+import abc
+import time
+
+
+class Clock(abc.ABC):
+    """Source of time for a process."""
+
+    @abc.abstractmethod
+    def monotonic(self) -> float:
+        """Return seconds that never go backward, from any origin."""
+
+    @abc.abstractmethod
+    def wall(self) -> float:
+        """Return seconds since the epoch, which may jump."""
+
+
+class SystemClock(Clock):
+    """The clock of the running process."""
+
+    def monotonic(self):
+        return time.monotonic()
+
+    def wall(self):
+        return time.time()
+
+
+class PausedClock(Clock):
+    """A clock that stands still until a test advances it.
+
+    Args:
+        start: First monotonic reading, in seconds.
+        wall: First wall reading, in seconds since the epoch.
+    """
+
+    def __init__(self, start=1000.0, wall=1_700_000_000.0):
+        self._monotonic = start
+        self._wall = wall
+
+    def monotonic(self):
+        return self._monotonic
+
+    def wall(self):
+        return self._wall
+
+    def advance(self, seconds):
+        """Move both readings forward.
+
+        Args:
+            seconds: How far, zero or more.
+        """
+        self._monotonic += seconds
+        self._wall += seconds
+
+    def jump_wall(self, seconds):
+        """Move only the wall reading, in either direction."""
+        self._wall += seconds
--- /dev/null
+++ b/jujubefold/mesh.py
@@ -0,0 +1,152 @@
+"""The mesh model inside: routes, services and the resources they use."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryPolicy:
+    """How often a request may be tried.
+
+    Args:
+        attempts: Total tries, the first included.
+        budget_percent: Retries allowed in 100 first tries.
+    """
+
+    attempts: int = 3
+    budget_percent: int = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitPolicy:
+    """Bounds on what may wait or be carried.
+
+    Args:
+        queue: Requests that may wait for a slot at one instance.
+        body_bytes: Largest request or answer body.
+    """
+
+    queue: int = 32
+    body_bytes: int = 16 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimeoutPolicy:
+    """Time bounds in seconds.
+
+    Args:
+        request: Whole request, all tries.
+        attempt: One try without progress.
+    """
+
+    request: float = 10.0
+    attempt: float = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeaderRule:
+    """Headers set on and removed from what reaches the upstream."""
+
+    set: tuple[tuple[str, str], ...] = ()
+    remove: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A group of upstreams that announce the same service name.
+
+    Args:
+        health_path: Path of the health endpoint, a hint only.
+        warmup: Seconds over which a new instance is ramped up.
+    """
+
+    name: str
+    health_path: str = '/health'
+    warmup: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointGroup:
+    """Some of a service's announced upstreams, by place.
+
+    Args:
+        regions: Regions allowed; empty for all.
+        failure_domains: Failure domains allowed; empty for all.
+    """
+
+    name: str
+    service: str
+    regions: tuple[str, ...] = ()
+    failure_domains: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Where a share of a route's requests goes."""
+
+    group: EndpointGroup
+    weight: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """A matched request's whole treatment, references resolved.
+
+    Args:
+        host: Host name, or `*` for all.
+        path: Path prefix; matches at `/` boundaries.
+        methods: Methods allowed; empty for all.
+        idempotent: Whether requests may run twice; None leaves it to the
+            method (RFC 9110 section 9.2.2).
+        keyed: Whether a non-idempotent request must name a key.
+        priority: 0 to 9; higher survives overload longer.
+    """
+
+    name: str
+    host: str
+    path: str
+    methods: tuple[str, ...]
+    targets: tuple[Target, ...]
+    retry: RetryPolicy
+    limit: LimitPolicy
+    timeout: TimeoutPolicy
+    headers: HeaderRule
+    idempotent: bool | None = None
+    keyed: bool = False
+    priority: int = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mesh:
+    """A whole validated configuration, ready to route with.
+
+    Args:
+        number: Version number it came from; 0 for the empty mesh.
+        routes: Most specific first.
+        services: By name.
+    """
+
+    number: int = 0
+    routes: tuple[Route, ...] = ()
+    services: dict[str, Service] = dataclasses.field(default_factory=dict)
+
+    def match(self, host, path, method):
+        """Return the route for a request, or None.
+
+        Args:
+            host: Host header without port, lower case.
+            path: Request path without query.
+            method: Method, upper case.
+        """
+        for route in self.routes:
+            if _matches(route, host, path, method):
+                return route
+        return None
+
+
+def _matches(route, host, path, method):
+    if route.host not in ('*', host):
+        return False
+    if route.methods and method not in route.methods:
+        return False
+    prefix = route.path.rstrip('/')
+    return path == prefix or path.startswith(prefix + '/')
--- /dev/null
+++ b/jujubefold/messages.py
@@ -0,0 +1,328 @@
+"""Messages between daemons, and their codec.
+
+Every message is a tagged struct. Decoding checks types and ignores fields
+it does not know, so that daemons of two releases can talk.
+"""
+
+import enum
+
+import expression
+import msgspec
+
+from jujubefold import errors
+
+SCHEMA = 1
+MAX_ENVELOPE_BYTES = 4 * 1024 * 1024
+
+
+class Message(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+    """Base of all messages between daemons."""
+
+
+class MemberState(enum.StrEnum):
+    """What the fleet believes about a daemon."""
+
+    ALIVE = 'alive'
+    SUSPECT = 'suspect'
+    DEAD = 'dead'
+    LEFT = 'left'
+
+
+class UpstreamState(enum.StrEnum):
+    """Life of an upstream, as announced."""
+
+    ABSENT = 'absent'
+    WARMING = 'warming'
+    SERVING = 'serving'
+    DRAINING = 'draining'
+    GONE = 'gone'
+
+
+class Member(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a daemon tells the fleet about itself and its upstream.
+
+    Args:
+        revision: Raised by the owner at each change within an incarnation.
+        state: Belief about the daemon.
+        service: Service its upstream serves, empty for none.
+        slots: Requests the upstream runs at once.
+        ready_at_ms: Wall milliseconds since the upstream began to serve.
+        in_force: Number of the configuration version in force there.
+    """
+
+    vm: str
+    incarnation: int
+    region: str
+    failure_domain: str
+    peer_address: str
+    call_address: str
+    admin_address: str = ''
+    revision: int = 0
+    state: MemberState = MemberState.ALIVE
+    service: str = ''
+    upstream_state: UpstreamState = UpstreamState.ABSENT
+    slots: int = 0
+    ready_at_ms: int = 0
+    in_force: int = 0
+
+
+class Ping(Message):
+    """Probe; answered by `Ack` with the same sequence.
+
+    Args:
+        target: Incarnation the prober believes in; 0 for unknown.
+    """
+
+    sequence: int
+    target: int = 0
+    updates: tuple[Member, ...] = ()
+
+
+class Ack(Message):
+    """Answer to `Ping`.
+
+    Args:
+        serving: False when the daemon answers probes but cannot serve.
+    """
+
+    sequence: int
+    incarnation: int
+    updates: tuple[Member, ...] = ()
+    serving: bool = True
+
+
+class PingRequest(Message):
+    """Ask a peer to probe `address` and pass its `Ack` back."""
+
+    sequence: int
+    address: str
+    target: int = 0
+
+
+class Gossip(Message):
+    """Member updates outside a probe; drain travels this way at once."""
+
+    updates: tuple[Member, ...]
+
+
+class Join(Message):
+    """A daemon that starts asks a contact for the members."""
+
+    member: Member
+
+
+class Welcome(Message):
+    """Answer to `Join`, a page at a time.
+
+    Args:
+        retry_after_ms: Above 0, the contact is busy: ask again then.
+    """
+
+    members: tuple[Member, ...]
+    more: bool = False
+    retry_after_ms: int = 0
+
+
+class Announce(Message):
+    """A version exists; whoever lacks it pulls."""
+
+    number: int
+    digest: str
+
+
+class Push(Message):
+    """A version with its patch, sent before anyone asked.
+
+    Args:
+        number: Accepted version number.
+        patch: RFC 6902 patch from `number - 1`, canonical JSON.
+    """
+
+    number: int
+    digest: str
+    parent_digest: str
+    patch_id: str
+    patch: bytes
+
+
+class Pull(Message):
+    """Ask a peer for what follows the version held.
+
+    Args:
+        after: Number held; 0 for none.
+        digest: Digest of the version held, empty for none.
+    """
+
+    after: int
+    digest: str = ''
+
+
+class Chain(Message):
+    """Answer to `Pull`: patches in order."""
+
+    pushes: tuple[Push, ...]
+
+
+class Snapshot(Message):
+    """Answer to `Pull` when a chain is longer or missing.
+
+    Args:
+        last: The newest version's identity and patch.
+        document: Whole canonical document, zstandard.
+    """
+
+    last: Push
+    document: bytes
+
+
+class Note(Message):
+    """Ask a witness to note a version for an address before it serves it."""
+
+    address: str
+    incarnation: int
+    number: int
+    digest: str
+
+
+class Noted(Message):
+    """A witness has noted `number` for `address`."""
+
+    address: str
+    number: int
+
+
+class FloorQuery(Message):
+    """A daemon without state asks what was noted for its address."""
+
+    address: str
+
+
+class Floor(Message):
+    """Answer to `FloorQuery`.
+
+    Args:
+        noted: Highest number noted for the address; 0 for none.
+        since_ms: Milliseconds that this witness has been running.
+        held: Number the witness itself has in force.
+    """
+
+    address: str
+    noted: int
+    since_ms: int
+    held: int
+
+
+class Claim(Message):
+    """Ask a claim owner to claim an idempotency key.
+
+    Args:
+        sequence: Correlates the answer.
+        scope: Route or service that keys belong to.
+        key: The caller's idempotency key.
+        fingerprint: Digest of method, path and body.
+        holder: `vm/incarnation` that will run the request.
+    """
+
+    sequence: int
+    scope: str
+    key: str
+    fingerprint: str
+    holder: str
+
+
+class ClaimAnswer(Message):
+    """Answer to `Claim`.
+
+    Args:
+        state: Name of the `claims` state that the key is in.
+        answer: Recorded answer, when there is one.
+    """
+
+    sequence: int
+    state: str
+    holder: str = ''
+    answer: bytes = b''
+
+
+class CrashReport(Message):
+    """A request crashed an upstream; counted over the fleet.
+
+    Args:
+        fingerprint: Digest that is equal for the same request sent again.
+        upstream: `vm/incarnation` of the daemon whose upstream crashed.
+        count: Crashes of this fingerprint seen at that upstream.
+    """
+
+    fingerprint: str
+    upstream: str
+    count: int
+
+
+Peer = (
+    Ping
+    | Ack
+    | PingRequest
+    | Gossip
+    | Join
+    | Welcome
+    | Announce
+    | Push
+    | Pull
+    | Chain
+    | Snapshot
+    | Note
+    | Noted
+    | FloorQuery
+    | Floor
+    | Claim
+    | ClaimAnswer
+    | CrashReport
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, omit_defaults=True):
+    """All that one daemon sends another in one exchange.
+
+    Args:
+        vm: Sender's VM name.
+        incarnation: Sender's incarnation.
+        address: Sender's peer address, where answers go.
+        wall_ns: Sender's hybrid clock, time part.
+        counter: Sender's hybrid clock, counter part.
+    """
+
+    vm: str
+    incarnation: int
+    address: str
+    wall_ns: int
+    counter: int
+    messages: tuple[Peer, ...]
+    schema: int = SCHEMA
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode(envelope):
+    """Return the bytes of an envelope."""
+    return _encoder.encode(envelope)
+
+
+def decode(data):
+    """Return the envelope in `data`.
+
+    Args:
+        data: Bytes from another daemon, not trusted.
+
+    Returns:
+        `Ok(Envelope)` or `Error(errors.Invalid)`.
+    """
+    if len(data) > MAX_ENVELOPE_BYTES:
+        return expression.Error(
+            errors.Invalid('envelope larger than allowed', 'envelope')
+        )
+    try:
+        return expression.Ok(_decoder.decode(data))
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+        return expression.Error(errors.Invalid(str(error), 'envelope'))
--- /dev/null
+++ b/jujubefold/settings.py
@@ -0,0 +1,137 @@
+"""Settings: the daemon's TOML file, checked by models at the border."""
+
+import enum
+import pathlib
+import tomllib
+import typing
+
+import expression
+import pydantic
+
+from jujubefold import errors
+
+Address = typing.Annotated[
+    str, pydantic.Field(pattern=r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$')
+]
+Name = typing.Annotated[
+    str, pydantic.Field(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$')
+]
+
+
+class Preset(enum.StrEnum):
+    """Which of the two measures dissemination favours."""
+
+    CONVERGENCE = 'convergence'
+    BYTES = 'bytes'
+
+
+class Model(pydantic.BaseModel):
+    """Base of all settings models: unknown keys are refused."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class Daemon(Model):
+    """Who this daemon is and where it listens."""
+
+    vm: Name
+    region: Name
+    failure_domain: Name
+    peer_address: Address = '127.0.0.1:0'
+    call_address: Address = '127.0.0.1:0'
+    caller_address: Address = '127.0.0.1:0'
+    admin_address: Address = '127.0.0.1:0'
+    contacts: tuple[Address, ...] = ()
+    seed: int | None = None
+
+
+class Upstream(Model):
+    """The upstream on this VM; it may also announce itself."""
+
+    address: Address | None = None
+    service: Name | None = None
+    slots: int = pydantic.Field(default=6, ge=1, le=10_000)
+    connections: int = pydantic.Field(default=110, ge=1, le=10_000)
+
+
+class Platform(Model):
+    """The platform's table service and object store."""
+
+    table_url: str
+    objects_url: str
+    timeout: float = pydantic.Field(default=2.0, gt=0, le=60)
+    calls_per_second: float = pydantic.Field(default=20.0, gt=0)
+
+
+class Dissemination(Model):
+    """How versions spread."""
+
+    preset: Preset = Preset.CONVERGENCE
+    witnesses: int = pydantic.Field(default=0, ge=0, le=5)
+
+
+class Tls(Model):
+    """Keys for mutual authentication between daemons and operators."""
+
+    certificate: pathlib.Path
+    key: pathlib.Path
+    authority: pathlib.Path
+    operators: tuple[str, ...] = ()
+
+
+class Logs(Model):
+    """Where and how much is logged, as JSON lines."""
+
+    level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+
+
+class Settings(Model):
+    """The whole settings file of a daemon."""
+
+    daemon: Daemon
+    platform: Platform
+    upstream: Upstream = Upstream()
+    dissemination: Dissemination = Dissemination()
+    tls: Tls | None = None
+    logs: Logs = Logs()
+
+
+def load(path):
+    """Read and check a settings file.
+
+    Args:
+        path: `pathlib.Path` of a TOML file.
+
+    Returns:
+        `Ok(Settings)`, or `Error(tuple[errors.Invalid, ...])` with one
+        entry for each offending key.
+    """
+    try:
+        raw = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        return expression.Error((errors.Invalid(str(error), str(path)),))
+    return parse(raw, str(path))
+
+
+def parse(raw, source):
+    """Check settings that were read already.
+
+    Args:
+        raw: Nested dict as TOML gives it.
+        source: File name for error messages.
+
+    Returns:
+        As `load`.
+    """
+    try:
+        return expression.Ok(Settings.model_validate(raw))
+    except pydantic.ValidationError as error:
+        return expression.Error(
+            tuple(
+                errors.Invalid(
+                    item['msg'],
+                    f'{source}: {".".join(map(str, item["loc"]))}',
+                )
+                for item in error.errors()
+            )
+        )
--- /dev/null
+++ b/jujubefold/versions.py
@@ -0,0 +1,56 @@
+"""Versions of the mesh configuration: identity, content and patch."""
+
+import dataclasses
+import hashlib
+
+import msgspec
+
+from jujubefold import mesh
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Version:
+    """One accepted version, as stored and as sent.
+
+    Args:
+        number: 1 for the first accepted version; 0 is the empty mesh.
+        digest: Hex SHA-256 of the canonical document.
+        parent_digest: Digest of version `number - 1`.
+        patch_id: Operator's name for the patch, unique over all versions.
+        patch: RFC 6902 patch from the parent, canonical JSON bytes.
+    """
+
+    number: int
+    digest: str
+    parent_digest: str
+    patch_id: str
+    patch: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """A version with its whole document, validated and compiled.
+
+    Args:
+        version: The accepted version.
+        document: Canonical JSON of the whole configuration.
+        mesh: The compiled form that requests are routed with.
+    """
+
+    version: Version
+    document: bytes
+    mesh: mesh.Mesh
+
+
+def canonical(document):
+    """Return the canonical JSON bytes of a document.
+
+    Args:
+        document: JSON-compatible value.
+    """
+    return msgspec.json.encode(document, order='deterministic')
+
+
+def digest(document_bytes):
+    """Return the hex SHA-256 digest of canonical bytes."""
+    return hashlib.sha256(document_bytes).hexdigest()
