--- a/jujubefold/membership.py
+++ b/jujubefold/membership.py
@@ -5,6 +5,9 @@
 from jujubefold import messages
 
 
+_LIVE = frozenset({messages.MemberState.ALIVE, messages.MemberState.SUSPECT})
+
+
 @dataclasses.dataclass(slots=True)
 class MembershipTable:
     """Members and this daemon's own record.
@@ -20,6 +23,17 @@
     )
 
 
+def live(table):
+    """Yield the other daemons not known to be dead or gone.
+
+    Args:
+        table: A `MembershipTable`.
+    """
+    for member in table.members.values():
+        if member.state in _LIVE:
+            yield member
+
+
 def run(tables, context):
     """Send due probes and gossip.
 
