--- /dev/null
+++ b/jujubefold/adminclient.py
@@ -0,0 +1,80 @@
+"""Client of the operators' HTTP API."""
+
+import expression
+import urllib3
+
+from jujubefold import adminmodels
+from jujubefold import errors
+
+CONNECT_TIMEOUT_S = 2.0
+
+
+class AdminClient:
+    """Talks to one daemon.
+
+    Args:
+        address: `ip:port` of the daemon's operators' API.
+        timeout: Seconds to wait for an answer.
+        tls: Keyword arguments for `urllib3.PoolManager` with the CA file,
+            certificate and key; empty for plain HTTP.
+    """
+
+    def __init__(self, address, timeout=10.0, **tls):
+        scheme = 'https' if tls else 'http'
+        self._base = f'{scheme}://{address}'
+        self._pool = urllib3.PoolManager(retries=False, **tls)
+        self._timeout = timeout
+
+    def get(self, path, kind, **query):
+        """Read a model.
+
+        Args:
+            path: Absolute path.
+            kind: Class of the model expected.
+            query: Query parameters; None values are left out.
+
+        Returns:
+            `Ok(model)`, or `Error` of `adminmodels.Problem`,
+            `errors.PeerUnreachable` or `errors.Invalid`.
+        """
+        fields = {key: str(v) for key, v in query.items() if v is not None}
+        return self._call('GET', path, kind, fields=fields)
+
+    def send(self, method, path, kind, model=None):
+        """Send a model and read one.
+
+        Args:
+            method: HTTP method.
+            path: Absolute path.
+            kind: Class of the model expected.
+            model: Model sent, or None.
+
+        Returns:
+            As `get`; after `errors.PeerUnreachable` the outcome is unknown.
+        """
+        body = b'' if model is None else adminmodels.encode(model)
+        headers = {'Content-Type': 'application/json'}
+        return self._call(method, path, kind, body=body, headers=headers)
+
+    def _call(self, method, path, kind, **options):
+        timeout = urllib3.Timeout(CONNECT_TIMEOUT_S, self._timeout)
+        try:
+            answer = self._pool.request(
+                method, self._base + path, timeout=timeout, **options
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return expression.Error(
+                errors.PeerUnreachable(f'{self._base}: {error}')
+            )
+        if answer.status >= 400:
+            return _refusal(answer)
+        return adminmodels.decode(answer.data, kind)
+
+
+def _refusal(answer):
+    decoded = adminmodels.decode(answer.data, adminmodels.Problem)
+    if decoded.is_ok():
+        return expression.Error(decoded.ok)
+    return expression.Error(
+        errors.Invalid(f'HTTP {answer.status} without a problem', 'answer')
+    )
