--- /dev/null
+++ b/jujubefold/porcelain.py
@@ -0,0 +1,348 @@
+"""What operators do, as plain functions; the command line is a shell."""
+
+import dataclasses
+import json
+import pathlib
+import time
+import uuid
+
+import expression
+import msgspec
+
+from jujubefold import adminclient
+from jujubefold import adminmodels
+from jujubefold import declarations
+from jujubefold import errors
+from jujubefold import messages
+from jujubefold import patches
+from jujubefold import settings
+from jujubefold import timeline as event_line
+
+POLL_INTERVAL_S = 0.2
+PAGE = 100
+EMPTY_DOCUMENT = b'{}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What an apply would change.
+
+    Args:
+        base: Version number the plan was made against.
+        operations: RFC 6902 operations; empty when nothing changes.
+    """
+
+    base: int
+    operations: tuple[dict, ...]
+
+    @property
+    def patch(self):
+        """The operations as JSON bytes."""
+        return msgspec.json.encode(self.operations)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Convergence:
+    """How far a version has come over the fleet.
+
+    Args:
+        version: The version looked for.
+        behind: VM names of live daemons that hold an older one.
+        total: Live daemons.
+    """
+
+    version: int
+    behind: tuple[str, ...]
+    total: int
+
+    @property
+    def done(self):
+        """Whether every live daemon holds the version."""
+        return self.total > 0 and not self.behind
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MergedTimeline:
+    """Events of all daemons in causal order.
+
+    Args:
+        events: `events.Stamped`, earliest first.
+        silent: VM names of daemons that did not answer.
+    """
+
+    events: tuple
+    silent: tuple[str, ...]
+
+
+def check_settings(path):
+    """Check a daemon's settings file; see `settings.load`."""
+    return settings.load(pathlib.Path(path))
+
+
+def validate(path):
+    """Check a file of declarations.
+
+    Args:
+        path: TOML file.
+
+    Returns:
+        `Ok(document)` or `Error(tuple[errors.Invalid, ...])`.
+    """
+    try:
+        text = pathlib.Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        return expression.Error((errors.Invalid(str(error), str(path)),))
+    parsed = declarations.parse(text, str(path))
+    if parsed.is_error():
+        return parsed
+    compiled = declarations.compile_mesh(parsed.ok, 0)
+    return parsed if compiled.is_ok() else compiled
+
+
+def plan(client, path, base=None):
+    """Compare declarations with a version.
+
+    Args:
+        client: An `adminclient.AdminClient`.
+        path: TOML file.
+        base: Version number to compare with; the head by default.
+
+    Returns:
+        `Ok(Plan)`, or `Error` of what `validate` or the client gives.
+    """
+    wanted = validate(path)
+    if wanted.is_error():
+        return wanted
+    held = _document(client, base)
+    if held.is_error():
+        return held
+    number, document = held.ok
+    patch = patches.difference(document, wanted.ok)
+    return expression.Ok(Plan(number, tuple(json.loads(patch))))
+
+
+def apply(client, path, base, patch_id=None):
+    """Submit what makes the configuration equal declarations.
+
+    Args:
+        client: An `adminclient.AdminClient`.
+        path: TOML file.
+        base: Version number the operator planned against.
+        patch_id: Name of the patch; a new one by default.
+
+    Returns:
+        `Ok(VersionSummary)`, or `Error` of what `plan` or `submit` gives.
+    """
+    planned = plan(client, path, base)
+    if planned.is_error():
+        return planned
+    if not planned.ok.operations:
+        return expression.Error(
+            errors.Invalid('nothing to change', f'version {base}')
+        )
+    return submit(client, base, planned.ok.patch, patch_id)
+
+
+def submit(client, base, patch, patch_id=None):
+    """Submit a patch against a base version.
+
+    Args:
+        client: An `adminclient.AdminClient`.
+        base: Version number that the patch was made against.
+        patch: RFC 6902 JSON bytes.
+        patch_id: Name of the patch; a new one by default.
+
+    Returns:
+        `Ok(VersionSummary)`, or `Error` of `adminmodels.Problem`,
+        `errors.Invalid` or `errors.PeerUnreachable`.
+    """
+    name = patch_id or new_patch_id()
+    try:
+        json.loads(patch)
+    except ValueError as error:
+        return expression.Error(errors.Invalid(str(error), 'patch'))
+    submission = adminmodels.PatchSubmission(
+        base=base, patch_id=name, patch=msgspec.Raw(patch)
+    )
+    return client.send(
+        'POST', '/v1/patches', adminmodels.VersionSummary, submission
+    )
+
+
+def new_patch_id():
+    """Return a patch id that nobody used before."""
+    return f'patch-{uuid.uuid4()}'
+
+
+def patch_status(client, patch_id):
+    """Say what became of a patch id.
+
+    Returns:
+        `Ok(adminmodels.PatchState)`, or `Error` as the client gives.
+    """
+    return client.get(f'/v1/patches/{patch_id}', adminmodels.PatchState)
+
+
+def patch_abandon(client, patch_id):
+    """Make an undecided patch id definite: accepted, or never to run.
+
+    Returns:
+        `Ok(adminmodels.PatchState)`, or `Error` as the client gives.
+    """
+    path = f'/v1/patches/{patch_id}/abandon'
+    return client.send('POST', path, adminmodels.PatchState)
+
+
+def versions(client, after=0, limit=PAGE):
+    """List accepted versions.
+
+    Returns:
+        `Ok(tuple[VersionSummary, ...])`, or `Error` as the client gives.
+    """
+    kind = tuple[adminmodels.VersionSummary, ...]
+    return client.get('/v1/versions', kind, after=after, limit=limit)
+
+
+def version(client, number):
+    """Read one version with its document.
+
+    Returns:
+        `Ok(adminmodels.VersionDetail)`, or `Error` as the client gives.
+    """
+    return client.get(f'/v1/versions/{number}', adminmodels.VersionDetail)
+
+
+def diff(client, old, new):
+    """Return the operations that lead from one version to another.
+
+    Returns:
+        `Ok(tuple[dict, ...])`, or `Error` as the client gives.
+    """
+    before = _document(client, old)
+    if before.is_error():
+        return before
+    after = _document(client, new)
+    if after.is_error():
+        return after
+    patch = patches.difference(before.ok[1], after.ok[1])
+    return expression.Ok(tuple(json.loads(patch)))
+
+
+def status(client):
+    """Return one daemon's `adminmodels.Status`, as a result."""
+    return client.get('/v1/status', adminmodels.Status)
+
+
+def members(client):
+    """Return the fleet as one daemon sees it, as a result."""
+    return client.get('/v1/members', adminmodels.Fleet)
+
+
+def convergence(client, number=None):
+    """Say which daemons do not hold a version yet.
+
+    Args:
+        client: An `adminclient.AdminClient`.
+        number: Version number; the highest in force anywhere by default.
+
+    Returns:
+        `Ok(Convergence)`, or `Error` as the client gives.
+    """
+    return members(client).map(lambda fleet: _convergence(fleet, number))
+
+
+def watch(client, number, timeout, sleep=time.sleep, now=time.monotonic):
+    """Yield `Convergence` until it is done or time has run out.
+
+    Args:
+        client: An `adminclient.AdminClient`.
+        number: Version number looked for.
+        timeout: Seconds to watch at most.
+        sleep: Waits between two looks, in seconds.
+        now: Monotonic seconds.
+
+    Returns:
+        Iterator of results as `convergence` gives.
+    """
+    deadline = now() + timeout
+    while True:
+        look = convergence(client, number)
+        yield look
+        if look.is_ok() and look.ok.done or now() >= deadline:
+            return
+        sleep(POLL_INTERVAL_S)
+
+
+def timeline(client, wanted, open_client=adminclient.AdminClient):
+    """Merge the events of all daemons.
+
+    Args:
+        client: An `adminclient.AdminClient` of any daemon.
+        wanted: A `timeline.Filter`.
+        open_client: Makes a client for a daemon's address.
+
+    Returns:
+        `Ok(MergedTimeline)`, or `Error` as the client gives.
+    """
+    fleet = members(client)
+    if fleet.is_error():
+        return fleet
+    lines = []
+    silent = []
+    for member in _live(fleet.ok):
+        page = _events(open_client(member.admin_address), wanted)
+        if page.is_error():
+            silent.append(member.vm)
+            continue
+        lines.append(page.ok)
+    merged = tuple(event_line.merge(lines))
+    return expression.Ok(MergedTimeline(merged, tuple(silent)))
+
+
+def drain(client):
+    """Ask a daemon to drain its upstream and leave, as a result."""
+    return client.send('POST', '/v1/drain', adminmodels.Status)
+
+
+def _document(client, number):
+    if number == 0:
+        return expression.Ok((0, EMPTY_DOCUMENT))
+    if number is None:
+        head = client.get('/v1/head', adminmodels.VersionSummary)
+        if head.is_error():
+            return head
+        return _document(client, head.ok.number)
+    return version(client, number).map(
+        lambda detail: (number, bytes(detail.document))
+    )
+
+
+def _live(fleet):
+    gone = (messages.MemberState.DEAD, messages.MemberState.LEFT)
+    return [member for member in fleet.members if member.state not in gone]
+
+
+def _convergence(fleet, number):
+    live = _live(fleet)
+    newest = max((member.in_force for member in live), default=0)
+    wanted = newest if number is None else number
+    behind = tuple(member.vm for member in live if member.in_force < wanted)
+    return Convergence(wanted, behind, len(live))
+
+
+def _events(client, wanted):
+    query = {
+        'request': wanted.request,
+        'patch': wanted.patch,
+        'version': wanted.version,
+        'vm': wanted.vm,
+        'name': wanted.name,
+        'since_ns': wanted.since_ns,
+        'until_ns': wanted.until_ns,
+    }
+    page = client.get('/v1/timeline', adminmodels.TimelinePage, **query)
+    return page.map(
+        lambda found: [
+            adminmodels.stamped_event(event) for event in found.events
+        ]
+    )
