--- a/jujubefold/table.py
+++ b/jujubefold/table.py
@@ -2,8 +2,10 @@
 
 import abc
 import dataclasses
+import itertools
 
 import expression
+import sortedcontainers
 
 from jujubefold import errors
 
@@ -123,48 +125,48 @@
         """
 
 
-class MemoryTable(Table):
-    """In-memory twin of the platform's table service."""
+class Rows:
+    """Rows in memory and the rules of a transaction, without outcomes."""
 
     def __init__(self):
-        self._rows = {}
-        self._tokens = set()
+        self._tables = {}
 
-    async def transact(self, writes, token=''):
-        if token and token in self._tokens:
-            return expression.Ok(None)
-        failed = tuple(
+    def failed(self, writes):
+        """Return the indexes of writes whose conditions do not hold."""
+        return tuple(
             index
             for index, write in enumerate(writes)
             if not self._holds(write)
         )
-        if failed:
-            return expression.Error(
-                errors.ConditionFailed('condition failed', failed)
-            )
-        for write in writes:
-            self._apply(write)
-        if token:
-            self._tokens.add(token)
-        return expression.Ok(None)
 
-    async def read(self, keys):
-        return expression.Ok(tuple(self._row(key) for key in keys))
+    def apply(self, writes):
+        """Carry out writes whose conditions were found to hold."""
+        for write in writes:
+            match write:
+                case Put():
+                    rows = self._rows_of(write.key.table)
+                    rows[write.key.row] = dict(write.values)
+                case Delete():
+                    self._rows_of(write.key.table).pop(write.key.row, None)
+
+    def row(self, key):
+        """Return the `Row` of a key, or None."""
+        values = self._rows_of(key.table).get(key.row)
+        return None if values is None else Row(key, dict(values))
 
-    async def scan(self, table, after='', limit=100):
-        keys = sorted(
-            (key for key in self._rows if key.table == table),
-            key=lambda key: key.row,
+    def page(self, table, after, limit):
+        """Return up to `limit` rows behind the row name `after`."""
+        names = self._rows_of(table).irange(after, inclusive=(False, True))
+        return tuple(
+            self.row(Key(table, name))
+            for name in itertools.islice(names, limit)
         )
-        page = [key for key in keys if key.row > after][:limit]
-        return expression.Ok(tuple(self._row(key) for key in page))
 
-    def _row(self, key):
-        values = self._rows.get(key)
-        return None if values is None else Row(key, dict(values))
+    def _rows_of(self, table):
+        return self._tables.setdefault(table, sortedcontainers.SortedDict())
 
     def _holds(self, write):
-        values = self._rows.get(write.key)
+        values = self._rows_of(write.key.table).get(write.key.row)
         match write.condition:
             case Always():
                 return True
@@ -173,11 +175,42 @@
             case Equals(field=field, value=value):
                 return values is not None and values.get(field) == value
 
-    def _apply(self, write):
-        match write:
-            case Put():
-                self._rows[write.key] = dict(write.values)
-            case Delete():
-                self._rows.pop(write.key, None)
-            case Check():
-                pass
+
+def check_writes(writes):
+    """Check what every transaction must fulfil.
+
+    Raises:
+        errors.BrokenInvariant: Too many writes, or a key twice.
+    """
+    if not 0 < len(writes) <= MAX_WRITES:
+        raise errors.BrokenInvariant(f'{len(writes)} writes in a transaction')
+    if len({write.key for write in writes}) < len(writes):
+        raise errors.BrokenInvariant('a transaction writes a key twice')
+
+
+class MemoryTable(Table):
+    """In-memory twin of the platform's table service."""
+
+    def __init__(self):
+        self._rows = Rows()
+        self._tokens = set()
+
+    async def transact(self, writes, token=''):
+        check_writes(writes)
+        if token and token in self._tokens:
+            return expression.Ok(None)
+        failed = self._rows.failed(writes)
+        if failed:
+            return expression.Error(
+                errors.ConditionFailed('condition failed', failed)
+            )
+        self._rows.apply(writes)
+        if token:
+            self._tokens.add(token)
+        return expression.Ok(None)
+
+    async def read(self, keys):
+        return expression.Ok(tuple(self._rows.row(key) for key in keys))
+
+    async def scan(self, table, after='', limit=100):
+        return expression.Ok(self._rows.page(table, after, limit))
--- /dev/null
+++ b/jujubefold/tableservice.py
@@ -0,0 +1,212 @@
+"""Table port over the platform's table service."""
+
+import hashlib
+
+import expression
+import msgspec
+
+from jujubefold import errors
+from jujubefold import storeclient
+from jujubefold import storelimit
+from jujubefold import table
+from jujubefold import tableprotocol
+
+# Errors that the service gives before a transaction has any effect.
+_BEFORE_EFFECT = frozenset(
+    {
+        tableprotocol.MISMATCH,
+        tableprotocol.THROTTLED,
+        tableprotocol.UNAVAILABLE,
+        tableprotocol.VALIDATION,
+        'AccessDeniedException',
+        'LimitExceededException',
+        'RequestLimitExceeded',
+        'ResourceNotFoundException',
+        'SerializationException',
+        'ThrottlingException',
+        'UnknownOperationException',
+    }
+)
+_TOKEN_HEX_DIGITS = 32
+
+
+class TableService(table.Table):
+    """Rows in the platform's table service.
+
+    A write that carries a token is sent once more with the same token when
+    its answer was lost and the retry budget allows; no other write is ever
+    repeated here.
+
+    Args:
+        url: Base URL of the service.
+        clock: A `clock.Clock`.
+        timeout: Seconds for one call.
+        limiter: A `storelimit.StoreLimit`.
+    """
+
+    def __init__(self, url, clock, timeout, limiter):
+        self._url = url.rstrip('/') + '/'
+        self._client = storeclient.StoreClient(clock, timeout, limiter)
+
+    async def transact(self, writes, token=''):
+        table.check_writes(writes)
+        body = tableprotocol.TransactWrite(
+            tuple(tableprotocol.write_item(write) for write in writes),
+            _request_token(token),
+        )
+        request = self._request(
+            tableprotocol.TRANSACT_WRITE, storelimit.Kind.WRITE, body
+        )
+        result = await self._client.call(request, _transacted)
+        if token and _is_unknown(result) and self._client.may_retry():
+            again = await self._client.call(request, _transacted)
+            # The first try may still arrive, so only success is definite.
+            return again if again.is_ok() else result
+        return result
+
+    async def read(self, keys):
+        rows = ()
+        for start in range(0, len(keys), table.MAX_WRITES):
+            page = await self._read(keys[start : start + table.MAX_WRITES])
+            if page.is_error():
+                return page
+            rows += page.ok
+        return expression.Ok(rows)
+
+    async def scan(self, table, after='', limit=100):
+        rows = ()
+        while len(rows) < limit:
+            page = await self._page(table, after, limit - len(rows))
+            if page.is_error():
+                return page
+            found, more = page.ok
+            rows += found
+            if not more:
+                break
+            after = rows[-1].key.row
+        return expression.Ok(rows)
+
+    def close(self):
+        """Close connections to the service."""
+        self._client.close()
+
+    async def _read(self, keys):
+        body = tableprotocol.TransactGet(
+            tuple(
+                tableprotocol.GetItem(
+                    tableprotocol.KeyedItem(
+                        table_name=tableprotocol.STORE_TABLE,
+                        key=tableprotocol.key_item(key),
+                    )
+                )
+                for key in keys
+            )
+        )
+        request = self._request(
+            tableprotocol.TRANSACT_GET, storelimit.Kind.READ, body
+        )
+        return await self._client.call(request, _rows_read)
+
+    async def _page(self, table, after, limit):
+        body = _query(table, after, limit)
+        request = self._request(
+            tableprotocol.QUERY, storelimit.Kind.READ, body
+        )
+        return await self._client.call(request, _rows_queried)
+
+    def _request(self, operation, kind, body):
+        return storeclient.Request(
+            operation,
+            kind,
+            'POST',
+            self._url,
+            {
+                'Content-Type': tableprotocol.CONTENT_TYPE,
+                tableprotocol.TARGET_HEADER: (
+                    tableprotocol.TARGET_PREFIX + operation
+                ),
+            },
+            msgspec.json.encode(body),
+        )
+
+
+def _request_token(token):
+    if not token:
+        return ''
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    return digest[:_TOKEN_HEX_DIGITS]
+
+
+def _query(name, after, limit):
+    names = {'#t': tableprotocol.PARTITION}
+    values = {':t': {'S': name}}
+    expression_text = tableprotocol.QUERY_ALL_EXPRESSION
+    if after:
+        names['#r'] = tableprotocol.SORT
+        values[':r'] = {'S': after}
+        expression_text = tableprotocol.QUERY_EXPRESSION
+    return tableprotocol.Query(
+        tableprotocol.STORE_TABLE,
+        expression_text,
+        names,
+        values,
+        limit,
+        consistent_read=True,
+    )
+
+
+def _transacted(answer):
+    if answer.status == 200:
+        return expression.Ok(None)
+    return expression.Error(_failure(answer))
+
+
+def _rows_read(answer):
+    if answer.status != 200:
+        return expression.Error(_failure(answer))
+    found = msgspec.json.decode(
+        answer.body, type=tableprotocol.TransactGetAnswer
+    )
+    return expression.Ok(
+        tuple(
+            None if item.item is None else tableprotocol.row(item.item)
+            for item in found.responses
+        )
+    )
+
+
+def _rows_queried(answer):
+    if answer.status != 200:
+        return expression.Error(_failure(answer))
+    found = msgspec.json.decode(answer.body, type=tableprotocol.QueryAnswer)
+    rows = tuple(tableprotocol.row(item) for item in found.items)
+    return expression.Ok((rows, bool(found.last_evaluated_key)))
+
+
+def _failure(answer):
+    try:
+        failure = msgspec.json.decode(answer.body, type=tableprotocol.Failure)
+    except msgspec.DecodeError:
+        # Something between us and the service answered in its place.
+        return errors.StoreUnknown(f'status {answer.status} without an error')
+    reason = f'{failure.name}: {failure.message}'
+    if failure.name == tableprotocol.CANCELED:
+        return _cancelled(failure, reason)
+    if failure.name in _BEFORE_EFFECT:
+        return errors.StoreNotRun(reason)
+    return errors.StoreUnknown(reason)
+
+
+def _cancelled(failure, reason):
+    failed = tuple(
+        index
+        for index, item in enumerate(failure.cancellation_reasons)
+        if item.code == tableprotocol.CONDITION_FAILED
+    )
+    if failed:
+        return errors.ConditionFailed(reason, failed)
+    return errors.StoreNotRun(reason)
+
+
+def _is_unknown(result):
+    return result.is_error() and isinstance(result.error, errors.StoreUnknown)
