Bound a store call and its second try by one timeout

A write with a token that timed out was tried again for a whole timeout more, so a caller waited twice as long as the settings say. Both tries share one deadline now.

--- a/jujubefold/objectservice.py
+++ b/jujubefold/objectservice.py
@@ -49,12 +49,7 @@
             {'If-None-Match': '*'},
             data,
         )
-        result = await self._client.call(request, _stored)
-        # Content names the blob, so that storing it twice is idempotent.
-        if _is_unknown(result) and self._client.may_retry():
-            again = await self._client.call(request, _stored)
-            # The first try may have been stored, whatever the second says.
-            result = again if again.is_ok() else result
+        result = await self._client.call_idempotent(request, _stored)
         return result.map(lambda _: digest)
 
     async def get(self, digest):
@@ -173,7 +168,3 @@
         return xml.etree.ElementTree.fromstring(body)
     except xml.etree.ElementTree.ParseError as error:
         raise ValueError(str(error)) from error
-
-
-def _is_unknown(result):
-    return result.is_error() and isinstance(result.error, errors.StoreUnknown)
--- a/jujubefold/storeclient.py
+++ b/jujubefold/storeclient.py
@@ -11,6 +11,8 @@
 from jujubefold import storelimit
 
 WORKERS = 4
+# A call with less time left than this is not worth sending.
+MIN_TIMEOUT_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,7 +64,7 @@
         self._http = urllib3.PoolManager(maxsize=WORKERS)
 
     async def call(self, request, interpret):
-        """Make one call.
+        """Make one call, and try no second time.
 
         Args:
             request: A `Request`.
@@ -72,14 +74,41 @@
             What `interpret` returned, or `Error` of `errors.StoreNotRun`,
             or for a write `errors.StoreUnknown`.
         """
+        deadline = self._clock.monotonic() + self._timeout
+        return await self._call(request, interpret, deadline)
+
+    async def call_idempotent(self, request, interpret):
+        """Make a call that may take effect twice; try again if in doubt.
+
+        The second try happens within the same timeout, when the retry
+        budget allows. The first may still arrive after it, whatever the
+        second is told, so only its success is definite.
+
+        Args:
+            request: A `Request`.
+            interpret: Turns an `Answer` into a result.
+
+        Returns:
+            As `call`.
+        """
+        deadline = self._clock.monotonic() + self._timeout
+        result = await self._call(request, interpret, deadline)
+        if not _is_unknown(result) or not self._may_retry(deadline):
+            return result
+        again = await self._call(request, interpret, deadline)
+        return again if again.is_ok() else result
+
+    async def _call(self, request, interpret, deadline):
         start = self._clock.monotonic()
-        refusal = await self._limiter.enter(request.kind, self._timeout / 2)
+        refusal = await self._limiter.enter(
+            request.kind, (deadline - start) / 2
+        )
         if refusal is not None:
             limited = storelimit.StoreOutcome.LIMITED
             self._limiter.limited(self._observe(request, limited, start))
             return expression.Error(refusal)
-        left = self._timeout - (self._clock.monotonic() - start)
-        answer = await self._send(request, max(0.001, left))
+        left = deadline - self._clock.monotonic()
+        answer = await self._send(request, max(MIN_TIMEOUT_S, left))
         result = answer.bind(lambda found: _checked(found, interpret))
         if request.kind is storelimit.Kind.READ:
             result = result.map_error(_read_failure)
@@ -88,9 +117,9 @@
         self._limiter.leave(self._observe(request, outcome, start, received))
         return result
 
-    def may_retry(self):
-        """Return whether the retry budget has one more; takes it."""
-        return self._limiter.may_retry()
+    def _may_retry(self, deadline):
+        left = deadline - self._clock.monotonic()
+        return left > MIN_TIMEOUT_S and self._limiter.may_retry()
 
     def close(self):
         """Close connections; calls under way end by their timeout."""
@@ -147,6 +176,10 @@
         return _unknown(f'answer not understood: {error}')
 
 
+def _is_unknown(result):
+    return result.is_error() and isinstance(result.error, errors.StoreUnknown)
+
+
 def _read_failure(failure):
     if isinstance(failure, errors.StoreUnknown):
         return errors.StoreNotRun(failure.reason)
--- a/jujubefold/tableservice.py
+++ b/jujubefold/tableservice.py
@@ -57,12 +57,9 @@
         request = self._request(
             tableprotocol.TRANSACT_WRITE, storelimit.Kind.WRITE, body
         )
-        result = await self._client.call(request, _transacted)
-        if token and _is_unknown(result) and self._client.may_retry():
-            again = await self._client.call(request, _transacted)
-            # The first try may still arrive, so only success is definite.
-            return again if again.is_ok() else result
-        return result
+        if token:
+            return await self._client.call_idempotent(request, _transacted)
+        return await self._client.call(request, _transacted)
 
     async def read(self, keys):
         rows = ()
@@ -206,7 +203,3 @@
     if failed:
         return errors.ConditionFailed(reason, failed)
     return errors.StoreNotRun(reason)
-
-
-def _is_unknown(result):
-    return result.is_error() and isinstance(result.error, errors.StoreUnknown)
