--- /dev/null
+++ b/jujubefold/declarations.py
@@ -0,0 +1,406 @@
+"""Declarations: the border model of a configuration, and its TOML form."""
+
+import json
+import re
+import tomllib
+import typing
+
+import expression
+import msgspec
+import pydantic
+
+from jujubefold import errors
+from jujubefold import mesh
+from jujubefold import settings
+from jujubefold import versions
+
+SCHEMA = 1
+MINOR = 0
+MAX_WEIGHT = 1000
+
+Method = typing.Annotated[str, pydantic.Field(pattern=r'^[A-Z]{1,20}$')]
+Seconds = typing.Annotated[
+    float, pydantic.Field(gt=0, le=3600, allow_inf_nan=False)
+]
+Host = typing.Annotated[
+    str, pydantic.Field(pattern=r'^(\*|[a-z0-9.-]{1,253})$')
+]
+Path = typing.Annotated[
+    str, pydantic.Field(pattern=r'^/[^?#\s]*$', max_length=1024)
+]
+Header = typing.Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9!#$%&'*+.^_`|~-]{1,128}$")
+]
+HeaderValue = typing.Annotated[
+    str, pydantic.Field(pattern=r'^[\x20-\x7e]{0,4096}$')
+]
+
+_BARE_KEY = re.compile(r'^[A-Za-z0-9_-]+$')
+
+
+class Model(pydantic.BaseModel):
+    """Base of the border models; unknown fields are kept aside."""
+
+    model_config = pydantic.ConfigDict(extra='allow', frozen=True, strict=True)
+
+
+class Retry(Model):
+    """A named retry policy."""
+
+    attempts: int = pydantic.Field(default=3, ge=1, le=10)
+    budget_percent: int = pydantic.Field(default=20, ge=0, le=100)
+
+
+class Limit(Model):
+    """A named limit policy."""
+
+    queue: int = pydantic.Field(default=32, ge=0, le=100_000)
+    body_bytes: int = pydantic.Field(default=16 * 1024 * 1024, ge=0)
+
+
+class Timeout(Model):
+    """A named timeout policy, in seconds."""
+
+    request: Seconds = 10.0
+    attempt: Seconds = 5.0
+
+
+class Headers(Model):
+    """A named header rule."""
+
+    set: dict[Header, HeaderValue] = {}
+    remove: list[Header] = []
+
+
+class Tls(Model):
+    """A named reference to key material that daemons find locally."""
+
+    secret: settings.Name
+    server_name: str = pydantic.Field(default='', max_length=253)
+
+
+class Service(Model):
+    """A service that upstreams announce."""
+
+    health_path: Path = '/health'
+    warmup: float = pydantic.Field(
+        default=0.0, ge=0, le=3600, allow_inf_nan=False
+    )
+    tls: str = ''
+
+
+class Group(Model):
+    """An endpoint group of a service."""
+
+    service: str
+    regions: list[settings.Name] = []
+    failure_domains: list[settings.Name] = []
+
+
+class Target(Model):
+    """A share of a route's requests."""
+
+    group: str
+    weight: int = pydantic.Field(default=1, ge=1, le=MAX_WEIGHT)
+
+
+class Route(Model):
+    """A route; policies are referred to by name, '' for the defaults."""
+
+    host: Host = '*'
+    path: Path = '/'
+    methods: list[Method] = []
+    targets: list[Target] = pydantic.Field(min_length=1, max_length=64)
+    retry: str = ''
+    limit: str = ''
+    timeout: str = ''
+    headers: str = ''
+    idempotent: bool | None = None
+    keyed: bool = False
+    priority: int = pydantic.Field(default=5, ge=0, le=9)
+
+
+class Document(Model):
+    """A whole configuration."""
+
+    schema_: int = pydantic.Field(alias='schema', ge=1)
+    minor: int = pydantic.Field(default=0, ge=0)
+    services: dict[settings.Name, Service] = {}
+    groups: dict[settings.Name, Group] = {}
+    retries: dict[settings.Name, Retry] = {}
+    limits: dict[settings.Name, Limit] = {}
+    timeouts: dict[settings.Name, Timeout] = {}
+    headers: dict[settings.Name, Headers] = {}
+    tls: dict[settings.Name, Tls] = {}
+    routes: dict[settings.Name, Route] = {}
+
+
+def parse(text, source):
+    """Read declarations and check them as a whole.
+
+    Args:
+        text: TOML text.
+        source: File name for error messages.
+
+    Returns:
+        `Ok(dict)`, the document with every section present, or
+        `Error(tuple[errors.Invalid, ...])`.
+    """
+    try:
+        raw = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        return _failed(errors.Invalid(str(error), source))
+    sections = {name: {} for name in versions.SECTIONS}
+    document = _plain({'schema': SCHEMA, **sections, **raw})
+    found = compile_mesh(document, 0)
+    if found.is_error():
+        return expression.Error(
+            tuple(
+                errors.Invalid(item.reason, f'{source}: {item.where}')
+                for item in found.error
+            )
+        )
+    return expression.Ok(document)
+
+
+def render(document):
+    """Return the TOML text of a document.
+
+    Args:
+        document: JSON-compatible dict without null values.
+    """
+    plain = [
+        f'{_key(name)} = {_value(value)}\n'
+        for name, value in document.items()
+        if not isinstance(value, dict)
+    ]
+    tables = [
+        _table(f'{_key(section)}.{_key(name)}', entry)
+        for section, entries in document.items()
+        if isinstance(entries, dict)
+        for name, entry in entries.items()
+    ]
+    return '\n'.join([''.join(plain), *tables])
+
+
+def compile_document(document, number):
+    """Check canonical bytes as a whole and resolve their references.
+
+    Args:
+        document: Canonical JSON bytes.
+        number: Version number they belong to.
+
+    Returns:
+        As `compile_mesh`.
+    """
+    try:
+        raw = msgspec.json.decode(document)
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+        return _failed(errors.Invalid(str(error), ''))
+    return compile_mesh(raw, number)
+
+
+def compile_mesh(document, number):
+    """Check a document as a whole and resolve its references.
+
+    Args:
+        document: JSON-compatible dict; fields that this release does not
+            know are ignored only when `minor` is newer than its own.
+        number: Version number it belongs to.
+
+    Returns:
+        `Ok(mesh.Mesh)` or `Error(tuple[errors.Invalid, ...])`.
+    """
+    schema = document.get('schema') if isinstance(document, dict) else None
+    if isinstance(schema, int) and schema > SCHEMA:
+        reason = f'schema {schema} is newer than {SCHEMA}, known here'
+        return _failed(errors.Invalid(reason, '/schema'))
+    try:
+        checked = Document.model_validate(document)
+    except (pydantic.ValidationError, RecursionError) as error:
+        return expression.Error(_model_errors(error))
+    problems = (
+        *_unknown(checked),
+        *_dangling(checked),
+        *_ambiguous(checked),
+    )
+    if problems:
+        return expression.Error(problems)
+    return expression.Ok(_compiled(checked, number))
+
+
+def _plain(raw):
+    return msgspec.json.decode(versions.canonical(raw))
+
+
+def _failed(invalid):
+    return expression.Error((invalid,))
+
+
+def _model_errors(error):
+    if isinstance(error, RecursionError):
+        return (errors.Invalid('nested too deeply', ''),)
+    return tuple(
+        errors.Invalid(item['msg'], _pointer(*item['loc']))
+        for item in error.errors()
+    )
+
+
+def _pointer(*parts):
+    names = (str(part).replace('~', '~0') for part in parts)
+    return ''.join('/' + name.replace('/', '~1') for name in names)
+
+
+def _unknown(checked):
+    if checked.minor > MINOR:
+        return
+    yield from _extras(checked, ())
+
+
+def _extras(model, where):
+    for name in model.model_extra:
+        yield errors.Invalid('unknown field', _pointer(*where, name))
+    for name, value in model:
+        yield from _nested_extras(value, (*where, name))
+
+
+def _nested_extras(value, where):
+    match value:
+        case Model():
+            yield from _extras(value, where)
+        case dict():
+            for key, item in value.items():
+                yield from _nested_extras(item, (*where, key))
+        case list():
+            for index, item in enumerate(value):
+                yield from _nested_extras(item, (*where, index))
+
+
+def _dangling(checked):
+    for name, service in checked.services.items():
+        yield from _missing(service.tls, checked.tls, 'services', name, 'tls')
+    for name, group in checked.groups.items():
+        if group.service not in checked.services:
+            yield _absent(group.service, 'groups', name, 'service')
+    for name, route in checked.routes.items():
+        yield from _dangling_route(checked, name, route)
+
+
+def _dangling_route(checked, name, route):
+    for index, target in enumerate(route.targets):
+        if target.group not in checked.groups:
+            where = ('routes', name, 'targets', index, 'group')
+            yield _absent(target.group, *where)
+    kinds = (
+        ('retry', checked.retries),
+        ('limit', checked.limits),
+        ('timeout', checked.timeouts),
+        ('headers', checked.headers),
+    )
+    for field, known in kinds:
+        named = getattr(route, field)
+        yield from _missing(named, known, 'routes', name, field)
+
+
+def _missing(named, known, *where):
+    if named and named not in known:
+        yield _absent(named, *where)
+
+
+def _absent(named, *where):
+    return errors.Invalid(f'{named!r} does not exist', _pointer(*where))
+
+
+def _ambiguous(checked):
+    seen = {}
+    for name, route in checked.routes.items():
+        for method in route.methods or ('',):
+            key = (route.host, route.path.rstrip('/'), method)
+            other = seen.setdefault(key, name)
+            if other != name:
+                reason = f'matches the same requests as route {other!r}'
+                yield errors.Invalid(reason, _pointer('routes', name))
+
+
+def _compiled(checked, number):
+    services = {
+        name: _service(checked, name, item)
+        for name, item in checked.services.items()
+    }
+    groups = {
+        name: mesh.EndpointGroup(
+            name,
+            item.service,
+            tuple(item.regions),
+            tuple(item.failure_domains),
+        )
+        for name, item in checked.groups.items()
+    }
+    routes = (
+        _route(checked, groups, name, item)
+        for name, item in checked.routes.items()
+    )
+    ordered = tuple(sorted(routes, key=_specificity))
+    return mesh.Mesh(number, ordered, services)
+
+
+def _service(checked, name, item):
+    tls = None
+    if item.tls:
+        named = checked.tls[item.tls]
+        tls = mesh.TlsReference(item.tls, named.secret, named.server_name)
+    return mesh.Service(name, item.health_path, item.warmup, tls)
+
+
+def _route(checked, groups, name, item):
+    retry = checked.retries.get(item.retry, Retry())
+    limit = checked.limits.get(item.limit, Limit())
+    timeout = checked.timeouts.get(item.timeout, Timeout())
+    headers = checked.headers.get(item.headers, Headers())
+    return mesh.Route(
+        name=name,
+        host=item.host,
+        path=item.path,
+        methods=tuple(item.methods),
+        targets=tuple(
+            mesh.Target(groups[target.group], target.weight)
+            for target in item.targets
+        ),
+        retry=mesh.RetryPolicy(retry.attempts, retry.budget_percent),
+        limit=mesh.LimitPolicy(limit.queue, limit.body_bytes),
+        timeout=mesh.TimeoutPolicy(timeout.request, timeout.attempt),
+        headers=mesh.HeaderRule(
+            tuple(headers.set.items()), tuple(headers.remove)
+        ),
+        idempotent=item.idempotent,
+        keyed=item.keyed,
+        priority=item.priority,
+    )
+
+
+def _specificity(route):
+    length = len(route.path.rstrip('/'))
+    return (route.host == '*', -length, not route.methods, route.name)
+
+
+def _table(title, entry):
+    lines = [
+        f'{_key(name)} = {_value(value)}\n' for name, value in entry.items()
+    ]
+    return f'[{title}]\n{"".join(lines)}'
+
+
+def _key(name):
+    return name if _BARE_KEY.match(name) else _value(name)
+
+
+def _value(value):
+    match value:
+        case dict():
+            items = (f'{_key(k)} = {_value(v)}' for k, v in value.items())
+            return '{' + ', '.join(items) + '}'
+        case list():
+            return '[' + ', '.join(map(_value, value)) + ']'
+        case _:
+            # A JSON scalar is a TOML scalar, but for the bare DEL.
+            return json.dumps(value).replace('\x7f', '\\u007f')
--- a/jujubefold/effects.py
+++ b/jujubefold/effects.py
@@ -46,10 +46,12 @@
     Args:
         after: Version number held now; 0 for none.
         upto: Highest version number wanted.
+        whole: Fetch only `upto`, with its document.
     """
 
     after: int
     upto: int
+    whole: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jujubefold/membership.py
+++ b/jujubefold/membership.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 from jujubefold import messages
 
 
@@ -41,3 +43,15 @@
         Iterator of `effects.Effect`.
     """
     yield from ()
+
+
+def set_in_force(table, number):
+    """Tell the fleet which configuration version is in force here.
+
+    Args:
+        table: A `MembershipTable`; its own record gets a new revision.
+        number: Version number now in force.
+    """
+    table.me = msgspec.structs.replace(
+        table.me, in_force=number, revision=table.me.revision + 1
+    )
--- a/jujubefold/mesh.py
+++ b/jujubefold/mesh.py
@@ -50,6 +50,20 @@
     remove: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TlsReference:
+    """Key material that every daemon finds locally by name.
+
+    Args:
+        secret: Name of the key material; never the material itself.
+        server_name: Name expected in the certificate, '' for any.
+    """
+
+    name: str
+    secret: str
+    server_name: str = ''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A group of upstreams that announce the same service name.
@@ -57,11 +71,13 @@
     Args:
         health_path: Path of the health endpoint, a hint only.
         warmup: Seconds over which a new instance is ramped up.
+        tls: How the upstream is spoken to, None for plain text.
     """
 
     name: str
     health_path: str = '/health'
     warmup: float = 0.0
+    tls: TlsReference | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/jujubefold/patches.py
@@ -0,0 +1,126 @@
+"""Patches: differences of documents as JSON Patch (RFC 6902)."""
+
+import expression
+import jsonpatch
+import jsonpointer
+import msgspec
+
+from jujubefold import errors
+from jujubefold import versions
+
+MAX_PATCH_BYTES = 200 * 1024
+MAX_OPERATIONS = 10_000
+
+_BAD_PATCH = (
+    jsonpatch.JsonPatchException,
+    jsonpointer.JsonPointerException,
+    AttributeError,
+    IndexError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+
+def difference(old, new):
+    """Return the patch that turns one document into another.
+
+    Args:
+        old: Document as JSON-compatible dict.
+        new: Document as JSON-compatible dict.
+
+    Returns:
+        Canonical JSON bytes of the patch; `[]` for equal documents.
+    """
+    return versions.canonical(jsonpatch.make_patch(old, new).patch)
+
+
+def normalize(patch):
+    """Return a patch in canonical form.
+
+    Args:
+        patch: JSON bytes of an RFC 6902 patch, not trusted.
+
+    Returns:
+        `Ok(bytes)` or `Error(errors.Invalid)`.
+    """
+    return _operations(patch).map(versions.canonical)
+
+
+def apply(document, patch):
+    """Apply a patch to a document.
+
+    Args:
+        document: Canonical JSON bytes.
+        patch: JSON bytes of an RFC 6902 patch, not trusted.
+
+    Returns:
+        `Ok(canonical bytes)` or `Error(errors.Invalid)`.
+    """
+    return _operations(patch).bind(
+        lambda operations: _applied(document, operations)
+    )
+
+
+def clashes(patch, patches_since):
+    """Return what a patch changes that later patches changed too.
+
+    Args:
+        patch: Canonical JSON bytes of a patch.
+        patches_since: Iterable of patches accepted since its base.
+
+    Returns:
+        Sorted tuple of JSON pointers out of `patch`.
+    """
+    theirs = {
+        pointer for other in patches_since for pointer in _changed(other)
+    }
+    return tuple(
+        sorted(
+            mine
+            for mine in _changed(patch)
+            if any(_overlap(mine, other) for other in theirs)
+        )
+    )
+
+
+def _operations(patch):
+    if len(patch) > MAX_PATCH_BYTES:
+        return _invalid(f'larger than {MAX_PATCH_BYTES} bytes')
+    try:
+        operations = msgspec.json.decode(patch, type=list[dict])
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+        return _invalid(str(error))
+    if len(operations) > MAX_OPERATIONS:
+        return _invalid(f'more than {MAX_OPERATIONS} operations')
+    return expression.Ok(operations)
+
+
+def _applied(document, operations):
+    try:
+        before = msgspec.json.decode(document)
+        after = jsonpatch.JsonPatch(operations).apply(before)
+        if not isinstance(after, dict):
+            return _invalid('the document must stay an object')
+        return expression.Ok(versions.canonical(after))
+    except _BAD_PATCH as error:
+        return _invalid(f'{type(error).__name__}: {error}')
+
+
+def _invalid(reason):
+    return expression.Error(errors.Invalid(reason, 'patch'))
+
+
+def _changed(patch):
+    for operation in msgspec.json.decode(patch):
+        if operation.get('op') == 'test':
+            continue
+        yield operation['path']
+        if operation.get('op') == 'move':
+            yield operation['from']
+
+
+def _overlap(one, other):
+    shorter, longer = sorted((one, other), key=len)
+    return longer == shorter or longer.startswith(shorter + '/')
--- a/jujubefold/versions.py
+++ b/jujubefold/versions.py
@@ -42,6 +42,18 @@
     mesh: mesh.Mesh
 
 
+SECTIONS = (
+    'services',
+    'groups',
+    'retries',
+    'limits',
+    'timeouts',
+    'headers',
+    'tls',
+    'routes',
+)
+
+
 def canonical(document):
     """Return the canonical JSON bytes of a document.
 
@@ -54,3 +66,7 @@
 def digest(document_bytes):
     """Return the hex SHA-256 digest of canonical bytes."""
     return hashlib.sha256(document_bytes).hexdigest()
+
+
+EMPTY_DOCUMENT = canonical({'schema': 1, **{name: {} for name in SECTIONS}})
+EMPTY_DIGEST = digest(EMPTY_DOCUMENT)
