Spread accepted versions over the overlay and hold a floor after a start

A daemon has no disk, so nothing but the store or other daemons can tell it what its address served before. Versions now travel as patches or as announcements answered by pulls; a version is in force only at or above the floor read from the head or given by witnesses.

--- a/jujubefold/messages.py
+++ b/jujubefold/messages.py
@@ -151,10 +151,12 @@
     Args:
         after: Number held; 0 for none.
         digest: Digest of the version held, empty for none.
+        whole: A chain did not give its digest, so send a snapshot.
     """
 
     after: int
     digest: str = ''
+    whole: bool = False
 
 
 class Chain(Message):
@@ -202,8 +204,9 @@
 
     Args:
         noted: Highest number noted for the address; 0 for none.
-        since_ms: Milliseconds that this witness has been running.
-        held: Number the witness itself has in force.
+        since_ms: Milliseconds since this witness first read the head from
+            the store; 0 when it has not, and so may have missed versions.
+        held: Highest number the witness knows to be accepted.
     """
 
     address: str
--- a/jujubefold/settings.py
+++ b/jujubefold/settings.py
@@ -63,11 +63,68 @@
     calls_per_second: float = pydantic.Field(default=20.0, gt=0)
 
 
+_PRESETS = {
+    Preset.CONVERGENCE: {},
+    Preset.BYTES: {
+        'push_edges': 1,
+        'announce_delay': 0.5,
+        'head_interval': 5.0,
+        'repair_interval': 20.0,
+        'pull_timeout': 3.0,
+        'serve_bytes_per_second': 128 * 1024,
+    },
+}
+
+
 class Dissemination(Model):
-    """How versions spread."""
+    """How versions spread; a preset gives what the file leaves out.
+
+    Args:
+        preset: Whose defaults to take; those below are CONVERGENCE's.
+        witnesses: Daemons that note a version before it is in force; 0 to
+            need the store after every restart.
+        readers: Daemons of a failure domain that read the head.
+        head_interval: Seconds between two reads of the head by a reader.
+        push_edges: Neighbours that get a new version at once with its
+            patch; the others get an announcement.
+        announce_delay: Seconds an announcement waits, so that a version
+            that comes sooner over another edge saves the pull.
+        repair_interval: Seconds between comparisons with a random daemon.
+        pulls: Most pulls without answer at a time.
+        pull_timeout: Seconds after which a pull counts as lost.
+        start_jitter: Seconds over which starting daemons spread their
+            first read and pull.
+        settle: Seconds a starting daemon learns members before it asks
+            witnesses.
+        serve_bytes_per_second: Most bytes sent as answers to pulls.
+        chain_max: Most patches in one answer; more go as a snapshot.
+        history_versions: Most patches held for others.
+        history_bytes: Most bytes of patches held for others.
+    """
 
     preset: Preset = Preset.CONVERGENCE
     witnesses: int = pydantic.Field(default=0, ge=0, le=5)
+    readers: int = pydantic.Field(default=2, ge=1, le=16)
+    head_interval: float = pydantic.Field(default=1.0, gt=0, le=3600)
+    push_edges: int = pydantic.Field(default=4, ge=0, le=16)
+    announce_delay: float = pydantic.Field(default=0.0, ge=0, le=60)
+    repair_interval: float = pydantic.Field(default=2.0, gt=0, le=3600)
+    pulls: int = pydantic.Field(default=2, ge=1, le=16)
+    pull_timeout: float = pydantic.Field(default=1.0, gt=0, le=60)
+    start_jitter: float = pydantic.Field(default=2.0, ge=0, le=60)
+    settle: float = pydantic.Field(default=5.0, ge=0, le=300)
+    serve_bytes_per_second: int = pydantic.Field(default=1 << 20, ge=1024)
+    chain_max: int = pydantic.Field(default=32, ge=1, le=1000)
+    history_versions: int = pydantic.Field(default=128, ge=1)
+    history_bytes: int = pydantic.Field(default=1 << 20, ge=1024)
+
+    @pydantic.model_validator(mode='before')
+    @classmethod
+    def _with_preset(cls, given):
+        if not isinstance(given, dict):
+            return given
+        preset = given.get('preset', Preset.CONVERGENCE)
+        return {**_PRESETS.get(preset, {}), **given}
 
 
 class Tls(Model):
