Add membership, joining, probing and the gRPC peers

Daemons had no way to find each other. Join through contacts, probe the overlay's neighbours, and carry member news on probes; envelopes travel by one generic gRPC method. Records encode without field names.

--- a/jujubefold/core.py
+++ b/jujubefold/core.py
@@ -4,8 +4,12 @@
 
 from jujubefold import dispatch
 from jujubefold import dissemination
+from jujubefold import flooding
 from jujubefold import identity
+from jujubefold import joining
 from jujubefold import membership
+from jujubefold import probing
+from jujubefold import progress
 
 
 @dataclasses.dataclass(slots=True)
@@ -14,16 +18,34 @@
 
     Args:
         identity: Who this daemon is.
-        membership: Members and probes.
+        membership: Members.
         dissemination: Versions held, and who is being told.
+        probing: Probes under way.
+        joining: How far joining the fleet has come.
+        progress: Who has the newest version in force.
     """
 
     identity: identity.Identity
     membership: membership.MembershipTable
     dissemination: dissemination.DisseminationTable
+    probing: 'probing.ProbingTable' = dataclasses.field(
+        default_factory=probing.ProbingTable
+    )
+    joining: 'joining.JoiningTable' = dataclasses.field(
+        default_factory=joining.JoiningTable
+    )
+    progress: 'progress.ProgressTable' = dataclasses.field(
+        default_factory=progress.ProgressTable
+    )
 
 
-SYSTEMS = (membership.run, dissemination.run)
+SYSTEMS = (
+    membership.run,
+    joining.run,
+    probing.run,
+    dissemination.run,
+    flooding.run,
+)
 
 
 def tick(tables, context, inputs):
--- a/jujubefold/effects.py
+++ b/jujubefold/effects.py
@@ -73,3 +73,14 @@
     """Write this daemon's row in the contact table (rare)."""
 
     slot: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop(Effect):
+    """Stop this daemon: another one has taken its name or address.
+
+    Args:
+        reason: One sentence for the log.
+    """
+
+    reason: str
--- /dev/null
+++ b/jujubefold/grpcpeers.py
@@ -0,0 +1,242 @@
+"""Peers over gRPC: one generic unary method, few long-lived channels."""
+
+import asyncio
+import collections
+import time
+
+import expression
+import grpc
+import grpc.aio
+
+from jujubefold import errors
+from jujubefold import messages
+from jujubefold import peers
+from jujubefold import trust
+
+SERVICE = 'jujubefold.Peers'
+METHOD = 'Exchange'
+MAX_CHANNELS = 24
+MAX_CONCURRENT_EXCHANGES = 256
+# Envelopes taken a second, over all peers, and the burst above that.
+MAX_RATE = 500.0
+MAX_BURST = 1000.0
+KEEPALIVE_MS = 20_000
+KEEPALIVE_TIMEOUT_MS = 5_000
+STOP_GRACE_S = 1.0
+
+_PATH = f'/{SERVICE}/{METHOD}'
+_SHARED_OPTIONS = (
+    ('grpc.max_receive_message_length', messages.MAX_ENVELOPE_BYTES),
+    ('grpc.max_send_message_length', messages.MAX_ENVELOPE_BYTES),
+    ('grpc.keepalive_time_ms', KEEPALIVE_MS),
+    ('grpc.keepalive_timeout_ms', KEEPALIVE_TIMEOUT_MS),
+    ('grpc.http2.max_pings_without_data', 0),
+)
+_SERVER_OPTIONS = _SHARED_OPTIONS + (
+    ('grpc.so_reuseport', 0),
+    ('grpc.http2.min_ping_interval_without_data_ms', KEEPALIVE_MS // 2),
+    ('grpc.max_concurrent_streams', MAX_CONCURRENT_EXCHANGES),
+)
+_CHANNEL_OPTIONS = _SHARED_OPTIONS + (
+    ('grpc.enable_retries', 0),
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.initial_reconnect_backoff_ms', 200),
+    ('grpc.max_reconnect_backoff_ms', 5_000),
+)
+
+
+class GrpcPeers(peers.Peers):
+    """Exchanges envelopes over gRPC.
+
+    Args:
+        bind_address: `ip:port` to listen on; port 0 picks one.
+        credentials: A `trust.PeerCredentials`, or None for plain text.
+    """
+
+    def __init__(self, bind_address, credentials=None):
+        self._bind_address = bind_address
+        self._credentials = credentials
+        self._channels = collections.OrderedDict()
+        self._kept = frozenset()
+        self._closing = set()
+        self._server = None
+        self._receive = None
+        self._rate = _Rate(MAX_RATE, MAX_BURST)
+        self._refused = 0
+
+    @property
+    def channels(self):
+        """Number of channels open now."""
+        return len(self._channels)
+
+    @property
+    def refused(self):
+        """Envelopes refused for rate, trust or form since the start."""
+        return self._refused
+
+    def keep(self, addresses):
+        """Name the peers whose channels must stay open.
+
+        Args:
+            addresses: Peer addresses of the overlay's neighbours.
+        """
+        self._kept = frozenset(addresses)
+
+    def reload(self):
+        """Drop all channels, so that the next ones use new keys."""
+        for address in tuple(self._channels):
+            self._drop(address)
+
+    async def exchange(self, address, envelope, timeout):
+        call = self._channel(address)
+        try:
+            answer = await call(envelope, timeout=timeout)
+        except grpc.aio.AioRpcError as error:
+            self._forget_broken(address, error)
+            return _unreachable(address, error.code().name)
+        if answer.is_error():
+            return _unreachable(address, answer.error.reason)
+        return answer
+
+    async def serve(self, receive):
+        self._receive = receive
+        self._server = grpc.aio.server(
+            options=_SERVER_OPTIONS,
+            maximum_concurrent_rpcs=MAX_CONCURRENT_EXCHANGES,
+        )
+        self._server.add_generic_rpc_handlers((self._handlers(),))
+        port = self._bind()
+        await self._server.start()
+        host = self._bind_address.rpartition(':')[0]
+        return f'{host}:{port}'
+
+    async def close(self):
+        self.reload()
+        if self._closing:
+            await asyncio.wait(self._closing, timeout=STOP_GRACE_S)
+        if self._server is not None:
+            await self._server.stop(STOP_GRACE_S)
+
+    def _bind(self):
+        if self._credentials is None:
+            return self._server.add_insecure_port(self._bind_address)
+        return self._server.add_secure_port(
+            self._bind_address, self._credentials.server()
+        )
+
+    def _handlers(self):
+        handler = grpc.unary_unary_rpc_method_handler(
+            self._handle,
+            request_deserializer=messages.decode,
+            response_serializer=messages.encode,
+        )
+        return grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler})
+
+    async def _handle(self, decoded, context):
+        if not self._rate.take(time.monotonic()):
+            return await self._refuse(
+                context, grpc.StatusCode.RESOURCE_EXHAUSTED, 'too many'
+            )
+        if self._credentials and not trust.is_daemon(context.auth_context()):
+            return await self._refuse(
+                context,
+                grpc.StatusCode.PERMISSION_DENIED,
+                'not a certificate of a daemon',
+            )
+        if decoded.is_error():
+            return await self._refuse(
+                context,
+                grpc.StatusCode.INVALID_ARGUMENT,
+                decoded.error.reason[:200],
+            )
+        return self._receive(decoded.ok)
+
+    async def _refuse(self, context, code, why):
+        self._refused += 1
+        await context.abort(code, why)
+
+    def _channel(self, address):
+        found = self._channels.get(address)
+        if found is None:
+            found = self._open(address)
+            self._channels[address] = found
+        self._channels.move_to_end(address)
+        self._trim(address)
+        return found[1]
+
+    def _open(self, address):
+        if self._credentials is None:
+            channel = grpc.aio.insecure_channel(
+                address, options=_CHANNEL_OPTIONS
+            )
+        else:
+            channel = grpc.aio.secure_channel(
+                address,
+                self._credentials.channel(),
+                options=_CHANNEL_OPTIONS + self._credentials.options,
+            )
+        call = channel.unary_unary(
+            _PATH,
+            request_serializer=messages.encode,
+            response_deserializer=messages.decode,
+        )
+        return channel, call
+
+    def _trim(self, newest):
+        excess = len(self._channels) - MAX_CHANNELS
+        if excess <= 0:
+            return
+        idle = [
+            address
+            for address in self._channels
+            if address not in self._kept and address != newest
+        ]
+        for address in idle[:excess]:
+            self._drop(address)
+
+    def _forget_broken(self, address, error):
+        # A new connection may work where the old one has gone silent.
+        if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+            self._drop(address)
+
+    def _drop(self, address):
+        found = self._channels.pop(address, None)
+        if found is None:
+            return
+        closing = asyncio.ensure_future(found[0].close(STOP_GRACE_S))
+        self._closing.add(closing)
+        closing.add_done_callback(self._closing.discard)
+
+
+class _Rate:
+    """A token bucket.
+
+    Args:
+        rate: Tokens added a second.
+        burst: Most tokens held.
+    """
+
+    def __init__(self, rate, burst):
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._filled_at = 0.0
+
+    def take(self, now):
+        """Take one token; return whether there was one.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        gained = (now - self._filled_at) * self._rate
+        self._tokens = min(self._burst, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+def _unreachable(address, why):
+    return expression.Error(errors.PeerUnreachable(f'{address}: {why}'))
--- a/jujubefold/messages.py
+++ b/jujubefold/messages.py
@@ -38,9 +38,11 @@
     GONE = 'gone'
 
 
-class Member(msgspec.Struct, frozen=True, omit_defaults=True):
+class Member(msgspec.Struct, frozen=True, array_like=True):
     """What a daemon tells the fleet about itself and its upstream.
 
+    Encoded without field names: new fields go last and have defaults.
+
     Args:
         revision: Raised by the owner at each change within an incarnation.
         state: Belief about the daemon.
@@ -71,11 +73,13 @@
 
     Args:
         target: Incarnation the prober believes in; 0 for unknown.
+        view: Digest of the members that the prober holds live.
     """
 
     sequence: int
     target: int = 0
     updates: tuple[Member, ...] = ()
+    view: int = 0
 
 
 class Ack(Message):
@@ -83,12 +87,14 @@
 
     Args:
         serving: False when the daemon answers probes but cannot serve.
+        view: Digest of the members that the answerer holds live.
     """
 
     sequence: int
     incarnation: int
     updates: tuple[Member, ...] = ()
     serving: bool = True
+    view: int = 0
 
 
 class PingRequest(Message):
@@ -106,9 +112,14 @@
 
 
 class Join(Message):
-    """A daemon that starts asks a contact for the members."""
+    """A daemon that starts asks a contact for the members.
+
+    Args:
+        after: Last VM name received, empty for the first page.
+    """
 
     member: Member
+    after: str = ''
 
 
 class Welcome(Message):
@@ -123,6 +134,42 @@
     retry_after_ms: int = 0
 
 
+class Sync(Message):
+    """Ask a daemon whose view differs for what this one lacks.
+
+    Args:
+        buckets: Digest of the live members in each bucket.
+    """
+
+    buckets: tuple[int, ...]
+
+
+class SyncAnswer(Message):
+    """Answer to `Sync`: every record of some differing buckets.
+
+    Args:
+        buckets: Indexes of the buckets that `members` is whole for.
+        members: Records, the dead and those that left included.
+    """
+
+    buckets: tuple[int, ...]
+    members: tuple[Member, ...]
+
+
+class Progress(Message):
+    """Which daemons have a configuration version in force.
+
+    Args:
+        number: The version number.
+        roster: Digest of the sorted live members that bits stand for.
+        bits: Little endian; bit i is set when member i has `number`.
+    """
+
+    number: int
+    roster: int
+    bits: bytes
+
+
 class Announce(Message):
     """A version exists; whoever lacks it pulls."""
 
@@ -265,6 +312,9 @@
     | Gossip
     | Join
     | Welcome
+    | Sync
+    | SyncAnswer
+    | Progress
     | Announce
     | Push
     | Pull
--- a/jujubefold/overlay.py
+++ b/jujubefold/overlay.py
@@ -1,16 +1,42 @@
 """Overlay: which few daemons each daemon talks to, on K hash rings.
 
 Every daemon orders the live members by a hash, once a ring, and its
-neighbours are the next on each ring. All daemons with the same view agree,
-every daemon has exactly as many observers as rings, and a change of one
-member moves only its own edges.
+neighbours are the next on each ring. Daemons with the same view agree, and a
+change of one member moves only edges near it. Some rings prefer a neighbour
+of another failure domain or region; they look a few places ahead at most,
+so that no daemon is observed by more than a bounded number.
 """
 
+import bisect
+import dataclasses
+import functools
 import hashlib
 
+import sortedcontainers
+
 from jujubefold import membership
 
 RINGS = 4
+LOOK_AHEAD = 8
+
+_READER_RING = -1
+
+
+@dataclasses.dataclass(slots=True)
+class Rings:
+    """Live members in ring order, this daemon left out.
+
+    Args:
+        rings: `(point, vm)` in order, a list a ring.
+        domains: `(point, vm)` in order, by failure domain.
+        placed: Failure domain of each VM placed.
+        size: Size of the member table when last brought up to date.
+    """
+
+    rings: dict[int, sortedcontainers.SortedList]
+    domains: dict[str, sortedcontainers.SortedList]
+    placed: dict[str, str]
+    size: int = 0
 
 
 def neighbours(table, rings=RINGS):
@@ -23,11 +49,12 @@
     Returns:
         Tuple of `messages.Member`, this daemon left out.
     """
+    current = _current(table)
     found = {}
     for ring in range(rings):
-        member = _successor(table, ring)
+        member = _successor(table, _ring(current, ring), ring, found)
         if member is not None:
-            found.setdefault(member.vm, member)
+            found[member.vm] = member
     return tuple(found.values())
 
 
@@ -38,27 +65,97 @@
         table: A `membership.MembershipTable`.
         count: Readers wanted in each failure domain.
     """
-    me = table.me
-    peers = (
-        member.vm
-        for member in membership.live(table)
-        if member.failure_domain == me.failure_domain
+    domain = _current(table).domains.get(table.me.failure_domain, ())
+    mine = (_point(table.me.vm, _READER_RING), table.me.vm)
+    return bisect.bisect_left(domain, mine) < count
+
+
+def rank(table):
+    """Return this daemon's place among all, 0 for the first.
+
+    Args:
+        table: A `membership.MembershipTable`.
+    """
+    ring = _ring(_current(table), 0)
+    return ring.bisect_left((_point(table.me.vm, 0), table.me.vm))
+
+
+def _current(table):
+    rings = table.overlay
+    if rings is None or rings.size != len(table.members):
+        rings = _build(table)
+        table.overlay = rings
+    for vm in table.moved:
+        _move(rings, vm, table.members.get(vm))
+    table.moved.clear()
+    return rings
+
+
+def _build(table):
+    rings = Rings({}, {}, {}, len(table.members))
+    for ring in range(RINGS):
+        _ring(rings, ring)
+    for member in table.members.values():
+        _move(rings, member.vm, member)
+    return rings
+
+
+def _ring(rings, ring):
+    found = rings.rings.get(ring)
+    if found is None:
+        found = sortedcontainers.SortedList(
+            (_point(vm, ring), vm) for vm in rings.placed
+        )
+        rings.rings[ring] = found
+    return found
+
+
+def _move(rings, vm, member):
+    domain = rings.placed.pop(vm, None)
+    if domain is not None:
+        rings.domains[domain].remove((_point(vm, _READER_RING), vm))
+        for ring, order in rings.rings.items():
+            order.remove((_point(vm, ring), vm))
+    if not membership.is_live(member):
+        return
+    rings.placed[vm] = member.failure_domain
+    order = rings.domains.setdefault(
+        member.failure_domain, sortedcontainers.SortedList()
     )
-    rank = sum(1 for vm in peers if _point(vm, -1) < _point(me.vm, -1))
-    return rank < count
+    order.add((_point(vm, _READER_RING), vm))
+    for ring, order in rings.rings.items():
+        order.add((_point(vm, ring), vm))
+
+
+def _successor(table, order, ring, found):
+    first = None
+    for member in _ahead(table, order, ring, found):
+        if _preferred(table.me, member, ring):
+            return member
+        first = first or member
+    return first
+
+
+def _ahead(table, order, ring, found):
+    start = order.bisect_left((_point(table.me.vm, ring), table.me.vm))
+    steps = min(len(order), LOOK_AHEAD + len(found))
+    for step in range(steps):
+        _, vm = order[(start + step) % len(order)]
+        if vm not in found:
+            yield table.members[vm]
 
 
-def _successor(table, ring):
-    mine = _point(table.me.vm, ring)
-    best = None
-    for member in membership.live(table):
-        point = _point(member.vm, ring)
-        distance = (point - mine) % (1 << 64)
-        if best is None or distance < best[0]:
-            best = (distance, member)
-    return None if best is None else best[1]
+def _preferred(me, member, ring):
+    match ring % RINGS:
+        case 1:
+            return member.failure_domain != me.failure_domain
+        case 3:
+            return member.region != me.region
+        case _:
+            return True
 
 
+@functools.lru_cache(maxsize=65536)
 def _point(vm, ring):
     data = f'{ring}/{vm}'.encode()
     return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest())
--- /dev/null
+++ b/jujubefold/probing.py
@@ -0,0 +1,398 @@
+"""Probing: finds out which daemons still answer."""
+
+import dataclasses
+
+from jujubefold import dispatch
+from jujubefold import effects
+from jujubefold import joining
+from jujubefold import membership
+from jujubefold import messages
+from jujubefold import overlay
+from jujubefold import progress
+
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 0.8
+INDIRECT_TIMEOUT_S = 1.2
+HELPERS = 3
+MAX_RELAYS = 64
+# One probe in so many goes to any member instead of a neighbour.
+RANDOM_EVERY = 5
+RECONTACT_S = 20.0
+RECONTACT_SOON_S = 1.0
+SYNC_AFTER_S = 5.0
+SYNC_INTERVAL_S = 10.0
+SYNC_RECORDS = 24
+# A daemon that hears nobody suspects others only from this doubt on.
+ISOLATED_HEALTH = 3
+
+
+@dataclasses.dataclass(slots=True)
+class Probe:
+    """A probe under way.
+
+    Args:
+        target: Incarnation that the member is believed to have.
+        started_at: Monotonic seconds.
+        deadline: When its present stage has failed.
+        indirect: Whether other daemons were asked to probe, too.
+    """
+
+    vm: str
+    address: str
+    target: int
+    started_at: float
+    deadline: float
+    indirect: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Relay:
+    """A probe made for another daemon.
+
+    Args:
+        requester: Peer address that the answer goes to.
+        sequence: The requester's own sequence.
+    """
+
+    requester: str
+    sequence: int
+    deadline: float
+
+
+@dataclasses.dataclass(slots=True)
+class ProbingTable:
+    """Probes under way and when the next things are due.
+
+    Args:
+        sequence: Last sequence used.
+        probes: By sequence.
+        relays: By sequence.
+        next_at: Monotonic seconds of the next probe, or None.
+        rounds: Probes sent.
+        heard_at: When any probe was last answered.
+        recontact_at: When a dead member is next tried, or None.
+        recontacted: Address of the dead member tried last.
+        sync_at: Earliest time of the next comparison.
+        differs_since: Since when views differ from neighbours', or None.
+    """
+
+    sequence: int = 0
+    probes: dict[int, Probe] = dataclasses.field(default_factory=dict)
+    relays: dict[int, Relay] = dataclasses.field(default_factory=dict)
+    next_at: float | None = None
+    rounds: int = 0
+    heard_at: float = float('-inf')
+    recontact_at: float | None = None
+    recontacted: str = ''
+    sync_at: float = 0.0
+    differs_since: float | None = None
+
+
+def run(tables, context):
+    """Judge overdue probes and send the next one.
+
+    Returns:
+        Iterator of `effects.Effect`.
+    """
+    probing = tables.probing
+    table = tables.membership
+    if _is_over(table):
+        return
+    if probing.next_at is None or table.paused_at == context.now:
+        _begin_afresh(probing, context)
+    for sequence in _overdue(probing.relays, context.now):
+        del probing.relays[sequence]
+    for sequence in _overdue(probing.probes, context.now):
+        yield from _judge(tables, context, sequence)
+    if context.now >= probing.next_at:
+        probing.next_at = context.now + PROBE_INTERVAL_S * _jitter(context)
+        yield from _probe_next(tables, context)
+    yield from _recontact(tables, context)
+
+
+@dispatch.handle.register
+def _(item: messages.Ping, tables, context, sender=''):
+    table = tables.membership
+    yield from membership.apply_all(table, item.updates, context)
+    if _is_over(table):
+        return
+    known = _record_at(table, sender)
+    stranger = item.target not in (0, table.me.incarnation)
+    yield effects.Send(
+        sender,
+        messages.Ack(
+            item.sequence,
+            table.me.incarnation,
+            membership.news(table, known, introduce=stranger),
+            table.serving,
+            table.digests.view,
+        ),
+    )
+
+
+@dispatch.handle.register
+def _(item: messages.Ack, tables, context, sender=''):
+    table = tables.membership
+    probing = tables.probing
+    yield from membership.apply_all(table, item.updates, context)
+    if sender == probing.recontacted:
+        probing.recontacted = ''
+        probing.recontact_at = context.now + RECONTACT_SOON_S * _jitter(
+            context
+        )
+    relay = probing.relays.pop(item.sequence, None)
+    if relay is not None:
+        yield effects.Send(
+            relay.requester, messages.Ack(relay.sequence, item.incarnation)
+        )
+    probe = probing.probes.get(item.sequence)
+    if probe is not None and _answers(probe, item):
+        del probing.probes[item.sequence]
+        probing.heard_at = context.now
+        table.health = max(0, table.health - 1)
+    if item.view:
+        yield from _compare(tables, context, item, sender)
+
+
+@dispatch.handle.register
+def _(item: messages.PingRequest, tables, context, sender=''):
+    probing = tables.probing
+    known = tables.membership.by_address.get(item.address)
+    if known is None or len(probing.relays) >= MAX_RELAYS:
+        return
+    sequence = _number(probing)
+    probing.relays[sequence] = Relay(
+        sender, item.sequence, context.now + INDIRECT_TIMEOUT_S
+    )
+    yield effects.Send(
+        item.address, messages.Ping(sequence, item.target), urgent=True
+    )
+
+
+@dispatch.handle.register
+def _(item: messages.Sync, tables, context, sender=''):
+    table = tables.membership
+    mine = table.digests.buckets
+    if len(item.buckets) != len(mine):
+        return
+    differing = [
+        index
+        for index, digest in enumerate(mine)
+        if digest != item.buckets[index]
+    ]
+    context.rng.shuffle(differing)
+    buckets, members = _fill(table, differing)
+    yield effects.Send(sender, messages.SyncAnswer(buckets, members))
+
+
+@dispatch.handle.register
+def _(item: messages.SyncAnswer, tables, context, sender=''):
+    table = tables.membership
+    heard = {member.vm: member for member in item.members}
+    back = tuple(
+        member
+        for member in _in_buckets(table, item.buckets)
+        if _is_newer(member, heard.get(member.vm))
+    )
+    yield from membership.apply_all(table, item.members, context)
+    if back:
+        yield effects.Send(sender, messages.Gossip(back[:SYNC_RECORDS]))
+
+
+@dispatch.handle.register
+def _(item: dispatch.Unreachable, tables, context, sender=''):
+    joining.contact_failed(tables, item.address, context)
+    for probe in tables.probing.probes.values():
+        if probe.address == item.address and not probe.indirect:
+            probe.deadline = context.now
+    yield from ()
+
+
+def _is_over(table):
+    left = table.me.state is messages.MemberState.LEFT
+    return left or table.stopped
+
+
+def _begin_afresh(probing, context):
+    probing.probes.clear()
+    probing.relays.clear()
+    probing.next_at = context.now + context.rng.uniform(0, PROBE_INTERVAL_S)
+
+
+def _jitter(context):
+    return context.rng.uniform(0.9, 1.1)
+
+
+def _overdue(entries, now):
+    return [key for key, entry in entries.items() if now >= entry.deadline]
+
+
+def _number(probing):
+    probing.sequence += 1
+    return probing.sequence
+
+
+def _answers(probe, ack):
+    return probe.target in (0, ack.incarnation)
+
+
+def _judge(tables, context, sequence):
+    probing = tables.probing
+    probe = probing.probes[sequence]
+    table = tables.membership
+    if not probe.indirect:
+        probe.indirect = True
+        probe.deadline = context.now + INDIRECT_TIMEOUT_S * _patience(table)
+        yield from _ask_helpers(tables, context, sequence, probe)
+        return
+    del probing.probes[sequence]
+    if probing.heard_at < probe.started_at:
+        table.health = min(membership.MAX_HEALTH, table.health + 1)
+        if table.health < ISOLATED_HEALTH:
+            return
+    known = table.members.get(probe.vm)
+    if known is not None and known.incarnation == probe.target:
+        yield from membership.suspect(table, probe.vm, context)
+
+
+def _patience(table):
+    return 1 + table.health
+
+
+def _ask_helpers(tables, context, sequence, probe):
+    table = tables.membership
+    others = [
+        member
+        for member in overlay.neighbours(table)
+        if member.vm != probe.vm and member.state is messages.MemberState.ALIVE
+    ]
+    context.rng.shuffle(others)
+    request = messages.PingRequest(sequence, probe.address, probe.target)
+    for helper in others[:HELPERS]:
+        yield effects.Send(helper.peer_address, request, urgent=True)
+
+
+def _probe_next(tables, context):
+    probing = tables.probing
+    table = tables.membership
+    member, chance = _choose(tables, context)
+    probing.rounds += 1
+    if member is None:
+        return
+    sequence = _number(probing)
+    timeout = PROBE_TIMEOUT_S * _patience(table)
+    probing.probes[sequence] = Probe(
+        member.vm,
+        member.peer_address,
+        member.incarnation,
+        context.now,
+        context.now + timeout,
+    )
+    about = table.doubted.pop(member.vm, member)
+    yield effects.Send(
+        member.peer_address,
+        messages.Ping(
+            sequence,
+            member.incarnation,
+            membership.news(table, about, introduce=chance),
+            table.digests.view,
+        ),
+    )
+    yield from progress.carry(tables, member.peer_address)
+
+
+def _choose(tables, context):
+    """Return whom to probe, and whether by chance."""
+    table = tables.membership
+    rounds = tables.probing.rounds
+    if table.doubted and rounds % 2:
+        vm = next(iter(table.doubted))
+        return table.members[vm], True
+    if rounds % RANDOM_EVERY == RANDOM_EVERY - 1 and table.by_address:
+        return table.members[_any(table, context)], True
+    near = overlay.neighbours(table)
+    return (near[rounds % len(near)], False) if near else (None, False)
+
+
+def _any(table, context):
+    return context.rng.choice(tuple(table.by_address.values()))
+
+
+def _recontact(tables, context):
+    probing = tables.probing
+    if probing.recontact_at is None:
+        probing.recontact_at = context.now + context.rng.uniform(
+            0, RECONTACT_S
+        )
+    if context.now < probing.recontact_at:
+        return
+    probing.recontact_at = context.now + RECONTACT_S * context.rng.uniform(
+        0.5, 1.5
+    )
+    table = tables.membership
+    dead = [
+        vm
+        for vm in table.ended
+        if table.members[vm].state is messages.MemberState.DEAD
+    ]
+    if not dead:
+        return
+    member = table.members[context.rng.choice(dead)]
+    probing.recontacted = member.peer_address
+    yield effects.Send(
+        member.peer_address,
+        messages.Ping(
+            _number(probing),
+            member.incarnation,
+            (member, table.me),
+            table.digests.view,
+        ),
+    )
+
+
+def _record_at(table, address):
+    vm = table.by_address.get(address)
+    if vm is not None:
+        return table.members[vm]
+    gone = (table.members[vm] for vm in table.ended)
+    return next((m for m in gone if m.peer_address == address), None)
+
+
+def _compare(tables, context, ack, sender):
+    probing = tables.probing
+    table = tables.membership
+    if ack.view == table.digests.view:
+        probing.differs_since = None
+        return
+    if probing.differs_since is None:
+        probing.differs_since = context.now
+    waited = context.now - probing.differs_since
+    if waited < SYNC_AFTER_S or context.now < probing.sync_at:
+        return
+    probing.sync_at = context.now + SYNC_INTERVAL_S * _jitter(context)
+    yield effects.Send(sender, messages.Sync(tuple(table.digests.buckets)))
+
+
+def _fill(table, differing):
+    members = []
+    buckets = []
+    for index in differing:
+        found = list(_in_buckets(table, (index,)))
+        if buckets and len(members) + len(found) > SYNC_RECORDS:
+            break
+        buckets.append(index)
+        members.extend(found)
+    return tuple(buckets), tuple(members[: membership.MAX_RECORDS])
+
+
+def _in_buckets(table, buckets):
+    wanted = frozenset(buckets)
+    for member in (table.me, *table.members.values()):
+        if membership.bucket_of(member.vm) in wanted:
+            yield member
+
+
+def _is_newer(mine, heard):
+    if heard is None:
+        return membership.is_live(mine)
+    return membership.merge(mine, heard) != heard
