--- a/jujubefold/core.py
+++ b/jujubefold/core.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from jujubefold import crashes
 from jujubefold import dispatch
 from jujubefold import dissemination
 from jujubefold import identity
@@ -16,14 +17,18 @@
         identity: Who this daemon is.
         membership: Members and probes.
         dissemination: Versions held, and who is being told.
+        crashes: Requests that crash upstreams.
     """
 
     identity: identity.Identity
     membership: membership.MembershipTable
     dissemination: dissemination.DisseminationTable
+    crashes: 'crashes.CrashTable' = dataclasses.field(
+        default_factory=crashes.new_crashes
+    )
 
 
-SYSTEMS = (membership.run, dissemination.run)
+SYSTEMS = (membership.run, dissemination.run, crashes.run)
 
 
 def tick(tables, context, inputs):
--- a/jujubefold/messages.py
+++ b/jujubefold/messages.py
@@ -250,12 +250,15 @@
     Args:
         fingerprint: Digest that is equal for the same request sent again.
         upstream: `vm/incarnation` of the daemon whose upstream crashed.
-        count: Crashes of this fingerprint seen at that upstream.
+        count: Crashes of this fingerprint seen at that upstream; 0 clears
+            the fingerprint, because an upstream answered it.
+        blame_milli: Thousandths of a crash that it bears for them.
     """
 
     fingerprint: str
     upstream: str
     count: int
+    blame_milli: int = 0
 
 
 Peer = (
--- /dev/null
+++ b/jujubefold/routing.py
@@ -0,0 +1,509 @@
+"""Routing: which upstream gets a call, by what this daemon observed.
+
+The own upstream goes first while it has a free slot. Else two candidates of
+the nearest place are drawn and the less loaded one is taken; when neither
+has a free slot, two of the next place are compared as well. Announced
+states, health and load order the candidates and never remove the last one;
+only an upstream that is leaving is never chosen.
+"""
+
+import collections.abc
+import dataclasses
+import hashlib
+import random
+
+from jujubefold import calls
+from jujubefold import errors
+from jujubefold import gate
+from jujubefold import messages
+
+# Senders that one instance expects at most; spread keeps it under 110.
+SENDERS_PER_INSTANCE = 72
+MIN_SUBSET = 2
+LOAD_HALF_LIFE_S = 0.5
+LATENCY_GAIN = 0.2
+MIN_LATENCY_S = 0.001
+SLOW_START_S = 10.0
+SLOW_START_FLOOR = 0.1
+REFUSED_PAUSE_S = 0.05
+MAX_REFUSED_PAUSE_S = 1.0
+LOST_PAUSE_S = 0.25
+MAX_LOST_PAUSE_S = 15.0
+EJECT_AFTER_FAILURES = 5
+EJECT_S = 5.0
+MAX_EJECT_S = 60.0
+MAX_EJECTED_FRACTION = 1 / 3
+NOBODY_RETRY_AFTER_S = 1.0
+LEAVING_S = 5.0
+MAX_INDEXES = 256
+
+_State = messages.UpstreamState
+_LEAVING = frozenset({_State.DRAINING, _State.GONE})
+_POSSIBLE = frozenset({_State.SERVING, _State.WARMING})
+_LIVE = frozenset({messages.MemberState.ALIVE, messages.MemberState.SUSPECT})
+_SAME_DOMAIN, _SAME_REGION, _ELSEWHERE, _DOUBTFUL = range(4)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnUpstream:
+    """The upstream on this VM.
+
+    Args:
+        member: This daemon's own record.
+        load: What its gate says now.
+    """
+
+    member: messages.Member
+    load: gate.Load
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observation:
+    """How an attempt at another daemon ended, as this daemon saw it.
+
+    Args:
+        vm: The other daemon's VM.
+        ran_ok: An upstream's whole answer came back.
+        refused: The other daemon refused; the attempt did not run.
+        lost: No answer came.
+        seconds: From send to ending.
+        load: Load that rode on the answer, or None.
+    """
+
+    vm: str
+    ran_ok: bool
+    refused: bool
+    lost: bool
+    seconds: float
+    load: gate.Load | None
+
+
+@dataclasses.dataclass(slots=True)
+class PeerView:
+    """What this daemon saw of another.
+
+    Args:
+        in_flight: Attempts sent and not ended.
+        latency: Moving average in seconds; 0 before the first answer.
+        others: Attempts of other senders there, by its last load.
+        slots: Usable slots by its last load; 0 for not told.
+        load_at: Monotonic seconds of that load.
+        refusals: Refusals in a row.
+        losses: Attempts lost in a row.
+        failures: Attempts in a row that ended neither well nor refused.
+        ejections: Ejections since the last good answer.
+        paused_until: Monotonic seconds of the end of its back-off.
+        ejected_until: Monotonic seconds of the end of its ejection.
+        leaving_until: Monotonic seconds until which its word that it
+            drains counts; membership says so by then.
+    """
+
+    in_flight: int = 0
+    latency: float = 0.0
+    others: int = 0
+    slots: int = 0
+    load_at: float = 0.0
+    refusals: int = 0
+    losses: int = 0
+    failures: int = 0
+    ejections: int = 0
+    paused_until: float = 0.0
+    ejected_until: float = 0.0
+    leaving_until: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Candidate:
+    """An upstream that a group may use.
+
+    Args:
+        member: Its daemon's record.
+        view: What was seen of it.
+    """
+
+    member: messages.Member
+    view: PeerView
+
+
+Tiers = tuple[tuple[Candidate, ...], ...]
+
+
+@dataclasses.dataclass(slots=True)
+class RoutingTable:
+    """What this daemon observed, and candidates worked out from it.
+
+    Args:
+        rng: Spreads back-off.
+        peers: By VM name.
+        members: The members that `tiers` were worked out from.
+        tiers: Candidates by distance, by service and filters of a group.
+    """
+
+    rng: random.Random
+    peers: dict[str, PeerView] = dataclasses.field(default_factory=dict)
+    members: collections.abc.Iterable[messages.Member] = ()
+    me: messages.Member | None = None
+    tiers: dict[tuple, Tiers] = dataclasses.field(default_factory=dict)
+
+
+def new_routing(rng=None):
+    """Return a `RoutingTable`.
+
+    Args:
+        rng: A `random.Random` for back-off; None for one seeded by chance.
+    """
+    return RoutingTable(rng or random.Random())
+
+
+def choose(routing, call, members, own, tried, context):
+    """Return where to send a call.
+
+    Args:
+        routing: A `RoutingTable`.
+        call: The `calls.Call`.
+        members: Other daemons as `messages.Member`, own left out. Pass the
+            same tuple until a member changes: its identity tells whether
+            cached candidates still hold.
+        own: An `OwnUpstream`.
+        tried: VM names that must not be chosen again.
+        context: A `dispatch.Context`.
+
+    Returns:
+        `calls.Own`, `calls.Peer` or `calls.Nobody`.
+    """
+    _refresh(routing, members, own.member)
+    for target in _targets(call.route.targets, context.rng):
+        own_here = _own_serves(own, target.group, tried)
+        if own_here and _own_is_free(own):
+            return calls.Own()
+        choice = _choose_peer(
+            routing, target.group, own, own_here, tried, context
+        )
+        if choice is not None:
+            return choice
+    return _nobody(tried)
+
+
+def sent(routing, vm, now):
+    """Note that an attempt was sent to another daemon.
+
+    Args:
+        routing: A `RoutingTable`.
+        vm: Its VM name.
+        now: Monotonic seconds.
+    """
+    _view(routing, vm).in_flight += 1
+
+
+def observe(routing, observation, now):
+    """Note how an attempt at another daemon ended.
+
+    Args:
+        routing: A `RoutingTable`.
+        observation: An `Observation`, one for each `sent`.
+        now: Monotonic seconds.
+    """
+    view = _view(routing, observation.vm)
+    view.in_flight = max(0, view.in_flight - 1)
+    if observation.load is not None:
+        _note_load(view, observation.load, now)
+    if observation.ran_ok:
+        _note_success(view, observation.seconds)
+    elif observation.refused:
+        _note_refusal(routing, view, now)
+    else:
+        _note_failure(routing, view, observation.lost, now)
+
+
+def subset_size(senders, instances, bound=SENDERS_PER_INSTANCE):
+    """Return how many instances of a service one daemon uses.
+
+    Args:
+        senders: Daemons that may send.
+        instances: Instances they choose from.
+        bound: Senders that an instance expects.
+    """
+    fitting = bound * instances // max(1, senders)
+    return min(instances, max(MIN_SUBSET, fitting))
+
+
+def _refresh(routing, members, me):
+    same = members is routing.members and me is routing.me
+    if same and isinstance(members, tuple):
+        return
+    routing.members = tuple(members)
+    routing.me = me
+    routing.tiers.clear()
+    known = {member.vm for member in routing.members}
+    gone = [
+        vm
+        for vm, view in routing.peers.items()
+        if vm not in known and not view.in_flight
+    ]
+    for vm in gone:
+        del routing.peers[vm]
+
+
+def _targets(targets, rng):
+    """Yield targets, the first by weight, then the rest in order."""
+    if len(targets) == 1:
+        yield targets[0]
+        return
+    weights = [target.weight for target in targets]
+    if not sum(weights):
+        return
+    first = rng.choices(targets, weights)[0]
+    yield first
+    for target in targets:
+        if target is not first and target.weight:
+            yield target
+
+
+def _own_serves(own, group, tried):
+    member = own.member
+    return (
+        own.load.state in _POSSIBLE
+        and member.vm not in tried
+        and _in_group(member, group)
+    )
+
+
+def _own_is_free(own):
+    load = own.load
+    return load.state is _State.SERVING and (
+        not load.queued and load.running < load.slots
+    )
+
+
+def _in_group(member, group):
+    if member.service != group.service:
+        return False
+    if group.regions and member.region not in group.regions:
+        return False
+    domains = group.failure_domains
+    return not domains or member.failure_domain in domains
+
+
+def _choose_peer(routing, group, own, own_here, tried, context):
+    tiers = _tiers(routing, group, own.member)
+    best = _best(tiers, tried, context, strict=True)
+    if best is None and not own_here:
+        best = _best(tiers, tried, context, strict=False)
+    if own_here and (best is None or not _is_free(best, context)):
+        return calls.Own()
+    if best is None:
+        return None
+    member = best.member
+    return calls.Peer(member.vm, member.incarnation, member.call_address)
+
+
+def _best(tiers, tried, context, strict):
+    """Return the best candidate drawn, nearest place first.
+
+    Args:
+        strict: Whether back-off and ejection count.
+    """
+    best = None
+    for tier in tiers:
+        drawn = _draw(_usable(tier, tried, context.now, strict), context.rng)
+        for candidate in drawn:
+            if best is None or _score(candidate, context) < _score(
+                best, context
+            ):
+                best = candidate
+        if best is not None and _is_free(best, context):
+            return best
+    return best
+
+
+def _usable(tier, tried, now, strict):
+    left = [
+        candidate
+        for candidate in tier
+        if candidate.member.vm not in tried
+        and candidate.view.leaving_until <= now
+    ]
+    if not strict:
+        return left
+    rested = [
+        candidate for candidate in left if candidate.view.paused_until <= now
+    ]
+    kept = [
+        candidate
+        for candidate in rested
+        if candidate.view.ejected_until <= now
+    ]
+    if len(kept) >= len(tier) * (1 - MAX_EJECTED_FRACTION):
+        return kept
+    return rested
+
+
+def _draw(candidates, rng):
+    if len(candidates) <= 2:
+        return candidates
+    first = int(rng.random() * len(candidates))
+    second = int(rng.random() * (len(candidates) - 1))
+    if second >= first:
+        second += 1
+    return (candidates[first], candidates[second])
+
+
+def _score(candidate, context):
+    """Return the expected wait, in seconds; lower is better."""
+    view = candidate.view
+    waiting = _expected_running(view, context.now) + 1
+    latency = max(MIN_LATENCY_S, view.latency)
+    return waiting / _capacity(candidate, context) * latency
+
+
+def _is_free(candidate, context):
+    running = _expected_running(candidate.view, context.now)
+    return running + 1 <= _capacity(candidate, context)
+
+
+def _expected_running(view, now):
+    age = now - view.load_at
+    others = view.others * 0.5 ** (age / LOAD_HALF_LIFE_S)
+    return view.in_flight + others
+
+
+def _capacity(candidate, context):
+    """Return usable slots; a new instance counts for less at first."""
+    member = candidate.member
+    slots = min(member.slots, candidate.view.slots or member.slots)
+    age = context.wall - member.ready_at_ms / 1000
+    if age < SLOW_START_S:
+        slots *= max(SLOW_START_FLOOR, age / SLOW_START_S)
+    return max(1.0, slots)
+
+
+def _tiers(routing, group, me):
+    key = (group.service, group.regions, group.failure_domains)
+    found = routing.tiers.get(key)
+    if found is None:
+        if len(routing.tiers) >= MAX_INDEXES:
+            routing.tiers.clear()
+        found = routing.tiers[key] = _build_tiers(routing, group, me)
+    return found
+
+
+def _build_tiers(routing, group, me):
+    serving = [
+        member
+        for member in routing.members
+        if member.state in _LIVE
+        and member.upstream_state in _POSSIBLE
+        and _in_group(member, group)
+    ]
+    tiers = ([], [], [], [])
+    for member in _subset(serving, routing.members, me):
+        candidate = Candidate(member, _view(routing, member.vm))
+        tiers[_distance(member, me)].append(candidate)
+    return tuple(tuple(tier) for tier in tiers)
+
+
+def _distance(member, me):
+    if member.state is messages.MemberState.SUSPECT:
+        return _DOUBTFUL
+    if member.upstream_state is not _State.SERVING:
+        return _DOUBTFUL
+    if member.region != me.region:
+        return _ELSEWHERE
+    if member.failure_domain != me.failure_domain:
+        return _SAME_REGION
+    return _SAME_DOMAIN
+
+
+def _subset(serving, members, me):
+    """Return the instances this daemon uses: some near, the rest any."""
+    senders = len(members) + 1
+    size = subset_size(senders, len(serving))
+    if size >= len(serving):
+        return serving
+    ranked = sorted(serving, key=lambda member: _affinity(me.vm, member.vm))
+    near = [
+        member
+        for member in ranked
+        if member.failure_domain == me.failure_domain
+    ]
+    chosen = near[: _near_size(size, near, members, me)]
+    for member in ranked:
+        if len(chosen) >= size:
+            break
+        if member not in chosen:
+            chosen.append(member)
+    return chosen
+
+
+def _near_size(size, near, members, me):
+    neighbours = 1 + sum(
+        1 for member in members if member.failure_domain == me.failure_domain
+    )
+    bound = SENDERS_PER_INSTANCE // 2 * len(near) // neighbours
+    return min((size + 1) // 2, bound)
+
+
+def _affinity(sender, vm):
+    data = f'{sender}/{vm}'.encode()
+    return hashlib.blake2b(data, digest_size=8).digest()
+
+
+def _view(routing, vm):
+    view = routing.peers.get(vm)
+    if view is None:
+        view = routing.peers[vm] = PeerView()
+    return view
+
+
+def _note_load(view, load, now):
+    view.others = max(0, load.running + load.queued - view.in_flight)
+    view.slots = load.slots
+    view.load_at = now
+    if load.state in _LEAVING:
+        view.leaving_until = now + LEAVING_S
+
+
+def _note_success(view, seconds):
+    view.refusals = view.losses = view.failures = view.ejections = 0
+    view.paused_until = view.ejected_until = 0.0
+    if view.latency:
+        view.latency += LATENCY_GAIN * (seconds - view.latency)
+    else:
+        view.latency = seconds
+
+
+def _note_refusal(routing, view, now):
+    view.refusals += 1
+    pause = min(
+        MAX_REFUSED_PAUSE_S, REFUSED_PAUSE_S * 2 ** min(view.refusals, 10)
+    )
+    view.paused_until = now + _jittered(routing, pause)
+
+
+def _note_failure(routing, view, lost, now):
+    view.failures += 1
+    if lost:
+        view.losses += 1
+        pause = min(MAX_LOST_PAUSE_S, LOST_PAUSE_S * 2 ** min(view.losses, 10))
+        view.paused_until = now + _jittered(routing, pause)
+    if view.failures >= EJECT_AFTER_FAILURES:
+        view.failures = 0
+        view.ejections += 1
+        length = min(MAX_EJECT_S, EJECT_S * view.ejections)
+        view.ejected_until = now + _jittered(routing, length)
+
+
+def _jittered(routing, seconds):
+    return seconds * (0.5 + routing.rng.random() / 2)
+
+
+def _nobody(tried):
+    reason = calls.Reason.NO_SLOT if tried else calls.Reason.NO_UPSTREAM
+    return calls.Nobody(
+        calls.Refusal(
+            errors.Ran.DID_NOT_RUN,
+            reason,
+            NOBODY_RETRY_AFTER_S,
+            'no upstream can take the request now',
+        )
+    )
