--- a/jujubefold/gate.py
+++ b/jujubefold/gate.py
@@ -18,7 +18,7 @@
 from jujubefold import messages
 
 DEFAULT_QUEUE_LIMIT = 32
-# Slots given back each second after the upstream shed load.
+# Slots given back each second after the upstream shed load or fell silent.
 SHED_RECOVERY_SLOTS_PER_S = 1.0
 # Seconds after which an estimate without new answers counts half.
 ESTIMATE_HALF_LIFE_S = 5.0
@@ -148,13 +148,16 @@
         state: State that the upstream announced.
         running: Attempts that hold a slot.
         queue: `Waiting` by deadline.
+        queued: The same by attempt.
         evicted: Left the queue, to be told by `expire`.
         memory: Attempts that ended.
         estimates: Service times by route name; '' for all routes.
+        arrivals: Numbers the attempts that wait.
+        suspects_running: Running attempts that are suspects.
         warmup: Seconds over which slots are ramped up.
         warm_from: Monotonic seconds at which the ramp began.
-        learned: Slots that were free of shed load, at `shed_at`.
-        shed_at: Monotonic seconds of the last shed answer.
+        learned: Slots that the upstream could take at `shed_at`.
+        shed_at: Monotonic seconds of the last shed or silent attempt.
         limit: Slots usable when last looked at.
     """
 
@@ -227,6 +230,9 @@
 def finish(gate, attempt_id, ending, now):
     """Free the slot of an attempt; calling it again changes nothing.
 
+    After a crash call `set_upstream` first, or the attempts that wait are
+    sent to an upstream that is gone.
+
     Args:
         gate: A `GateTable`.
         attempt_id: A running attempt.
@@ -548,8 +554,15 @@
         _observe(gate, entry.attempt.call.route.name, seconds, now)
         _observe(gate, '', seconds, now)
     elif ending is calls.Ending.SHED:
-        gate.learned = max(1, min(gate.limit, len(gate.running)))
-        gate.shed_at = now
+        _narrow(gate, len(gate.running), now)
+    elif ending is calls.Ending.SILENT:
+        # The upstream may still be running it.
+        _narrow(gate, _limit(gate, now) - 1, now)
+
+
+def _narrow(gate, slots, now):
+    gate.learned = max(1, min(_limit(gate, now), slots))
+    gate.shed_at = now
 
 
 def _observe(gate, route, seconds, now):
--- /dev/null
+++ b/tests/calling.py
@@ -0,0 +1,70 @@
+"""Builders of routes, calls and members for tests of the call path."""
+
+from jujubefold import calls
+from jujubefold import gate
+from jujubefold import mesh
+from jujubefold import messages
+
+SERVING = messages.UpstreamState.SERVING
+
+
+def route(name='r', priority=5, percent=20, attempts=3, targets=None):
+    """Return a route to every instance of the service `routes`."""
+    group = mesh.EndpointGroup('all', 'routes')
+    return mesh.Route(
+        name=name,
+        host='*',
+        path='/',
+        methods=(),
+        targets=targets or (mesh.Target(group),),
+        retry=mesh.RetryPolicy(attempts, percent),
+        limit=mesh.LimitPolicy(),
+        timeout=mesh.TimeoutPolicy(),
+        headers=mesh.HeaderRule(),
+        priority=priority,
+    )
+
+
+def call(deadline=100.0, caller='c', depth=0, fingerprint='f', to=None):
+    """Return an idempotent call of a route."""
+    return calls.Call(
+        request='q',
+        caller=caller,
+        method='GET',
+        host='h',
+        path='/',
+        route=to or route(),
+        version=1,
+        deadline=deadline,
+        depth=depth,
+        key='',
+        idempotent=True,
+        fingerprint=fingerprint,
+    )
+
+
+def attempt(sequence, vm='vm-1', incarnation=1, **kwargs):
+    """Return a numbered attempt of a call."""
+    attempt_id = calls.AttemptId(vm, incarnation, sequence)
+    return calls.Attempt(attempt_id, call(**kwargs))
+
+
+def serving(slots=2, queue_limit=4, now=0.0, warmup=0.0):
+    """Return a gate whose upstream serves."""
+    table = gate.new_gate(slots, queue_limit)
+    gate.set_upstream(table, SERVING, slots, now, warmup)
+    return table
+
+
+def member(vm, domain='a', region='tw', service='routes', **kwargs):
+    """Return the record of a daemon whose upstream serves."""
+    fields = {'upstream_state': SERVING, 'slots': 6, 'incarnation': 1}
+    return messages.Member(
+        vm=vm,
+        region=region,
+        failure_domain=domain,
+        peer_address=f'{vm}:1',
+        call_address=f'{vm}:2',
+        service=service,
+        **(fields | kwargs),
+    )
