--- a/jujubefold/gate.py
+++ b/jujubefold/gate.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import collections
 import dataclasses
 import enum
 import itertools
@@ -15,6 +16,7 @@
 from jujubefold import attempts
 from jujubefold import calls
 from jujubefold import errors
+from jujubefold import fairness
 from jujubefold import messages
 
 DEFAULT_QUEUE_LIMIT = 32
@@ -149,6 +151,7 @@
         running: Attempts that hold a slot.
         queue: `Waiting` by deadline.
         queued: The same by attempt.
+        shares: What callers hold and lately got.
         evicted: Left the queue, to be told by `expire`.
         memory: Attempts that ended.
         estimates: Service times by route name; '' for all routes.
@@ -171,6 +174,9 @@
     queued: dict[calls.AttemptId, Waiting] = dataclasses.field(
         default_factory=dict
     )
+    shares: fairness.FairnessTable = dataclasses.field(
+        default_factory=fairness.FairnessTable
+    )
     evicted: list[Expired] = dataclasses.field(default_factory=list)
     memory: attempts.AttemptTable = dataclasses.field(
         default_factory=attempts.AttemptTable
@@ -252,6 +258,7 @@
             raise errors.BrokenInvariant(f'{attempt_id} ended while queued')
         return ()
     gate.suspects_running -= entry.suspect
+    fairness.release(gate.shares, entry.attempt.call.caller)
     _learn(gate, entry, ending, now)
     outcome = _NOT_RUN.get(ending, ending)
     attempts.remember(gate.memory, attempt_id, outcome, now)
@@ -431,6 +438,8 @@
 def _start(gate, attempt, suspect, now):
     gate.running[attempt.id] = Running(attempt, now, suspect)
     gate.suspects_running += suspect
+    fairness.hold(gate.shares, attempt.call.caller)
+    fairness.start(gate.shares, attempt.call.caller, now)
 
 
 def _enqueue(gate, attempt, suspect, now):
@@ -439,8 +448,9 @@
     entry = Waiting(deadline, next(gate.arrivals), latest, attempt, suspect)
     bisect.insort(gate.queue, entry, key=_QUEUE_KEY)
     gate.queued[attempt.id] = entry
+    fairness.hold(gate.shares, attempt.call.caller)
     while (excess := _excess(gate, now)) is not None:
-        victim = _victim(excess)
+        victim = _victim(gate, excess, now)
         refusal = _full_refusal(gate, len(excess), now)
         if victim is entry:
             _leave(gate, attempt.id)
@@ -466,27 +476,28 @@
     return None
 
 
-def _victim(entries):
-    """Return who leaves: lowest priority, then the fattest caller."""
+def _victim(gate, entries, now):
+    """Return who leaves: lowest priority, then who holds or got most."""
     lowest = min(entry.attempt.call.route.priority for entry in entries)
-    candidates = [
-        entry
-        for entry in entries
-        if entry.attempt.call.route.priority == lowest
-    ]
-    by_caller = {}
-    by_route = {}
-    for entry in candidates:
+    by_route = collections.Counter(
+        entry.attempt.call.route.name for entry in entries
+    )
+
+    def excess(entry):
         call = entry.attempt.call
-        by_caller[call.caller] = by_caller.get(call.caller, 0) + 1
-        by_route[call.route.name] = by_route.get(call.route.name, 0) + 1
-    return max(
-        candidates,
-        key=lambda entry: (
-            by_caller[entry.attempt.call.caller],
-            by_route[entry.attempt.call.route.name],
+        return (
+            fairness.usage(gate.shares, call.caller, now),
+            by_route[call.route.name],
             entry.order,
+        )
+
+    return max(
+        (
+            entry
+            for entry in entries
+            if entry.attempt.call.route.priority == lowest
         ),
+        key=excess,
     )
 
 
@@ -499,6 +510,7 @@
 
 def _leave(gate, attempt_id):
     entry = gate.queued.pop(attempt_id)
+    fairness.release(gate.shares, entry.attempt.call.caller)
     index = bisect.bisect_left(gate.queue, _QUEUE_KEY(entry), key=_QUEUE_KEY)
     del gate.queue[index]
 
