Spread ties in routing, and test the choice of an upstream

With two candidates of equal load every daemon took the first in the list, and a new instance was charged twice for its slow start and got nothing. Both were found by the new tests. Pairs are now drawn in random order, and slow start bounds a new instance's part of draws and of slots only. Ejection is bounded over the whole service, not in each place, or a place with one instance could never eject it.

--- a/jujubefold/routing.py
+++ b/jujubefold/routing.py
@@ -21,6 +21,7 @@
 SENDERS_PER_INSTANCE = 72
 MIN_SUBSET = 2
 LOAD_HALF_LIFE_S = 0.5
+NEGLIGIBLE_ATTEMPTS = 0.1
 LATENCY_GAIN = 0.2
 MIN_LATENCY_S = 0.001
 SLOW_START_S = 10.0
@@ -32,11 +33,13 @@
 EJECT_AFTER_FAILURES = 5
 EJECT_S = 5.0
 MAX_EJECT_S = 60.0
-MAX_EJECTED_FRACTION = 1 / 3
+MAX_EJECTED_FRACTION = 0.5
 NOBODY_RETRY_AFTER_S = 1.0
 LEAVING_S = 5.0
 MAX_INDEXES = 256
 
+_MILLISECONDS = 1000
+
 _State = messages.UpstreamState
 _LEAVING = frozenset({_State.DRAINING, _State.GONE})
 _POSSIBLE = frozenset({_State.SERVING, _State.WARMING})
@@ -112,7 +115,7 @@
     leaving_until: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Candidate:
     """An upstream that a group may use.
 
@@ -136,6 +139,8 @@
         rng: Spreads back-off.
         peers: By VM name.
         members: The members that `tiers` were worked out from.
+        me: This daemon's record that `tiers` were worked out for.
+        ejected_until: Monotonic seconds of the end of the last ejection.
         tiers: Candidates by distance, by service and filters of a group.
     """
 
@@ -143,6 +148,7 @@
     peers: dict[str, PeerView] = dataclasses.field(default_factory=dict)
     members: collections.abc.Iterable[messages.Member] = ()
     me: messages.Member | None = None
+    ejected_until: float = 0.0
     tiers: dict[tuple, Tiers] = dataclasses.field(default_factory=dict)
 
 
@@ -228,8 +234,7 @@
 
 
 def _refresh(routing, members, me):
-    same = members is routing.members and me is routing.me
-    if same and isinstance(members, tuple):
+    if members is routing.members and me is routing.me:
         return
     routing.members = tuple(members)
     routing.me = me
@@ -286,10 +291,10 @@
 
 def _choose_peer(routing, group, own, own_here, tried, context):
     tiers = _tiers(routing, group, own.member)
-    best = _best(tiers, tried, context, strict=True)
+    best = _best(routing, tiers, tried, context)
     if best is None and not own_here:
-        best = _best(tiers, tried, context, strict=False)
-    if own_here and (best is None or not _is_free(best, context)):
+        best = _any(tiers, tried, context)
+    if own_here and (best is None or _own_is_lighter(own, best, context)):
         return calls.Own()
     if best is None:
         return None
@@ -297,84 +302,123 @@
     return calls.Peer(member.vm, member.incarnation, member.call_address)
 
 
-def _best(tiers, tried, context, strict):
-    """Return the best candidate drawn, nearest place first.
+def _own_is_lighter(own, best, context):
+    load = own.load
+    if load.state is not _State.SERVING:
+        return False
+    here = (load.running + load.queued + 1) / max(1, load.slots)
+    return here <= _fullness(best, context)
 
-    Args:
-        strict: Whether back-off and ejection count.
-    """
+
+def _best(routing, tiers, tried, context):
+    """Return the best candidate drawn, nearest place first, or None."""
     best = None
-    for tier in tiers:
-        drawn = _draw(_usable(tier, tried, context.now, strict), context.rng)
-        for candidate in drawn:
-            if best is None or _score(candidate, context) < _score(
-                best, context
-            ):
+    ejected = _ejected(routing, tiers, context.now)
+    for distance, tier in enumerate(tiers):
+        if best is not None and distance == _DOUBTFUL:
+            break
+        usable = [
+            candidate
+            for candidate in tier
+            if candidate.member.vm not in tried
+            and candidate.view.paused_until <= context.now
+            and candidate.view.leaving_until <= context.now
+            and candidate not in ejected
+        ]
+        for candidate in _draw(usable, context.rng):
+            if _is_held_back(candidate, context):
+                continue
+            if best is None or _is_better(candidate, best, context):
                 best = candidate
-        if best is not None and _is_free(best, context):
-            return best
+        if best is not None and _fullness(best, context) <= 1:
+            break
     return best
 
 
-def _usable(tier, tried, now, strict):
-    left = [
-        candidate
-        for candidate in tier
-        if candidate.member.vm not in tried
-        and candidate.view.leaving_until <= now
-    ]
-    if not strict:
-        return left
-    rested = [
-        candidate for candidate in left if candidate.view.paused_until <= now
-    ]
-    kept = [
-        candidate
-        for candidate in rested
-        if candidate.view.ejected_until <= now
-    ]
-    if len(kept) >= len(tier) * (1 - MAX_EJECTED_FRACTION):
-        return kept
-    return rested
+def _any(tiers, tried, context):
+    """Return a candidate whatever was seen of it, or None.
+
+    Back-off, ejection and slow start order candidates; they must not
+    leave a service without any.
+    """
+    for tier in tiers:
+        left = [
+            candidate
+            for candidate in tier
+            if candidate.member.vm not in tried
+            and candidate.view.leaving_until <= context.now
+        ]
+        if left:
+            return min(left, key=lambda item: item.view.paused_until)
+    return None
+
+
+def _ejected(routing, tiers, now):
+    """Return the candidates to leave out, a bounded part of all."""
+    if routing.ejected_until <= now:
+        return ()
+    everyone = [candidate for tier in tiers for candidate in tier]
+    out = [item for item in everyone if item.view.ejected_until > now]
+    most = int(len(everyone) * MAX_EJECTED_FRACTION)
+    if len(out) > most:
+        out.sort(key=lambda item: item.view.ejected_until, reverse=True)
+    return out[:most]
 
 
 def _draw(candidates, rng):
-    if len(candidates) <= 2:
+    """Return two candidates in random order, so that ties are spread."""
+    count = len(candidates)
+    if count < 2:
         return candidates
-    first = int(rng.random() * len(candidates))
-    second = int(rng.random() * (len(candidates) - 1))
+    first = int(rng.random() * count)
+    second = int(rng.random() * (count - 1))
     if second >= first:
         second += 1
     return (candidates[first], candidates[second])
 
 
-def _score(candidate, context):
-    """Return the expected wait, in seconds; lower is better."""
-    view = candidate.view
-    waiting = _expected_running(view, context.now) + 1
-    latency = max(MIN_LATENCY_S, view.latency)
-    return waiting / _capacity(candidate, context) * latency
+def _is_held_back(candidate, context):
+    """Return whether a new instance is passed over this time.
+
+    It gets its part of the draws, and never more at once than that part
+    of its slots.
+    """
+    ramp = _ramp(candidate.member, context.wall)
+    if ramp >= 1:
+        return False
+    if candidate.view.in_flight >= max(1.0, _slots(candidate) * ramp):
+        return True
+    return context.rng.random() >= ramp
 
 
-def _is_free(candidate, context):
-    running = _expected_running(candidate.view, context.now)
-    return running + 1 <= _capacity(candidate, context)
+def _is_better(one, other, context):
+    """Return whether one candidate is expected to answer sooner."""
+    one_latency = one.view.latency or other.view.latency
+    other_latency = other.view.latency or one_latency
+    return _fullness(one, context) * max(
+        MIN_LATENCY_S, one_latency
+    ) < _fullness(other, context) * max(MIN_LATENCY_S, other_latency)
 
 
-def _expected_running(view, now):
-    age = now - view.load_at
+def _fullness(candidate, context):
+    """Return the part of the slots in use with one more attempt."""
+    view = candidate.view
+    age = context.now - view.load_at
     others = view.others * 0.5 ** (age / LOAD_HALF_LIFE_S)
-    return view.in_flight + others
+    if others < NEGLIGIBLE_ATTEMPTS:
+        others = 0.0
+    return (view.in_flight + others + 1) / _slots(candidate)
+
+
+def _slots(candidate):
+    return max(1, candidate.view.slots or candidate.member.slots)
 
 
-def _capacity(candidate, context):
-    """Return usable slots; a new instance counts for less at first."""
-    member = candidate.member
-    slots = min(member.slots, candidate.view.slots or member.slots)
-    age = context.wall - member.ready_at_ms / 1000
-    if age < SLOW_START_S:
-        slots *= max(SLOW_START_FLOOR, age / SLOW_START_S)
-    return max(1.0, slots)
+def _ramp(member, wall):
+    age = wall - member.ready_at_ms / _MILLISECONDS
+    if age >= SLOW_START_S or age < -SLOW_START_S:
+        return 1.0
+    return max(SLOW_START_FLOOR, age / SLOW_START_S)
 
 
 def _tiers(routing, group, me):
@@ -491,6 +535,7 @@
         view.ejections += 1
         length = min(MAX_EJECT_S, EJECT_S * view.ejections)
         view.ejected_until = now + _jittered(routing, length)
+        routing.ejected_until = max(routing.ejected_until, view.ejected_until)
 
 
 def _jittered(routing, seconds):
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,109 @@
+"""Tests of what is remembered of attempts that ended."""
+
+import random
+
+import testtools
+
+from jujubefold import attempts
+from jujubefold import calls
+from jujubefold import gate
+from tests import calling
+
+ANSWERED = calls.Ending.ANSWERED
+NEW = attempts.Memory.NEW
+FORGOTTEN = attempts.Memory.FORGOTTEN
+
+
+def identify(sequence, vm='vm-1', incarnation=1):
+    return calls.AttemptId(vm, incarnation, sequence)
+
+
+def remember(table, now=0.0, **kwargs):
+    attempt_id = identify(**kwargs)
+    attempts.meet(table, attempt_id)
+    attempts.remember(table, attempt_id, ANSWERED, now)
+
+
+class TestBounds(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(attempts, 'MAX_PER_SENDER', 10)
+        self.patch(attempts, 'MAX_ENDED', 25)
+        self.patch(attempts, 'MAX_SENDERS', 3)
+        self.table = attempts.AttemptTable()
+
+    def test_the_oldest_of_a_sender_goes_first(self):
+        for sequence in range(1, 21):
+            remember(self.table, sequence=sequence)
+        self.assertEqual(10, self.table.ended)
+        found = [attempts.lookup(self.table, identify(n)) for n in (10, 11)]
+        self.assertEqual([FORGOTTEN, ANSWERED], found)
+        dropped = attempts.take_dropped(self.table)
+        self.assertEqual([identify(n) for n in range(1, 11)], list(dropped))
+        self.assertEqual((), attempts.take_dropped(self.table))
+
+    def test_a_busy_sender_makes_room_before_a_quiet_one(self):
+        remember(self.table, sequence=1, vm='quiet')
+        for vm in ('vm-1', 'vm-2'):
+            for sequence in range(1, 40):
+                remember(self.table, sequence=sequence, vm=vm)
+        self.assertLessEqual(self.table.ended, 25)
+        found = attempts.lookup(self.table, identify(1, 'quiet'))
+        self.assertEqual(ANSWERED, found)
+
+    def test_a_sender_that_was_dropped_is_never_taken_for_new(self):
+        for number in range(1, 6):
+            vm = f'vm-{number}'
+            remember(self.table, sequence=1, vm=vm, incarnation=number)
+        self.assertEqual(3, len(self.table.senders))
+        cases = (('vm-1', 1, FORGOTTEN), ('vm-1', 9, NEW), ('vm-5', 5, NEW))
+        for vm, incarnation, expected in cases:
+            found = attempts.lookup(self.table, identify(2, vm, incarnation))
+            self.assertEqual(expected, found, vm)
+
+    def test_one_ending_after_the_sender_was_dropped(self):
+        late = identify(1, 'vm-1', 1)
+        attempts.meet(self.table, late)
+        for number in range(2, 6):
+            remember(self.table, sequence=1, vm=f'vm-{number}', incarnation=9)
+        attempts.remember(self.table, late, ANSWERED, 0.0)
+        self.assertEqual(FORGOTTEN, attempts.lookup(self.table, late))
+
+
+class TestAge(testtools.TestCase):
+    def test_sweeps_reach_every_silent_sender(self):
+        table = attempts.AttemptTable()
+        for number in range(5):
+            remember(table, sequence=1, vm=f'vm-{number}')
+        for _ in range(5):
+            attempts.sweep(table, attempts.MEMORY_S + 1)
+        self.assertEqual(0, table.ended)
+
+
+class TestResends(testtools.TestCase):
+    """Executions at the upstream when connections fall silent."""
+
+    def executions(self, numbered, first_tries=2000):
+        rng = random.Random(5)
+        table = calling.serving(6, queue_limit=6)
+        sequence = runs = resends = 0
+        for _ in range(first_tries):
+            sequence += 1
+            for resend in range(3):
+                if resend and not numbered:
+                    sequence += 1
+                resends += bool(resend)
+                item = calling.attempt(sequence)
+                if gate.offer(table, item, 0.0) == calls.Run():
+                    runs += 1
+                    gate.finish(table, item.id, ANSWERED, 0.0)
+                if rng.random() > 0.1:
+                    break
+        return runs, first_tries, resends
+
+    def test_numbered_attempts_run_once_and_others_again(self):
+        runs, wanted, resends = self.executions(numbered=True)
+        self.assertEqual(wanted, runs)
+        self.assertGreater(resends, 0)
+        runs, wanted, resends = self.executions(numbered=False)
+        self.assertEqual(wanted + resends, runs)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,355 @@
+"""Tests of the choice of an upstream."""
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from jujubefold import calls
+from jujubefold import dispatch
+from jujubefold import errors
+from jujubefold import gate
+from jujubefold import mesh
+from jujubefold import messages
+from jujubefold import routing
+from tests import calling
+
+State = messages.UpstreamState
+WALL = 1_000_000.0
+NOWHERE = frozenset()
+
+
+def context(now=100.0, seed=1, wall=WALL):
+    return dispatch.Context(now, wall, random.Random(seed))
+
+
+def own(running=0, queued=0, state=State.SERVING, **kwargs):
+    member = calling.member('own', **kwargs)
+    return routing.OwnUpstream(member, gate.Load(running, queued, 6, state))
+
+
+AWAY = own(service='other')
+
+
+def observation(vm, kind='ok', seconds=0.02, load=None):
+    return routing.Observation(
+        vm, kind == 'ok', kind == 'refused', kind == 'lost', seconds, load
+    )
+
+
+def see(table, vm, kind, now=100.0, times=1, load=None):
+    for _ in range(times):
+        routing.sent(table, vm, now)
+        routing.observe(table, observation(vm, kind, load=load), now)
+
+
+def tally(
+    table, members, here=AWAY, rounds=200, call=None, tried=NOWHERE, at=None
+):
+    """Count choices; none is sent."""
+    at = at or context()
+    call = call or calling.call()
+    found = collections.Counter()
+    for _ in range(rounds):
+        choice = routing.choose(table, call, members, here, tried, at)
+        match choice:
+            case calls.Own():
+                found['own'] += 1
+            case calls.Peer(vm=vm):
+                found[vm] += 1
+            case calls.Nobody():
+                found[choice.refusal.reason] += 1
+    return found
+
+
+MEMBERS = tuple(
+    calling.member(f'{domain}{n}', domain) for domain in 'abc' for n in (1, 2)
+)
+
+
+class TestOrder(testtools.TestCase):
+    def test_where_calls_go_first(self):
+        warming = (calling.member('w', upstream_state=State.WARMING),)
+        suspect = (calling.member('s', state=messages.MemberState.SUSPECT),)
+        far = (calling.member('f', 'z', region='elsewhere'),)
+        cases = (
+            ('own with a free slot', MEMBERS, own(5), {'own'}),
+            ('own full', MEMBERS, own(6), {'a1', 'a2'}),
+            ('own warming', MEMBERS, own(0, 0, State.WARMING), {'a1', 'a2'}),
+            ('own drains', MEMBERS, own(0, 0, State.DRAINING), {'a1', 'a2'}),
+            (
+                'own drains alone',
+                (),
+                own(0, 0, State.DRAINING),
+                {'no-upstream'},
+            ),
+            ('own full alone', (), own(6, 9), {'own'}),
+            ('same domain', MEMBERS, AWAY, {'a1', 'a2'}),
+            ('same region', far + MEMBERS[2:], AWAY, {'b1', 'b2', 'c1', 'c2'}),
+            ('other region', far, AWAY, {'f'}),
+            ('suspect last', suspect + far, AWAY, {'f'}),
+            ('only suspect', suspect, AWAY, {'s'}),
+            ('warming last', warming + far, AWAY, {'f'}),
+            ('only warming', warming, AWAY, {'w'}),
+            ('nobody', (), AWAY, {'no-upstream'}),
+        )
+        for name, members, here, expected in cases:
+            found = tally(routing.new_routing(), members, here)
+            self.assertEqual(expected, set(found), name)
+
+    def test_what_is_leaving_or_gone_is_never_chosen(self):
+        cases = (
+            {'upstream_state': State.DRAINING},
+            {'upstream_state': State.GONE},
+            {'upstream_state': State.ABSENT},
+            {'state': messages.MemberState.LEFT},
+            {'state': messages.MemberState.DEAD},
+            {'service': 'pickups'},
+        )
+        for fields in cases:
+            members = (calling.member('m', **fields),)
+            found = tally(routing.new_routing(), members, rounds=1)
+            self.assertEqual({'no-upstream'}, set(found), fields)
+
+    def test_a_change_of_members_counts_at_once(self):
+        table = routing.new_routing()
+        self.assertEqual({'a1', 'a2'}, set(tally(table, MEMBERS)))
+        drained = (MEMBERS[1], *MEMBERS[2:])
+        self.assertEqual({'a2'}, set(tally(table, drained)))
+
+    def test_tried_ones_are_left_out(self):
+        table = routing.new_routing()
+        tried = frozenset({'a1', 'a2', 'own'})
+        found = tally(table, MEMBERS, own(), tried=tried)
+        self.assertFalse(tried & set(found))
+        every = frozenset(member.vm for member in MEMBERS)
+        found = tally(table, MEMBERS, tried=every)
+        self.assertEqual({calls.Reason.NO_SLOT}, set(found))
+
+    def test_nobody_is_a_true_refusal(self):
+        found = routing.choose(
+            routing.new_routing(), calling.call(), (), AWAY, NOWHERE, context()
+        )
+        self.assertEqual(errors.Ran.DID_NOT_RUN, found.refusal.ran)
+        self.assertGreater(found.refusal.retry_after, 0)
+
+    def test_groups_filter_and_weights_share(self):
+        group = mesh.EndpointGroup('b', 'routes', ('tw',), ('b',))
+        other = mesh.EndpointGroup('c', 'routes', (), ('c',))
+        targets = (mesh.Target(group, 9), mesh.Target(other, 1))
+        call = calling.call(to=calling.route(targets=targets))
+        found = tally(routing.new_routing(), MEMBERS, call=call, rounds=2000)
+        self.assertEqual({'b1', 'b2', 'c1', 'c2'}, set(found))
+        share = (found['c1'] + found['c2']) / 2000
+        self.assertTrue(0.07 < share < 0.13, share)
+        found = tally(routing.new_routing(), MEMBERS[4:], call=call)
+        self.assertEqual({'c1', 'c2'}, set(found))
+
+
+class TestObserved(testtools.TestCase):
+    def test_a_short_domain_spills_over_by_degrees(self):
+        shares = []
+        for in_flight in (0, 5, 6, 12):
+            table = routing.new_routing()
+            for _ in range(in_flight):
+                routing.sent(table, 'a1', 100.0)
+                routing.sent(table, 'a2', 100.0)
+            found = tally(table, MEMBERS)
+            shares.append(200 - found['a1'] - found['a2'])
+        self.assertEqual([0, 0, 200, 200], shares)
+        table = routing.new_routing()
+        for _ in range(6):
+            routing.sent(table, 'a1', 100.0)
+        members = (*MEMBERS, calling.member('a3'), calling.member('a4'))
+        self.assertEqual({'a2', 'a3', 'a4'}, set(tally(table, members)))
+
+    def test_the_less_loaded_of_two_is_taken_and_old_load_fades(self):
+        table = routing.new_routing()
+        load = gate.Load(6, 4, 6, State.SERVING)
+        see(table, 'a1', 'ok', load=load)
+        self.assertEqual({'a2'}, set(tally(table, MEMBERS)))
+        later = context(now=110.0)
+        self.assertEqual({'a1', 'a2'}, set(tally(table, MEMBERS, at=later)))
+
+    def test_a_slow_one_gets_less(self):
+        table = routing.new_routing()
+        for vm, seconds in (('a1', 0.5), ('a2', 0.01)):
+            routing.sent(table, vm, 100.0)
+            routing.observe(table, observation(vm, seconds=seconds), 100.0)
+        self.assertEqual({'a2'}, set(tally(table, MEMBERS)))
+
+    def test_word_of_draining_on_an_answer_counts_before_gossip(self):
+        table = routing.new_routing()
+        see(table, 'a1', 'ok', load=gate.Load(1, 0, 6, State.DRAINING))
+        members = MEMBERS[:1]
+        self.assertEqual({'no-upstream'}, set(tally(table, members)))
+
+    def test_refused_and_lost_ones_rest_and_come_back(self):
+        for kind, rest in (('refused', 1.0), ('lost', 15.0)):
+            table = routing.new_routing(random.Random(1))
+            see(table, 'a1', kind, times=3)
+            self.assertEqual({'a2'}, set(tally(table, MEMBERS)), kind)
+            view = table.peers['a1']
+            self.assertTrue(0 < view.paused_until - 100.0 <= rest)
+            later = context(now=100.0 + rest)
+            found = tally(table, MEMBERS, at=later)
+            self.assertEqual({'a1', 'a2'}, set(found), kind)
+
+    def test_back_off_is_spread(self):
+        ends = set()
+        for seed in range(20):
+            table = routing.new_routing(random.Random(seed))
+            see(table, 'a1', 'lost')
+            ends.add(table.peers['a1'].paused_until)
+        self.assertEqual(20, len(ends))
+
+    def test_an_outlier_is_ejected(self):
+        table = routing.new_routing(random.Random(1))
+        see(table, 'a1', 'failed', times=routing.EJECT_AFTER_FAILURES)
+        self.assertEqual({'a2'}, set(tally(table, MEMBERS)))
+        later = context(now=100.0 + routing.EJECT_S)
+        found = tally(table, MEMBERS, at=later)
+        self.assertEqual({'a1', 'a2'}, set(found))
+
+    def test_no_more_than_a_part_is_ejected(self):
+        table = routing.new_routing(random.Random(1))
+        for member in MEMBERS:
+            see(table, member.vm, 'failed', times=5)
+        at = context()
+        tiers = next(iter(_tiers_of(table, MEMBERS)))
+        self.assertEqual(3, len(routing._ejected(table, tiers, at.now)))
+
+    def test_hints_alone_never_empty_a_service(self):
+        for kind in ('refused', 'lost', 'failed'):
+            table = routing.new_routing(random.Random(1))
+            for member in MEMBERS:
+                see(table, member.vm, kind, times=20)
+            found = tally(table, MEMBERS)
+            self.assertFalse({'no-upstream', 'no-slot'} & set(found), kind)
+
+    def test_a_returning_upstream_is_not_crowded(self):
+        ready = int(WALL * 1000)
+        fresh = calling.member('a1', ready_at_ms=ready)
+        members = (fresh, *(calling.member(f'a{n}') for n in range(2, 6)))
+        shares = []
+        for age in (0.0, 5.0, 10.0):
+            found = tally(
+                routing.new_routing(),
+                members,
+                at=context(wall=WALL + age),
+                rounds=2000,
+            )
+            shares.append(found['a1'] / 2000)
+        self.assertTrue(0 < shares[0] < 0.05 < shares[1] < 0.15, shares)
+        self.assertTrue(shares[2] > 0.15, shares)
+
+    def test_daemons_that_see_the_same_do_not_herd(self):
+        members = tuple(calling.member(f'm{n}', 'z') for n in range(7))
+        load = gate.Load(0, 0, 12, State.SERVING)
+        busy = gate.Load(11, 0, 12, State.SERVING)
+        found = collections.Counter()
+        for seed in range(300):
+            table = routing.new_routing(random.Random(seed))
+            for member in members:
+                told = load if member.vm == 'm0' else busy
+                see(table, member.vm, 'ok', load=told)
+            found += tally(table, members, rounds=1, at=context(seed=seed))
+        self.assertLess(found['m0'], 300 * 0.45)
+        self.assertEqual(7, len(found))
+
+
+def _tiers_of(table, members):
+    routing.choose(table, calling.call(), members, AWAY, NOWHERE, context())
+    return table.tiers.values()
+
+
+class TestConnections(testtools.TestCase):
+    """Daemons that send to one instance, at fleet sizes."""
+
+    def senders(self, fleet, instances, domains):
+        members = tuple(
+            calling.member(
+                f'vm-{n}',
+                f'd{n % domains}',
+                service='routes' if n < instances else 'other',
+            )
+            for n in range(fleet)
+        )
+        found = collections.Counter()
+        for me in members[instances:]:
+            others = tuple(item for item in members if item is not me)
+            table = routing.new_routing()
+            here = routing.OwnUpstream(me, gate.Load(0, 0, 6, State.SERVING))
+            routing.choose(
+                table, calling.call(), others, here, NOWHERE, context()
+            )
+            (tiers,) = table.tiers.values()
+            chosen = [item.member.vm for tier in tiers for item in tier]
+            self.assertGreaterEqual(len(chosen), 2)
+            found.update(chosen)
+        return found
+
+    def test_an_instance_is_used_by_a_bounded_number_of_senders(self):
+        cases = (
+            # Fleet, instances, failure domains, connections an instance.
+            (8, 5, 3, 110),
+            (12, 7, 4, 130),
+            (120, 5, 3, 110),
+            (180, 5, 3, 110),
+            (250, 7, 4, 130),
+            (400, 60, 3, 110),
+        )
+        for fleet, instances, domains, bound in cases:
+            found = self.senders(fleet, instances, domains)
+            self.assertEqual(instances, len(found), fleet)
+            self.assertLess(max(found.values()), bound, fleet)
+
+    def test_subset_size(self):
+        cases = (
+            (8, 5, 5),
+            (180, 5, 2),
+            (820, 5, 2),
+            (820, 1, 1),
+            (820, 410, 36),
+            (100_000, 50_000, 36),
+        )
+        for senders, instances, expected in cases:
+            found = routing.subset_size(senders, instances)
+            self.assertEqual(expected, found, (senders, instances))
+
+
+class TestAnyHistory(testtools.TestCase):
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from([m.vm for m in MEMBERS]),
+                strategies.sampled_from(['ok', 'refused', 'lost', 'failed']),
+                strategies.floats(0, 5),
+            ),
+            max_size=60,
+        ),
+        strategies.integers(0, 6),
+    )
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_somebody_serving_is_always_chosen(self, history, drained):
+        table = routing.new_routing(random.Random(1))
+        now = 100.0
+        members = tuple(
+            calling.member(
+                m.vm, m.failure_domain, upstream_state=State.DRAINING
+            )
+            if index < drained
+            else m
+            for index, m in enumerate(MEMBERS)
+        )
+        serving = {m.vm for m in members[drained:]} or {'no-upstream'}
+        for vm, kind, wait in history:
+            now += wait
+            see(table, vm, kind, now)
+            found = tally(table, members, rounds=1, at=context(now))
+            self.assertTrue(set(found) <= serving, found)
+            self.assertTrue(
+                all(view.in_flight == 0 for view in table.peers.values())
+            )
