--- a/jujubefold/budget.py
+++ b/jujubefold/budget.py
@@ -97,20 +97,24 @@
     _of_route(budgets, route, now).first_try(now)
 
 
-def allow(budgets, call, now):
+def allow(budgets, allowance, call, now):
     """Return whether a call that ran nowhere may be tried again.
 
+    Whoever asks has proof that no upstream ran the call: a gate's refusal,
+    an attempt never sent, or a bar that held.
+
     Args:
-        budgets: A `Budgets`.
+        budgets: A `Budgets`, paid when the answer is yes.
+        allowance: The call's `Allowance`, paid as well.
         call: The `calls.Call`.
         now: Monotonic seconds.
     """
     mine = _of_route(budgets, call.route, now)
-    if not budgets.whole.can(now, call.depth):
+    if allowance.left <= 0 or not budgets.whole.can(now, call.depth):
         return False
     if not mine.allow(now, call.depth):
         return False
-    return budgets.whole.allow(now, call.depth)
+    return budgets.whole.allow(now, call.depth) and allowance.spend()
 
 
 @dataclasses.dataclass(slots=True)
@@ -132,6 +136,13 @@
         self.left -= part
         return part
 
+    def give_back(self, part):
+        """Take back a part whose attempt a gate refused.
+
+        The upstream never saw it, so nobody spent of it.
+        """
+        self.left += part
+
 
 def arriving(header, policy, depth):
     """Return the `Allowance` of a request that arrived.
