--- a/jujubefold/core.py
+++ b/jujubefold/core.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from jujubefold import crashes
 from jujubefold import dispatch
 from jujubefold import dissemination
 from jujubefold import flooding
@@ -23,6 +24,7 @@
         probing: Probes under way.
         joining: How far joining the fleet has come.
         progress: Who has the newest version in force.
+        crashes: Requests that crash upstreams.
     """
 
     identity: identity.Identity
@@ -37,6 +39,9 @@
     progress: 'progress.ProgressTable' = dataclasses.field(
         default_factory=progress.ProgressTable
     )
+    crashes: 'crashes.CrashTable' = dataclasses.field(
+        default_factory=crashes.new_crashes
+    )
 
 
 SYSTEMS = (
@@ -45,6 +50,7 @@
     probing.run,
     dissemination.run,
     flooding.run,
+    crashes.run,
 )
 
 
