--- /dev/null
+++ b/jujubefold/callclient.py
@@ -0,0 +1,474 @@
+"""HTTP/1.1 client of the call path: bounded pools of connections.
+
+Every way an exchange can end is a value that says what is provable: whether
+the request was written at all, and whether the answer is whole.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+
+import httptools
+
+from jujubefold import callserver
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_TIMEOUT_S = 60.0
+SWEEP_INTERVAL_S = 0.25
+MAX_HEAD_BYTES = 64 * 1024
+WRITE_BUFFER_BYTES = 256 * 1024
+JOINED_WRITE_BYTES = 64 * 1024
+
+_HOP_BY_HOP = frozenset(
+    {
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    }
+)
+_INTERIM = range(100, 200)
+
+
+class Failed(enum.StrEnum):
+    """How an exchange ended without a whole answer."""
+
+    REFUSED = 'refused'
+    NOT_SENT = 'not-sent'
+    CUT = 'cut'
+    SILENT = 'silent'
+    TOO_LARGE = 'too-large'
+    CANCELLED = 'cancelled'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """An exchange without a whole answer.
+
+    Args:
+        how: What was seen.
+        sent: Whether any byte may have reached the other end.
+        reused: Whether the connection had carried an exchange before.
+        detail: One sentence for a person.
+    """
+
+    how: Failed
+    sent: bool
+    reused: bool = False
+    detail: str = ''
+
+
+def end_to_end(headers, dropped=frozenset()):
+    """Return the header pairs that a forwarder passes on.
+
+    Args:
+        headers: Pairs with names in lower case.
+        dropped: Further names to leave out.
+    """
+    named = ()
+    for name, value in headers:
+        if name == b'connection':
+            named = {item.strip() for item in value.lower().split(b',')}
+            break
+    return [
+        pair
+        for pair in headers
+        if pair[0] not in _HOP_BY_HOP
+        and pair[0] not in dropped
+        and pair[0] not in named
+    ]
+
+
+def encode_head(method, target, headers, size):
+    """Return the head of a request on the wire.
+
+    Args:
+        method: Upper case.
+        target: Origin form, bytes.
+        headers: End-to-end pairs.
+        size: Body length in bytes.
+    """
+    parts = [b'%b %b HTTP/1.1\r\n' % (method.encode(), target)]
+    for name, value in headers:
+        parts.append(b'%b: %b\r\n' % (name, value))
+    if size or method in ('POST', 'PUT', 'PATCH'):
+        parts.append(b'content-length: %d\r\n' % size)
+    parts.append(b'\r\n')
+    return b''.join(parts)
+
+
+class Connection(asyncio.Protocol):
+    """One connection of a pool, carrying one exchange at a time.
+
+    Args:
+        pool: The `Pool` it belongs to.
+    """
+
+    def __init__(self, pool):
+        self._pool = pool
+        self._transport = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._done = None
+        self._method = ''
+        self._headers = []
+        self._answer = None
+        self._raw_bytes = 0
+        self._out = collections.deque()
+        self._writing_paused = False
+        self._reused = False
+        self._sent = False
+        self._poisoned = False
+        self._closed = False
+        self.moved_at = 0.0
+
+    @property
+    def usable(self):
+        """Whether it can take another exchange."""
+        return not self._closed and not self._poisoned
+
+    @property
+    def busy(self):
+        """Whether an exchange is under way."""
+        return self._done is not None
+
+    def start(self, method, head, pieces, size):
+        """Send a request.
+
+        Args:
+            method: Upper case, which decides whether a body can follow.
+            head: Bytes from `encode_head`.
+            pieces: Body in order.
+            size: Body length in bytes.
+
+        Returns:
+            Future of a `callserver.Answer` or a `Failure`.
+        """
+        self._done = self._pool.loop.create_future()
+        done = self._done
+        self._method = method
+        self._sent = False
+        self.moved_at = self._pool.now
+        if self._transport.is_closing():
+            self._fail(Failed.NOT_SENT, 'connection was closing')
+            return done
+        self._sent = True
+        if size <= JOINED_WRITE_BYTES:
+            self._transport.write(b''.join((head, *pieces)))
+        else:
+            self._out.append(head)
+            self._out.extend(pieces)
+            self._flush()
+        return done
+
+    def abort(self, how=Failed.CANCELLED, detail=''):
+        """Close at once, ending the exchange under way."""
+        self._fail(how, detail)
+        self._transport.abort()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport):
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+
+    def data_received(self, data):
+        self.moved_at = self._pool.now
+        if self._done is None:
+            # Nothing was asked, so whatever this answers is not ours.
+            self.abort()
+            return
+        self._raw_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
+            self._poisoned = True
+            self._fail(Failed.CUT, f'answer malformed: {e}')
+        if self._answer is None and self._raw_bytes > MAX_HEAD_BYTES:
+            self._poisoned = True
+            self._fail(Failed.CUT, 'answer headers too large')
+        if self._poisoned:
+            self._transport.abort()
+
+    def eof_received(self):
+        return False
+
+    def connection_lost(self, exc):
+        self._closed = True
+        self._fail(Failed.CUT, 'connection lost')
+        self._pool.closed(self)
+
+    def pause_writing(self):
+        self._writing_paused = True
+
+    def resume_writing(self):
+        self._writing_paused = False
+        self.moved_at = self._pool.now
+        self._flush()
+
+    # httptools callbacks
+
+    def on_message_begin(self):
+        self._headers = []
+        if self._done is None:
+            self._poisoned = True
+
+    def on_header(self, name, value):
+        if self._answer is None:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        status = self._parser.get_status_code()
+        if status in _INTERIM or self._poisoned:
+            return
+        length = int(dict(self._headers).get(b'content-length', 0))
+        headers = end_to_end(self._headers)
+        answer = callserver.Answer(status, headers, [], 0)
+        self._answer = answer
+        if self._method == 'HEAD':
+            answer.size = length
+            self._parser = httptools.HttpResponseParser(self)
+            self._finish()
+        elif length:
+            self._reserve(length)
+
+    def on_body(self, piece):
+        answer = self._answer
+        if answer is None:
+            self._poisoned = True
+            return
+        answer.pieces.append(piece)
+        answer.size += len(piece)
+        over = answer.size - answer.memory.size - answer.memory.wanted
+        if over > 0:
+            self._reserve(over)
+
+    def on_message_complete(self):
+        if self._answer is not None and self._done is not None:
+            self._finish()
+        elif self._parser.get_status_code() not in _INTERIM:
+            self._poisoned = True
+
+    def _reserve(self, more):
+        answer = self._answer
+        budget = self._pool.answers
+        if answer.memory.size + answer.memory.wanted + more > min(
+            self._pool.answer_limit, budget.limit
+        ):
+            self._poisoned = True
+            self._fail(Failed.TOO_LARGE, 'answer too large to buffer')
+        elif answer.memory.wanted:
+            answer.memory.wanted += more
+        elif not budget.reserve(answer.memory, more, self._granted):
+            self._transport.pause_reading()
+
+    def _granted(self):
+        self.moved_at = self._pool.now
+        if self._closed:
+            return
+        self._transport.resume_reading()
+
+    def _finish(self):
+        done, self._done = self._done, None
+        answer, self._answer = self._answer, None
+        if not self._parser.should_keep_alive():
+            self._poisoned = True
+        if self._out:
+            # Answered before it read the whole request.
+            self._out.clear()
+            self._poisoned = True
+        self._raw_bytes = 0
+        self._reused = True
+        self._pool.released(self)
+        if not done.done():
+            done.set_result(answer)
+        if self._poisoned:
+            self._transport.close()
+
+    def _fail(self, how, detail):
+        done, self._done = self._done, None
+        answer, self._answer = self._answer, None
+        self._out.clear()
+        if answer is not None:
+            self._pool.answers.release(answer.memory)
+        if done is None:
+            return
+        self._poisoned = True
+        self._pool.released(self)
+        if not done.done():
+            done.set_result(Failure(how, self._sent, self._reused, detail))
+
+    def _flush(self):
+        while self._out and not self._writing_paused and not self._closed:
+            self._transport.write(self._out.popleft())
+
+
+class Pool:
+    """Connections to one destination, never more than a bound.
+
+    Args:
+        address: `ip:port`.
+        bound: Most connections open at once.
+        clock: A `clock.Clock`.
+        answers: `bodies.Budget` that answers are buffered in.
+        answer_limit: Largest answer body in bytes.
+        tls: `ssl.SSLContext` or None.
+    """
+
+    def __init__(self, address, bound, clock, answers, answer_limit, tls=None):
+        self.address = address
+        self.answers = answers
+        self.answer_limit = answer_limit
+        self.loop = asyncio.get_running_loop()
+        # Coarse time, so that no exchange pays for reading the clock.
+        self.now = clock.monotonic()
+        self._bound = bound
+        self._clock = clock
+        self._tls = tls
+        self._idle = []
+        self._open = set()
+        self._connecting = 0
+        self._waiting = collections.deque()
+
+    @property
+    def size(self):
+        """How many connections are open or being opened."""
+        return len(self._open) + self._connecting
+
+    @property
+    def busy(self):
+        """How many exchanges are under way."""
+        return sum(connection.busy for connection in self._open)
+
+    def take(self):
+        """Return an idle connection, or None."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable:
+                return connection
+        return None
+
+    async def acquire(self, timeout):
+        """Return an idle or new connection.
+
+        Args:
+            timeout: Seconds.
+
+        Returns:
+            A `Connection`, or a `Failure` that was provably not sent.
+        """
+        connection = self.take()
+        if connection is not None:
+            return connection
+        if self.size < self._bound:
+            return await self._connect(min(timeout, CONNECT_TIMEOUT_S))
+        waiter = self.loop.create_future()
+        self._waiting.append(waiter)
+        try:
+            return await asyncio.wait_for(waiter, timeout)
+        except TimeoutError:
+            return Failure(Failed.NOT_SENT, False, detail='pool exhausted')
+        except asyncio.CancelledError:
+            self._give_back(waiter)
+            raise
+        finally:
+            if waiter in self._waiting:
+                self._waiting.remove(waiter)
+
+    def released(self, connection):
+        """Take back a connection whose exchange has ended."""
+        if not connection.usable:
+            return
+        while self._waiting:
+            waiter = self._waiting.popleft()
+            if not waiter.done():
+                waiter.set_result(connection)
+                return
+        self._idle.append(connection)
+
+    def closed(self, connection):
+        """Forget a connection."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._replace()
+
+    def purge(self):
+        """Close idle connections: the path they use may be lost."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.abort()
+
+    def sweep(self, progress):
+        """End exchanges that have not moved, and long idle connections.
+
+        Args:
+            progress: Seconds without progress that are allowed.
+        """
+        self.now = self._clock.monotonic()
+        silent = False
+        for connection in tuple(self._open):
+            waited = self.now - connection.moved_at
+            if connection.busy:
+                if waited > progress:
+                    silent = True
+                    connection.abort(Failed.SILENT, 'no progress')
+            elif waited > IDLE_TIMEOUT_S:
+                connection.abort()
+        if silent:
+            self.purge()
+
+    def close(self):
+        """Close every connection."""
+        for connection in tuple(self._open):
+            connection.abort()
+
+    async def _connect(self, timeout):
+        host, _, port = self.address.rpartition(':')
+        self._connecting += 1
+        try:
+            _, connection = await asyncio.wait_for(
+                self.loop.create_connection(
+                    lambda: Connection(self), host, int(port), ssl=self._tls
+                ),
+                timeout,
+            )
+        except TimeoutError:
+            return Failure(Failed.NOT_SENT, False, detail='connect timed out')
+        except OSError as error:
+            return Failure(Failed.REFUSED, False, detail=str(error))
+        finally:
+            self._connecting -= 1
+        connection.moved_at = self.now
+        self._open.add(connection)
+        return connection
+
+    def _replace(self):
+        """Let a waiter open the connection that a lost one made room for."""
+        if not self._waiting or self.size >= self._bound:
+            return
+        waiter = self._waiting.popleft()
+        if not waiter.done():
+            task = self.loop.create_task(self._connect(CONNECT_TIMEOUT_S))
+            task.add_done_callback(lambda done: self._hand_over(done, waiter))
+
+    def _give_back(self, waiter):
+        """Keep what a cancelled waiter was handed in the same instant."""
+        if waiter.done() and not waiter.cancelled():
+            found = waiter.result()
+            if isinstance(found, Connection):
+                self.released(found)
+
+    def _hand_over(self, task, waiter):
+        found = task.result()
+        if not waiter.done():
+            waiter.set_result(found)
+        elif isinstance(found, Connection):
+            self.released(found)
--- /dev/null
+++ b/jujubefold/callserver.py
@@ -0,0 +1,771 @@
+"""HTTP/1.1 server of the call path: whole requests in, whole answers out.
+
+Parsing is httptools'. What that library lets through and a forwarder must
+not (see `_head_fault`) is refused here.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import functools
+
+import httptools
+
+from jujubefold import bodies
+from jujubefold import calls
+from jujubefold import errors
+from jujubefold import problems
+
+MAX_HEAD_BYTES = 32 * 1024
+MAX_TARGET_BYTES = 8 * 1024
+MAX_HEADERS = 100
+MAX_FRAMING_BYTES = 64 * 1024
+FRAMING_FACTOR = 16
+MAX_PIPELINED = 8
+WRITE_BUFFER_BYTES = 256 * 1024
+JOINED_WRITE_BYTES = 64 * 1024
+SWEEP_INTERVAL_S = 0.25
+LINGER_S = 1.0
+MEMORY_RETRY_S = 1.0
+
+_METHODS = frozenset(
+    {b'GET', b'HEAD', b'OPTIONS', b'POST', b'PUT', b'PATCH', b'DELETE'}
+)
+_SINGLETONS = frozenset(
+    {
+        b'host',
+        b'content-type',
+        b'idempotency-key',
+        calls.REQUEST_ID.encode(),
+        calls.DEADLINE_MS.encode(),
+        calls.DEPTH.encode(),
+        calls.RETRY_BUDGET.encode(),
+    }
+)
+_NO_BODY = frozenset({204, 304})
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timeouts:
+    """Bounds in seconds on what a caller may take.
+
+    Args:
+        head: From the first byte of a request to the end of its headers.
+        body: Between two pieces of a request body.
+        write: Between two pieces of an answer taken by the caller.
+        idle: Between two requests.
+        memory: Waiting for memory to buffer a body.
+    """
+
+    head: float = 10.0
+    body: float = 10.0
+    write: float = 30.0
+    idle: float = 75.0
+    memory: float = 10.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Request:
+    """One whole request.
+
+    Args:
+        target: Request target in origin form, as sent.
+        path: Target without the query.
+        host: Lower case, without port; '' when an HTTP/1.0 caller sent none.
+        headers: Pairs in order, names in lower case; no trailers.
+        fields: The same by name.
+        pieces: Body in order.
+        size: Body length in bytes.
+        peer: Address of the sender, `ip:port`.
+    """
+
+    method: str
+    target: bytes
+    path: str
+    host: str
+    headers: list
+    fields: dict
+    peer: str
+    keep_alive: bool = True
+    pieces: list = dataclasses.field(default_factory=list)
+    size: int = 0
+    memory: bodies.Reservation = dataclasses.field(
+        default_factory=bodies.Reservation
+    )
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Answer:
+    """One whole answer.
+
+    Args:
+        headers: Pairs in order, names in lower case, without framing.
+        pieces: Body in order.
+        size: Body length; for HEAD the length that GET would have.
+        close: Close the connection behind it.
+    """
+
+    status: int
+    headers: list
+    pieces: list
+    size: int
+    close: bool = False
+    memory: bodies.Reservation = dataclasses.field(
+        default_factory=bodies.Reservation
+    )
+
+
+def refuse(refusal, subject=None, status=None, close=False):
+    """Return the answer for a refusal.
+
+    Args:
+        refusal: A `calls.Refusal`.
+        subject: A `problems.Subject`, or None for nothing known.
+        status: HTTP status when the reason alone does not give it.
+    """
+    code, headers, body = problems.encode(
+        refusal, subject or problems.Subject(), status
+    )
+    return Answer(code, headers, [body], len(body), close)
+
+
+class Exchange:
+    """One request being answered.
+
+    Args:
+        connection: The `Connection` it came over.
+        request: The whole `Request`.
+    """
+
+    __slots__ = ('request', 'gone', '_connection')
+
+    def __init__(self, connection, request):
+        self.request = request
+        # Called without arguments if the sender leaves before the answer.
+        self.gone = None
+        self._connection = connection
+
+    @property
+    def open(self):
+        """Whether the sender still waits."""
+        return self._connection is not None
+
+    def reply(self, answer):
+        """Send the answer; without effect once the sender has left."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.reply(self.request, answer)
+
+    def reply_cut(self, answer):
+        """Send half of the answer's body and close; for fault tests."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.reply_cut(answer)
+
+    def lost(self):
+        """Learn that the sender has left."""
+        self._connection = None
+        if self.gone is not None:
+            self.gone()
+
+
+class _Refused(Exception):
+    """Leaves the parser's callbacks with an answer for the caller."""
+
+    def __init__(self, answer):
+        super().__init__()
+        self.answer = answer
+
+
+def malformed(detail, status=400):
+    """Return the answer to a request that breaks the protocol."""
+    return refuse(
+        calls.Refusal(
+            errors.Ran.DID_NOT_RUN, calls.Reason.MALFORMED, detail=detail
+        ),
+        status=status,
+        close=True,
+    )
+
+
+def _too_large(detail, status=413):
+    return refuse(
+        calls.Refusal(
+            errors.Ran.DID_NOT_RUN, calls.Reason.TOO_LARGE, detail=detail
+        ),
+        status=status,
+        close=True,
+    )
+
+
+class Connection(asyncio.Protocol):
+    """One caller's connection.
+
+    Args:
+        server: The `Server` it belongs to.
+    """
+
+    def __init__(self, server):
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport = None
+        self._peer = ''
+        # Whole requests, and answers to what could not be parsed.
+        self._queue = collections.deque()
+        self._current = None
+        self._out = collections.deque()
+        self._sending = None
+        self._advancing = False
+        self._writing_paused = False
+        self._reading_paused = False
+        self._waits = 0
+        self._broken = False
+        self._closed = False
+        self._linger_until = None
+        self._moved_at = server.now
+        self._reset()
+
+    def _reset(self):
+        self._target = b''
+        self._headers = []
+        self._request = None
+        self._started = False
+        self._raw_bytes = 0
+        self._head_sweeps = 0
+
+    @property
+    def idle(self):
+        """Whether no request is under way."""
+        return (
+            self._current is None
+            and self._sending is None
+            and not self._started
+            and not self._queue
+        )
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport):
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        name = transport.get_extra_info('peername')
+        self._peer = f'{name[0]}:{name[1]}' if name else ''
+        self._server.opened(self)
+
+    def data_received(self, data):
+        self._moved_at = self._server.now
+        if self._broken:
+            return
+        self._raw_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+            self._check_sizes()
+        except _Refused as refused:
+            self._break(refused.answer)
+        except httptools.HttpParserUpgrade:
+            self._break(malformed('protocol upgrade is not supported', 501))
+        except httptools.HttpParserError as error:
+            self._break(_answer_for(error))
+
+    def eof_received(self):
+        return False
+
+    def connection_lost(self, exc):
+        self._broken = True
+        self._closed = True
+        self._server.closed(self)
+        self._drop_requests()
+        self._drop_answer()
+        current, self._current = self._current, None
+        if current is not None:
+            self._server.requests.release(current.request.memory)
+            current.lost()
+
+    def pause_writing(self):
+        self._writing_paused = True
+
+    def resume_writing(self):
+        self._writing_paused = False
+        self._moved_at = self._server.now
+        self._flush()
+        self._advance()
+
+    # httptools callbacks
+
+    def on_message_begin(self):
+        self._started = True
+
+    def on_url(self, url):
+        self._target += url
+        if len(self._target) > MAX_TARGET_BYTES:
+            raise _Refused(_too_large('request target too long', 414))
+
+    def on_header(self, name, value):
+        # Fields behind the body (trailers) are dropped, never merged.
+        if self._request is None:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        request = self._read_head()
+        self._request = request
+        self._raw_bytes = 0
+        length = request.fields.get(b'content-length')
+        if length is None and b'transfer-encoding' not in request.fields:
+            return
+        self._expect_body(request, int(length or 0))
+
+    def on_body(self, piece):
+        request = self._request
+        request.pieces.append(piece)
+        request.size += len(piece)
+        over = request.size - request.memory.size - request.memory.wanted
+        if over <= 0:
+            return
+        if request.size > self._server.body_limit(request):
+            raise _Refused(_too_large('request body too large'))
+        self._reserve(request, over)
+
+    def on_message_complete(self):
+        request = self._request
+        request.keep_alive = self._parser.should_keep_alive()
+        self._reset()
+        self._queue.append(request)
+        if len(self._queue) > MAX_PIPELINED:
+            self._pause_reading()
+        self._advance()
+
+    # Reading
+
+    def _read_head(self):
+        if self._parser.should_upgrade():
+            raise _Refused(malformed('protocol upgrade is not supported', 501))
+        version = self._parser.get_http_version()
+        method = self._parser.get_method()
+        fields = dict(self._headers)
+        fault = _head_fault(version, method, self._headers, fields)
+        if fault is not None:
+            raise _Refused(malformed(*fault))
+        target, host = _origin(self._target, fields.get(b'host', b''))
+        path = target.partition(b'?')[0]
+        if _is_unsafe(target, path):
+            raise _Refused(malformed('request target not acceptable'))
+        return Request(
+            method=method.decode(),
+            target=target,
+            path=path.decode('latin-1'),
+            host=_hostname(host),
+            headers=self._headers,
+            fields=fields,
+            peer=self._peer,
+        )
+
+    def _expect_body(self, request, length):
+        if length > self._server.body_limit(request):
+            raise _Refused(_too_large('request body too large'))
+        if not length or self._reserve(request, length):
+            self._continue(request)
+
+    def _continue(self, request):
+        expects = b'expect' in request.fields
+        if expects and request is self._request and self._current is None:
+            self._transport.write(_CONTINUE)
+
+    def _reserve(self, request, more):
+        if request.memory.wanted:
+            request.memory.wanted += more
+            return False
+        granted = functools.partial(self._granted, request)
+        if self._server.requests.reserve(request.memory, more, granted):
+            return True
+        self._waits += 1
+        self._pause_reading()
+        return False
+
+    def _granted(self, request):
+        self._waits -= 1
+        self._moved_at = self._server.now
+        self._continue(request)
+        self._resume_reading()
+        self._advance()
+
+    def _check_sizes(self):
+        if self._request is not None:
+            allowed = self._request.size * FRAMING_FACTOR + MAX_FRAMING_BYTES
+            if self._raw_bytes > allowed:
+                raise _Refused(malformed('request framing too large'))
+        elif self._started and self._raw_bytes > MAX_HEAD_BYTES:
+            raise _Refused(_too_large('request headers too large', 431))
+
+    def _break(self, answer):
+        """Answer what came before, then this, then close."""
+        self._broken = True
+        self._started = False
+        request, self._request = self._request, None
+        if request is not None:
+            self._forget(request)
+        self._queue.append(answer)
+        self._advance()
+
+    def _forget(self, request):
+        if request.memory.wanted:
+            self._waits -= 1
+        self._server.requests.release(request.memory)
+
+    def _drop_requests(self):
+        request, self._request = self._request, None
+        queued = [item for item in self._queue if isinstance(item, Request)]
+        self._queue.clear()
+        for item in queued if request is None else [*queued, request]:
+            self._forget(item)
+
+    def _pause_reading(self):
+        if not self._reading_paused and not self._closed:
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self):
+        if self._waits and not self._broken:
+            return
+        if self._reading_paused and not self._closed:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
+    # Answering, one request at a time and in order
+
+    def _advance(self):
+        if self._advancing:
+            return
+        self._advancing = True
+        while self._is_ready():
+            following = self._queue.popleft()
+            if len(self._queue) == MAX_PIPELINED // 2:
+                self._resume_reading()
+            if isinstance(following, Answer):
+                self._send(following, 'GET', False)
+            else:
+                self._current = Exchange(self, following)
+                self._server.handler.take(self._current)
+        self._advancing = False
+
+    def _is_ready(self):
+        if self._current is not None or self._sending is not None:
+            return False
+        if self._writing_paused or self._closed or not self._queue:
+            return False
+        first = self._queue[0]
+        return isinstance(first, Answer) or not first.memory.wanted
+
+    def reply(self, request, answer):
+        """Send the answer to the request now served."""
+        self._server.requests.release(request.memory)
+        self._current = None
+        self._send(
+            answer, request.method, request.keep_alive and not answer.close
+        )
+        self._advance()
+
+    def reply_cut(self, answer):
+        """Send half of the answer's body, then close."""
+        whole = b''.join(answer.pieces)
+        head = encode_head(answer, 'GET', True)
+        self._current = None
+        self._transport.write(head + whole[: len(whole) // 2])
+        self._finish()
+
+    def _send(self, answer, method, keep_alive):
+        keep_alive = keep_alive and not self._server.stopping
+        self._moved_at = self._server.now
+        head = encode_head(answer, method, keep_alive)
+        pieces = () if _bodiless(answer, method) else answer.pieces
+        if answer.size <= JOINED_WRITE_BYTES or not pieces:
+            self._server.answers.release(answer.memory)
+            self._transport.write(b''.join((head, *pieces)))
+            self._sent(keep_alive)
+            return
+        self._out.append(head)
+        self._out.extend(pieces)
+        self._sending = (answer, keep_alive)
+        self._flush()
+
+    def _flush(self):
+        while self._out and not self._writing_paused and not self._closed:
+            self._transport.write(self._out.popleft())
+        if self._out or self._sending is None or self._closed:
+            return
+        answer, keep_alive = self._sending
+        self._sending = None
+        self._server.answers.release(answer.memory)
+        self._sent(keep_alive)
+
+    def _drop_answer(self):
+        self._out.clear()
+        sending, self._sending = self._sending, None
+        if sending is not None:
+            self._server.answers.release(sending[0].memory)
+
+    def _sent(self, keep_alive):
+        if not keep_alive:
+            self._finish()
+
+    def _finish(self):
+        """Close so that the caller can still read what was written."""
+        self._broken = True
+        self._drop_requests()
+        self._linger_until = self._server.now + LINGER_S
+        self._resume_reading()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        else:
+            self._transport.close()
+
+    # Bounds in time
+
+    def sweep(self, now, timeouts):
+        """Close or refuse what has not moved in time.
+
+        Args:
+            now: Monotonic seconds.
+            timeouts: A `Timeouts`.
+        """
+        waited = now - self._moved_at
+        if self._linger_until is not None:
+            if now >= self._linger_until:
+                self.abort()
+        elif self._sending is not None or self._writing_paused:
+            if waited > timeouts.write:
+                self.abort()
+        elif self._current is not None:
+            return
+        elif self._waits:
+            if waited > timeouts.memory:
+                self._refuse_for_memory()
+        elif self._request is not None:
+            if waited > timeouts.body:
+                self._break(malformed('request body came too slowly', 408))
+        elif self._started:
+            self._sweep_head(timeouts)
+        elif waited > timeouts.idle:
+            self.abort()
+
+    def _sweep_head(self, timeouts):
+        # Counted in sweeps, which a trickle of bytes does not reset.
+        self._head_sweeps += 1
+        if self._head_sweeps * SWEEP_INTERVAL_S > timeouts.head:
+            self._break(malformed('request headers came too slowly', 408))
+
+    def _refuse_for_memory(self):
+        self._drop_requests()
+        self._break(
+            refuse(
+                calls.Refusal(
+                    errors.Ran.DID_NOT_RUN,
+                    calls.Reason.QUEUE_FULL,
+                    retry_after=MEMORY_RETRY_S,
+                    detail='no memory to buffer the request body',
+                ),
+                close=True,
+            )
+        )
+
+    def close_if_idle(self):
+        """Close unless a request is under way."""
+        if self.idle and self._linger_until is None:
+            self.abort()
+
+    def abort(self):
+        """Close at once."""
+        self._transport.abort()
+
+
+def _answer_for(error):
+    cause = error.__context__
+    if isinstance(cause, _Refused):
+        return cause.answer
+    if isinstance(error, httptools.HttpParserCallbackError) and cause:
+        raise cause
+    return malformed(str(error))
+
+
+def _head_fault(version, method, headers, fields):
+    """Return detail and status of what httptools wrongly lets through."""
+    if version not in ('1.1', '1.0'):
+        return 'protocol version not supported', 505
+    if method not in _METHODS:
+        return 'method not supported', 501
+    if len(headers) > MAX_HEADERS:
+        return 'too many headers', 431
+    if version == '1.1' and b'host' not in fields:
+        return ('host header missing',)
+    coding = fields.get(b'transfer-encoding')
+    if coding is not None:
+        if version == '1.0':
+            return ('transfer-encoding in HTTP/1.0',)
+        if coding.strip().lower() != b'chunked':
+            return 'transfer-encoding not supported', 501
+    if len(fields) != len(headers):
+        return _repeated(headers)
+    expects = fields.get(b'expect')
+    if expects is not None and expects.lower() != b'100-continue':
+        return 'expectation not supported', 417
+    return None
+
+
+def _repeated(headers):
+    seen = set()
+    for name, _ in headers:
+        if name in _SINGLETONS and name in seen:
+            return (f'{name.decode()} given twice',)
+        seen.add(name)
+    return None
+
+
+def _origin(target, host):
+    """Return origin-form target and host of any acceptable target."""
+    if not target.startswith(b'http://'):
+        return target, host
+    authority, slash, rest = target[len(b'http://') :].partition(b'/')
+    return slash + rest or b'/', authority
+
+
+def _is_unsafe(target, path):
+    if b'#' in target:
+        return True
+    if not path.startswith(b'/'):
+        return path != b'*'
+    if b'/.' not in path and b'%2' not in path:
+        return False
+    plain = path.lower().replace(b'%2e', b'.').replace(b'%2f', b'/')
+    return not {b'.', b'..'}.isdisjoint(plain.split(b'/'))
+
+
+def _hostname(host):
+    name, colon, port = host.decode('latin-1').lower().rpartition(':')
+    return name if colon and port.isdigit() else host.decode('latin-1').lower()
+
+
+def _bodiless(answer, method):
+    return method == 'HEAD' or answer.status in _NO_BODY
+
+
+_LINES = {
+    code: f'HTTP/1.1 {code} {problems.title_of(code)}\r\n'.encode()
+    for code in range(200, 600)
+}
+
+
+def encode_head(answer, method, keep_alive):
+    """Return the head of an answer on the wire.
+
+    Args:
+        answer: An `Answer`.
+        method: Method of the request.
+        keep_alive: Whether the connection stays open.
+    """
+    parts = [_LINES[answer.status]]
+    for name, value in answer.headers:
+        parts.append(b'%b: %b\r\n' % (name, value))
+    if answer.status not in _NO_BODY:
+        parts.append(b'content-length: %d\r\n' % answer.size)
+    if not keep_alive:
+        parts.append(b'connection: close\r\n')
+    parts.append(b'\r\n')
+    return b''.join(parts)
+
+
+class Server:
+    """Listens, and gives whole requests to a handler.
+
+    Args:
+        handler: Has `take(exchange)`, called with each whole request, and
+            `body_limit(request)`, which returns bytes.
+        clock: A `clock.Clock`.
+        requests: `bodies.Budget` for request bodies.
+        answers: `bodies.Budget` that answers were reserved in.
+        timeouts: A `Timeouts`.
+    """
+
+    def __init__(self, handler, clock, requests, answers, timeouts=None):
+        self.handler = handler
+        self.requests = requests
+        self.answers = answers
+        self.stopping = False
+        # Coarse time, so that no request pays for reading the clock.
+        self.now = clock.monotonic()
+        self._clock = clock
+        self._timeouts = timeouts or Timeouts()
+        self._connections = set()
+        self._server = None
+        self._timer = None
+
+    @property
+    def connections(self):
+        """How many connections are open."""
+        return len(self._connections)
+
+    async def start(self, bind, tls=None):
+        """Listen.
+
+        Args:
+            bind: `ip:port`; port 0 for any.
+            tls: `ssl.SSLContext` or None.
+
+        Returns:
+            The bound `ip:port`.
+        """
+        host, _, port = bind.rpartition(':')
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: Connection(self),
+            host,
+            int(port),
+            ssl=tls,
+            backlog=1024,
+        )
+        self._arm()
+        name = self._server.sockets[0].getsockname()
+        return f'{name[0]}:{name[1]}'
+
+    def body_limit(self, request):
+        """Return the most bytes that a request's body may have."""
+        return min(self.handler.body_limit(request), self.requests.limit)
+
+    def opened(self, connection):
+        """Know a new connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection):
+        """Forget a connection."""
+        self._connections.discard(connection)
+
+    def sweep(self):
+        """Apply the time bounds to every connection."""
+        self.now = self._clock.monotonic()
+        for connection in tuple(self._connections):
+            connection.sweep(self.now, self._timeouts)
+
+    def drain(self):
+        """Stop listening; connections close behind their last answer."""
+        self.stopping = True
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+
+    async def close(self):
+        """Close everything at once."""
+        self.drain()
+        if self._timer is not None:
+            self._timer.cancel()
+        for connection in tuple(self._connections):
+            connection.abort()
+        await asyncio.sleep(0)
+
+    def _arm(self):
+        self._timer = asyncio.get_running_loop().call_later(
+            SWEEP_INTERVAL_S, self._swept
+        )
+
+    def _swept(self):
+        self.sweep()
+        self._arm()
--- /dev/null
+++ b/jujubefold/example.py
@@ -0,0 +1,327 @@
+"""Example upstream: slots, drain, cold start, shed, deadlines, cancel.
+
+Faults on demand, named by the header `example-fault`: `crash` before it
+answers, `cut` the answer half way, go `silent`, `shed`, `delay:MS`.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import os
+import signal
+import sys
+import typing
+
+import msgspec
+import typer
+import urllib3
+
+from jujubefold import bodies
+from jujubefold import calls
+from jujubefold import callserver
+from jujubefold import clock
+from jujubefold import messages
+
+FAULT = b'example-fault'
+SHED = b'jujubefold-shed'
+EXECUTIONS_PATH = '/_executions'
+HEALTH_PATH = '/health'
+CRASH_STATUS = 70
+ANNOUNCE_TTL_S = 6.0
+ANNOUNCE_TIMEOUT_S = 2.0
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+MEMORY_BYTES = 128 * 1024 * 1024
+DRAIN_GRACE_S = 30.0
+DRAIN_POLL_S = 0.02
+
+
+class Announcement(msgspec.Struct, frozen=True):
+    """What an upstream tells the daemon on its VM.
+
+    Args:
+        ttl: Seconds for which it holds.
+    """
+
+    service: str
+    address: str
+    slots: int
+    state: messages.UpstreamState
+    ttl: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Behaviour:
+    """How the upstream works when no fault is asked for.
+
+    Args:
+        service: Service name it announces.
+        slots: Requests that run at once; more are shed.
+        work: Seconds that a request takes.
+        cold_start: Seconds after its start in which work takes longer.
+        cold_factor: How much longer.
+    """
+
+    service: str = 'example'
+    slots: int = 6
+    work: float = 0.0
+    cold_start: float = 0.0
+    cold_factor: float = 10.0
+
+
+class Upstream:
+    """Counts what runs, by request id.
+
+    Args:
+        behaviour: A `Behaviour`.
+        crash: Called for a `crash` fault; ends the process by default.
+    """
+
+    def __init__(self, behaviour, crash=None):
+        self.executions = collections.Counter()
+        self.cancelled = 0
+        self.most_running = 0
+        self.running = 0
+        self.draining = False
+        self._behaviour = behaviour
+        self._crash = crash or (lambda: os._exit(CRASH_STATUS))
+        self._clock = clock.SystemClock()
+        self._started = self._clock.monotonic()
+        self._server = callserver.Server(
+            self,
+            self._clock,
+            bodies.Budget(MEMORY_BYTES),
+            bodies.Budget(MEMORY_BYTES),
+        )
+
+    async def start(self, bind):
+        """Listen on `ip:port` and return the bound address."""
+        return await self._server.start(bind)
+
+    async def stop(self, grace=DRAIN_GRACE_S):
+        """Finish what runs, for at most `grace` seconds, and close."""
+        self.draining = True
+        self._server.drain()
+        until = self._clock.monotonic() + grace
+        while self.running and self._clock.monotonic() < until:
+            await asyncio.sleep(DRAIN_POLL_S)
+        await self._server.close()
+
+    async def kill(self):
+        """Close every connection and the listener at once."""
+        await self._server.close()
+
+    def current_state(self):
+        """Return the state to announce."""
+        if self.draining:
+            return messages.UpstreamState.DRAINING
+        if self._is_cold():
+            return messages.UpstreamState.WARMING
+        return messages.UpstreamState.SERVING
+
+    def body_limit(self, request):
+        """Return the largest request body taken."""
+        return BODY_LIMIT_BYTES
+
+    def take(self, exchange):
+        """Answer one request."""
+        request = exchange.request
+        if request.path == EXECUTIONS_PATH:
+            _reply(exchange, 200, msgspec.json.encode(self.executions))
+            return
+        if request.path == HEALTH_PATH:
+            _reply(exchange, 503 if self.draining else 200, b'{}')
+            return
+        fault = request.fields.get(FAULT, b'').decode('latin-1')
+        full = self.running >= self._behaviour.slots
+        if full or fault == 'shed' or self.draining:
+            _reply(
+                exchange,
+                503,
+                b'{}',
+                [(SHED, b'1'), (b'retry-after', b'1')],
+            )
+            return
+        self._begin(exchange, fault)
+
+    def _begin(self, exchange, fault):
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        name = exchange.request.fields.get(calls.REQUEST_ID.encode(), b'')
+        self.executions[name.decode('latin-1')] += 1
+        seconds = self._seconds(fault)
+        if not fault and not seconds:
+            self.running -= 1
+            _reply(exchange, 200, _echo(exchange.request))
+            return
+        task = asyncio.get_running_loop().create_task(
+            self._work(exchange, fault, seconds)
+        )
+        exchange.gone = task.cancel
+
+    def _seconds(self, fault):
+        kind, _, amount = fault.partition(':')
+        if kind == 'delay':
+            return float(amount) / 1000
+        if self._is_cold():
+            return self._behaviour.work * self._behaviour.cold_factor
+        return self._behaviour.work
+
+    def _is_cold(self):
+        age = self._clock.monotonic() - self._started
+        return age < self._behaviour.cold_start
+
+    async def _work(self, exchange, fault, seconds):
+        try:
+            if fault == 'silent':
+                await asyncio.get_running_loop().create_future()
+            left = _left(exchange.request)
+            await asyncio.sleep(min(seconds, left))
+            if fault == 'crash':
+                self._crash()
+            elif fault == 'cut':
+                exchange.reply_cut(_answer(200, _echo(exchange.request)))
+            elif seconds > left:
+                _reply(exchange, 504, b'{"detail":"deadline"}')
+            else:
+                _reply(exchange, 200, _echo(exchange.request))
+        except asyncio.CancelledError:
+            self.cancelled += 1
+        finally:
+            self.running -= 1
+
+
+def _left(request):
+    """Return the seconds that the caller still waits."""
+    value = request.fields.get(calls.DEADLINE_MS.encode(), b'')
+    return int(value) / 1000 if value.isdigit() else float('inf')
+
+
+def _echo(request):
+    """Return a body that only this request's answer has."""
+    name = request.fields.get(b'example-echo', b'')
+    return b'{"echo":"%b","size":%d,"path":"%b"}' % (
+        name,
+        request.size,
+        request.path.encode('latin-1'),
+    )
+
+
+def _answer(status, body, headers=()):
+    return callserver.Answer(
+        status,
+        [(b'content-type', b'application/json'), *headers],
+        [body],
+        len(body),
+    )
+
+
+def _reply(exchange, status, body, headers=()):
+    exchange.reply(_answer(status, body, headers))
+
+
+class Announcer:
+    """Tells the daemon of this VM about the upstream.
+
+    Args:
+        admin: Base URL of the daemon's operators' API.
+        upstream: The `Upstream`.
+        behaviour: Its `Behaviour`.
+        address: Where it listens.
+    """
+
+    def __init__(self, admin, upstream, behaviour, address):
+        self._url = f'{admin}/v1/upstream'
+        self._upstream = upstream
+        self._behaviour = behaviour
+        self._address = address
+        self._http = urllib3.PoolManager(
+            retries=False, timeout=ANNOUNCE_TIMEOUT_S
+        )
+
+    async def run(self):
+        """Announce until cancelled; a daemon that is away is retried."""
+        while True:
+            await self.announce()
+            await asyncio.sleep(ANNOUNCE_TTL_S / 3)
+
+    async def announce(self):
+        """Announce once; returns whether the daemon took it."""
+        return await asyncio.to_thread(self._put)
+
+    def _put(self):
+        announcement = Announcement(
+            self._behaviour.service,
+            self._address,
+            self._behaviour.slots,
+            self._upstream.current_state(),
+            ANNOUNCE_TTL_S,
+        )
+        try:
+            answer = self._http.request(
+                'PUT',
+                self._url,
+                body=msgspec.json.encode(announcement),
+                headers={'content-type': 'application/json'},
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return answer.status < 300
+
+
+async def _run(listen, behaviour, admin):
+    upstream = Upstream(behaviour)
+    address = await upstream.start(listen)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    line = msgspec.json.encode(
+        {'address': address, 'service': behaviour.service}
+    )
+    print(line.decode(), flush=True)
+    if admin:
+        announcer = Announcer(admin, upstream, behaviour, address)
+        announcing = loop.create_task(announcer.run())
+    await stopping.wait()
+    upstream.draining = True
+    if admin:
+        announcing.cancel()
+        await announcer.announce()
+    await upstream.stop()
+
+
+def serve(
+    service: typing.Annotated[str, typer.Option(help='Service name.')],
+    listen: typing.Annotated[
+        str, typer.Option(help='ip:port to listen on; port 0 for any.')
+    ] = '127.0.0.1:0',
+    slots: typing.Annotated[
+        int, typer.Option(help='Requests that run at once.')
+    ] = 6,
+    admin: typing.Annotated[
+        str, typer.Option(help="URL of the daemon's operators' API.")
+    ] = '',
+    work_ms: typing.Annotated[
+        float, typer.Option(help='Milliseconds that a request takes.')
+    ] = 0.0,
+    cold_start: typing.Annotated[
+        float, typer.Option(help='Seconds of cold start.')
+    ] = 0.0,
+):
+    """Run the example upstream until SIGTERM."""
+    behaviour = Behaviour(
+        service=service,
+        slots=slots,
+        work=work_ms / 1000,
+        cold_start=cold_start,
+    )
+    asyncio.run(_run(listen, behaviour, admin))
+
+
+def main():
+    """Run the console program `jujubefold-upstream`."""
+    sys.exit(typer.run(serve))
+
+
+if __name__ == '__main__':
+    main()
