--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -15,7 +15,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 60.0
-SWEEP_INTERVAL_S = 0.25
 MAX_HEAD_BYTES = 64 * 1024
 WRITE_BUFFER_BYTES = 256 * 1024
 JOINED_WRITE_BYTES = 64 * 1024
@@ -35,6 +34,7 @@
         b'expect',
     }
 )
+_WITH_BODY = frozenset({'POST', 'PUT', 'PATCH'})
 _INTERIM = range(100, 200)
 
 
@@ -45,6 +45,7 @@
     NOT_SENT = 'not-sent'
     CUT = 'cut'
     SILENT = 'silent'
+    DEADLINE = 'deadline'
     TOO_LARGE = 'too-large'
     CANCELLED = 'cancelled'
 
@@ -66,6 +67,38 @@
     detail: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Message:
+    """A request as it is passed on.
+
+    Args:
+        method: Upper case.
+        target: Origin form.
+        headers: End-to-end pairs, names in lower case.
+        pieces: Body in order.
+        size: Body length in bytes.
+    """
+
+    method: str
+    target: bytes
+    headers: list
+    pieces: list
+    size: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Bounds in time on one exchange.
+
+    Args:
+        deadline: Monotonic seconds at which it is given up.
+        progress: Seconds without a byte in either direction.
+    """
+
+    deadline: float
+    progress: float
+
+
 def end_to_end(headers, dropped=frozenset()):
     """Return the header pairs that a forwarder passes on.
 
@@ -87,20 +120,20 @@
     ]
 
 
-def encode_head(method, target, headers, size):
+def encode_head(message, extra=()):
     """Return the head of a request on the wire.
 
     Args:
-        method: Upper case.
-        target: Origin form, bytes.
-        headers: End-to-end pairs.
-        size: Body length in bytes.
+        message: A `Message`.
+        extra: Further header pairs for this hop.
     """
-    parts = [b'%b %b HTTP/1.1\r\n' % (method.encode(), target)]
-    for name, value in headers:
+    parts = [b'%b %b HTTP/1.1\r\n' % (message.method.encode(), message.target)]
+    for name, value in message.headers:
         parts.append(b'%b: %b\r\n' % (name, value))
-    if size or method in ('POST', 'PUT', 'PATCH'):
-        parts.append(b'content-length: %d\r\n' % size)
+    for name, value in extra:
+        parts.append(b'%b: %b\r\n' % (name, value))
+    if message.size or message.method in _WITH_BODY:
+        parts.append(b'content-length: %d\r\n' % message.size)
     parts.append(b'\r\n')
     return b''.join(parts)
 
@@ -128,6 +161,7 @@
         self._poisoned = False
         self._closed = False
         self.moved_at = 0.0
+        self.bounds = None
 
     @property
     def usable(self):
@@ -139,32 +173,32 @@
         """Whether an exchange is under way."""
         return self._done is not None
 
-    def start(self, method, head, pieces, size):
+    def start(self, message, head, bounds):
         """Send a request.
 
         Args:
-            method: Upper case, which decides whether a body can follow.
-            head: Bytes from `encode_head`.
-            pieces: Body in order.
-            size: Body length in bytes.
+            message: A `Message`.
+            head: Its head as `encode_head` gave it.
+            bounds: `Bounds` on the exchange.
 
         Returns:
             Future of a `callserver.Answer` or a `Failure`.
         """
         self._done = self._pool.loop.create_future()
         done = self._done
-        self._method = method
+        self._method = message.method
+        self.bounds = bounds
         self._sent = False
         self.moved_at = self._pool.now
         if self._transport.is_closing():
             self._fail(Failed.NOT_SENT, 'connection was closing')
             return done
         self._sent = True
-        if size <= JOINED_WRITE_BYTES:
-            self._transport.write(b''.join((head, *pieces)))
+        if message.size <= JOINED_WRITE_BYTES:
+            self._transport.write(b''.join((head, *message.pieces)))
         else:
             self._out.append(head)
-            self._out.extend(pieces)
+            self._out.extend(message.pieces)
             self._flush()
         return done
 
@@ -335,6 +369,7 @@
         self._idle = []
         self._open = set()
         self._connecting = 0
+        self._retired = False
         self._waiting = collections.deque()
 
     @property
@@ -386,6 +421,9 @@
         """Take back a connection whose exchange has ended."""
         if not connection.usable:
             return
+        if self._retired:
+            connection.abort()
+            return
         while self._waiting:
             waiter = self._waiting.popleft()
             if not waiter.done():
@@ -406,24 +444,33 @@
         for connection in idle:
             connection.abort()
 
-    def sweep(self, progress):
-        """End exchanges that have not moved, and long idle connections.
+    def sweep(self):
+        """End exchanges out of time, and connections idle for long.
 
-        Args:
-            progress: Seconds without progress that are allowed.
+        Returns:
+            How many connections had gone silent; the idle ones to the same
+            destination were then closed too.
         """
         self.now = self._clock.monotonic()
-        silent = False
+        silent = 0
         for connection in tuple(self._open):
             waited = self.now - connection.moved_at
-            if connection.busy:
-                if waited > progress:
-                    silent = True
-                    connection.abort(Failed.SILENT, 'no progress')
-            elif waited > IDLE_TIMEOUT_S:
-                connection.abort()
+            if not connection.busy:
+                if waited > IDLE_TIMEOUT_S:
+                    connection.abort()
+            elif waited > connection.bounds.progress:
+                silent += 1
+                connection.abort(Failed.SILENT, 'no progress')
+            elif self.now > connection.bounds.deadline:
+                connection.abort(Failed.DEADLINE, 'deadline passed')
         if silent:
             self.purge()
+        return silent
+
+    def retire(self):
+        """Close idle connections now, and busy ones behind their answer."""
+        self._retired = True
+        self.purge()
 
     def close(self):
         """Close every connection."""
--- /dev/null
+++ b/jujubefold/callentry.py
@@ -0,0 +1,163 @@
+"""Entry: from a caller's HTTP request to a call, or a true refusal."""
+
+import asyncio
+import hashlib
+import re
+
+import expression
+
+from jujubefold import callclient
+from jujubefold import calls
+from jujubefold import errors
+from jujubefold import hops
+
+FINGERPRINT_BYTES = 16
+HASHED_AT_ONCE_BYTES = 1024 * 1024
+NO_VERSION_RETRY_S = 1.0
+_MAX_DEADLINE_DIGITS = 9
+_MS = 1000
+
+_REQUEST_ID = re.compile(r'[A-Za-z0-9._:/+=-]{1,128}')
+# A Structured Field string (RFC 8941), or the same characters without
+# quotes, which many callers send.
+_KEY = re.compile(r'"([!#-\[\]-~ ]{1,253})"|([!#-\[\]-~]{1,253})')
+
+
+def read(request, mesh, now, rng):
+    """Check a request against the version in force.
+
+    Args:
+        request: A `callserver.Request`.
+        mesh: The pinned `mesh.Mesh`.
+        now: Monotonic seconds.
+        rng: A `random.Random` for new request ids.
+
+    Returns:
+        `Ok(calls.Call)` without fingerprint, or `Error(calls.Refusal)`.
+    """
+    if not mesh.number:
+        return _refused(
+            calls.Reason.NO_VERSION,
+            'no version of the configuration is in force here yet',
+            NO_VERSION_RETRY_S,
+        )
+    route = mesh.match(request.host, request.path, request.method)
+    if route is None:
+        return _refused(calls.Reason.NO_ROUTE, 'no route matches')
+    fields = request.fields
+    depth = _number(fields.get(b'jujubefold-depth', b'0'))
+    left = _number(fields.get(b'jujubefold-deadline-ms', b'999999999'))
+    if depth is None or left is None:
+        return _refused(calls.Reason.MALFORMED, 'depth or deadline malformed')
+    if depth >= calls.MAX_DEPTH:
+        return _refused(calls.Reason.TOO_DEEP, 'calls nest too deep')
+    if left == 0:
+        return _refused(calls.Reason.DEADLINE, 'the deadline has passed')
+    name = request_id(request, rng)
+    if name is None:
+        return _refused(calls.Reason.MALFORMED, 'request id malformed')
+    idempotent = calls.is_idempotent(route, request.method)
+    key = _key(fields)
+    if key is None:
+        return _refused(calls.Reason.MALFORMED, 'idempotency key malformed')
+    if route.keyed and not idempotent and not key:
+        return _refused(
+            calls.Reason.KEY_REQUIRED,
+            'this route needs an Idempotency-Key header',
+        )
+    return expression.Ok(
+        calls.Call(
+            request=name,
+            caller=request.peer.rpartition(':')[0],
+            method=request.method,
+            host=request.host,
+            path=request.path,
+            route=route,
+            version=mesh.number,
+            deadline=now + min(left / _MS, route.timeout.request),
+            depth=depth,
+            key=key,
+            idempotent=idempotent,
+            fingerprint='',
+        )
+    )
+
+
+def request_id(request, rng):
+    """Return the caller's request id, a new one, or None if malformed."""
+    value = request.fields.get(b'jujubefold-request-id')
+    if value is None:
+        return f'{rng.getrandbits(64):016x}'
+    text = value.decode('latin-1')
+    return text if _REQUEST_ID.fullmatch(text) else None
+
+
+async def fingerprint(request):
+    """Return the digest that is equal for the same request sent again.
+
+    Args:
+        request: A `callserver.Request`.
+    """
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    digest.update(
+        b'%b\0%b\0%b\0'
+        % (request.method.encode(), request.host.encode(), request.target)
+    )
+    hashed = 0
+    for piece in request.pieces:
+        digest.update(piece)
+        hashed += len(piece)
+        if hashed > HASHED_AT_ONCE_BYTES:
+            hashed = 0
+            await asyncio.sleep(0)
+    return digest.hexdigest()
+
+
+def message(request, route):
+    """Return the request as it is passed on.
+
+    Args:
+        request: A `callserver.Request`.
+        route: The `mesh.Route` whose header rule applies.
+    """
+    headers = hops.public(callclient.end_to_end(request.headers))
+    rule = route.headers
+    if rule.set or rule.remove:
+        headers = _ruled(headers, rule)
+    return callclient.Message(
+        request.method, request.target, headers, request.pieces, request.size
+    )
+
+
+def _ruled(headers, rule):
+    added = [
+        (name.lower().encode('latin-1'), value.encode('latin-1'))
+        for name, value in rule.set
+    ]
+    gone = {name.lower().encode('latin-1') for name in rule.remove}
+    gone.update(name for name, _ in added)
+    kept = [pair for pair in headers if pair[0] not in gone]
+    return kept + added
+
+
+def _key(fields):
+    """Return the idempotency key, '' without one, None if malformed."""
+    value = fields.get(b'idempotency-key')
+    if value is None:
+        return ''
+    found = _KEY.fullmatch(value.decode('latin-1').strip())
+    if found is None:
+        return None
+    return found[1] or found[2]
+
+
+def _number(value):
+    if not value.isdigit() or len(value) > _MAX_DEADLINE_DIGITS:
+        return None
+    return int(value)
+
+
+def _refused(reason, detail, retry_after=0.0):
+    return expression.Error(
+        calls.Refusal(errors.Ran.DID_NOT_RUN, reason, retry_after, detail)
+    )
--- /dev/null
+++ b/jujubefold/callflow.py
@@ -0,0 +1,781 @@
+"""Flow of the call path: from a caller's request to its whole answer."""
+
+import asyncio
+import dataclasses
+import itertools
+
+import msgspec
+
+from jujubefold import bodies
+from jujubefold import budget
+from jujubefold import callclient
+from jujubefold import callentry
+from jujubefold import callgate
+from jujubefold import calls
+from jujubefold import callserver
+from jujubefold import crashes
+from jujubefold import dispatch
+from jujubefold import errors
+from jujubefold import events
+from jujubefold import gate
+from jujubefold import hops
+from jujubefold import problems
+from jujubefold import routing
+
+SWEEP_INTERVAL_S = 0.05
+DRAIN_POLL_S = 0.02
+# Silence, on a connection that sends a sign of life every
+# `callserver.HEARTBEAT_S`, after which it is taken for lost.
+PEER_SILENCE_S = 2.0
+# Added to the caller's deadline so that the gate's own word arrives first.
+PEER_DEADLINE_SLACK_S = 0.05
+REJOIN_GRACE_S = 1.0
+MAX_REJOINS = 4
+REJOIN_PAUSE_S = 0.05
+PEER_CONNECTIONS = 16
+SMALLEST_BODY_LIMIT = 64 * 1024
+
+_ELSEWHERE = frozenset(
+    {
+        calls.Reason.NO_UPSTREAM,
+        calls.Reason.NO_SLOT,
+        calls.Reason.QUEUE_FULL,
+        calls.Reason.DRAINING,
+        calls.Reason.UPSTREAM_SHED,
+        calls.Reason.PEER_LOST,
+        calls.Reason.BARRED,
+    }
+)
+_AGAIN_IF_IDEMPOTENT = frozenset(
+    {
+        calls.Reason.UPSTREAM_CUT,
+        calls.Reason.UPSTREAM_SILENT,
+        calls.Reason.PEER_LOST,
+    }
+)
+_REACHED_NOBODY = calls.Refusal(
+    errors.Ran.DID_NOT_RUN,
+    calls.Reason.PEER_LOST,
+    callgate.RETRY_S,
+    'the other daemon could not be reached',
+)
+_LOST = calls.Refusal(
+    errors.Ran.UNKNOWN,
+    calls.Reason.PEER_LOST,
+    detail='the daemon that had the request was lost',
+)
+_OVERDUE = calls.Refusal(
+    errors.Ran.UNKNOWN,
+    calls.Reason.DEADLINE,
+    detail='the deadline passed before the answer came',
+)
+_DRAINING = calls.Refusal(
+    errors.Ran.DID_NOT_RUN,
+    calls.Reason.DRAINING,
+    callgate.RETRY_S,
+    'this daemon is leaving',
+)
+_DAMAGED = calls.Refusal(
+    errors.Ran.UNKNOWN,
+    calls.Reason.PEER_LOST,
+    detail='the other daemon gave an answer that makes no sense',
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds of one daemon's call path.
+
+    Args:
+        request_bytes: Request bodies buffered at once.
+        answer_bytes: Answer bodies buffered at once.
+        body_bytes: Largest body that any route may allow.
+        upstream_connections: Connections to the own upstream.
+        timeouts: Bounds on what callers may take.
+    """
+
+    request_bytes: int = 64 * 1024 * 1024
+    answer_bytes: int = 48 * 1024 * 1024
+    body_bytes: int = 32 * 1024 * 1024
+    upstream_connections: int = 110
+    timeouts: callserver.Timeouts = callserver.Timeouts()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """A call that was answered, for metrics.
+
+    Args:
+        route: Route name, '' when none matched.
+        status: HTTP status given.
+        ran: What the caller was told.
+        reason: And why.
+        seconds: From whole request to answer.
+        tries: Attempts made.
+        own: Whether the last attempt went to this VM's upstream.
+    """
+
+    route: str
+    status: int
+    ran: errors.Ran
+    reason: calls.Reason
+    seconds: float
+    tries: int
+    own: bool
+
+
+class _Port:
+    """One listening port: gives its requests to a coroutine function."""
+
+    def __init__(self, serve, body_limit):
+        self.body_limit = body_limit
+        self._serve = serve
+
+    def take(self, exchange):
+        """Serve one request."""
+        self._serve(exchange)
+
+
+class CallFlow:
+    """Takes requests of callers and of other daemons, and answers them.
+
+    Args:
+        identity: This daemon's `identity.Identity`.
+        clock: A `clock.Clock`.
+        rng: A `random.Random`.
+        mesh_in_force: Returns the `mesh.Mesh` in force.
+        live_members: Returns other daemons as a tuple of
+            `messages.Member`, the same tuple until a member changes.
+        own_member: Returns this daemon's own `messages.Member`.
+        gate_table: The `gate.GateTable` of the own upstream.
+        routing_table: A `routing.RoutingTable`.
+        crash_table: A `crashes.CrashTable`, or None for a new one.
+        budgets: A `budget.Budgets`, or None for new ones.
+        keys: A `callkeys.Keys` for requests with a key, or None.
+        observe: Called with each `Seen`.
+        record: Called with each `events.Event`.
+        emit: Called with each `effects.Effect` of a decision.
+        limits: A `Limits`.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity,
+        clock,
+        rng,
+        mesh_in_force,
+        live_members,
+        own_member,
+        gate_table,
+        routing_table,
+        crash_table=None,
+        budgets=None,
+        keys=None,
+        observe=None,
+        record=None,
+        emit=None,
+        limits=None,
+    ):
+        self._identity = identity
+        self._clock = clock
+        self._rng = rng
+        self._mesh_in_force = mesh_in_force
+        self._live_members = live_members
+        self._own_member = own_member
+        self._routing = routing_table
+        self._budgets = budgets or budget.new_budgets()
+        self._observe = observe or (lambda seen: None)
+        self._record = record or (lambda event: None)
+        self._limits = limits or Limits()
+        self._sequence = itertools.count(1)
+        self._requests = bodies.Budget(self._limits.request_bytes)
+        self._answers = bodies.Budget(self._limits.answer_bytes)
+        self._pools = {}
+        self._tls = None
+        self._routes = {}
+        self._tasks = {}
+        self._listeners = {}
+        self._ports = ()
+        self._sweeper = None
+        self._gate = callgate.CallGate(
+            identity=identity,
+            clock=clock,
+            table=gate_table,
+            crash_table=crash_table or crashes.new_crashes(),
+            keys=keys,
+            new_pool=self._new_upstream_pool,
+            record=self._record,
+            emit=emit or (lambda effect: None),
+        )
+
+    @property
+    def upstream_address(self):
+        """Where the own upstream listens, `ip:port`, or None."""
+        return self._gate.address
+
+    @upstream_address.setter
+    def upstream_address(self, address):
+        self._gate.set_address(address)
+
+    @property
+    def buffered_bytes(self):
+        """Bytes of bodies held now."""
+        return self._requests.used + self._answers.used
+
+    @property
+    def in_flight(self):
+        """Ids of the requests being served now."""
+        return tuple(self._tasks.values())
+
+    async def start(
+        self, caller_bind, peer_bind, peer_server_tls=None, peer_tls=None
+    ):
+        """Listen for callers and for other daemons.
+
+        Args:
+            caller_bind: `ip:port` for callers; port 0 for any.
+            peer_bind: `ip:port` for other daemons.
+            peer_server_tls: `ssl.SSLContext` of the port for daemons.
+            peer_tls: `ssl.SSLContext` for connections to other daemons.
+
+        Returns:
+            Both bound `ip:port`, callers' first.
+        """
+        self._tls = peer_tls
+        callers = self._new_server(self._take_call, self._call_limit, False)
+        peers = self._new_server(self._take_hop, self._hop_limit, True)
+        self._ports = (callers, peers)
+        bound = (
+            await callers.start(caller_bind),
+            await peers.start(peer_bind, peer_server_tls),
+        )
+        self._sweep()
+        return bound
+
+    def upstream_changed(self, admitted=()):
+        """Act on `gate.set_upstream`.
+
+        Args:
+            admitted: What it returned.
+        """
+        self._gate.wake(admitted)
+        self._gate.expire()
+
+    async def stop(self, grace):
+        """Refuse new work, finish what runs, then close.
+
+        Args:
+            grace: Seconds for which running requests are waited for.
+
+        Returns:
+            Tuple of the ids of requests that were cut; empty when none.
+        """
+        for port in self._ports:
+            port.drain()
+        until = self._clock.monotonic() + grace
+        while self._is_busy() and self._clock.monotonic() < until:
+            await asyncio.sleep(DRAIN_POLL_S)
+        cut = self.in_flight
+        for task in tuple(self._tasks):
+            task.cancel()
+        for port in self._ports:
+            await port.close()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for pool in self._pools.values():
+            pool.close()
+        self._gate.close()
+        for request in cut:
+            self._record(events.Event('call.cut_by_stop', request=request))
+        return cut
+
+    def _is_busy(self):
+        return bool(self._tasks) or any(port.busy for port in self._ports)
+
+    def _new_server(self, serve, body_limit, heartbeat):
+        return callserver.Server(
+            _Port(serve, body_limit),
+            self._clock,
+            self._requests,
+            self._answers,
+            self._limits.timeouts,
+            heartbeat,
+        )
+
+    def _new_upstream_pool(self, address):
+        return self._new_pool(address, self._limits.upstream_connections)
+
+    def _new_pool(self, address, bound, tls=None):
+        return callclient.Pool(
+            address,
+            bound,
+            self._clock,
+            self._answers,
+            self._limits.body_bytes,
+            tls,
+        )
+
+    def _pool_of(self, address):
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._new_pool(address, PEER_CONNECTIONS, self._tls)
+            self._pools[address] = pool
+        return pool
+
+    def _sweep(self):
+        for address, pool in tuple(self._pools.items()):
+            if pool.sweep():
+                self._record(events.Event('peer.silent', detail=address))
+            if not pool.size:
+                del self._pools[address]
+        if self._gate.pool is not None:
+            self._gate.pool.sweep()
+        loop = asyncio.get_running_loop()
+        self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+    def _spawn(self, coroutine, request):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks[task] = request
+        task.add_done_callback(self._served)
+        return task
+
+    def _served(self, task):
+        del self._tasks[task]
+        if not task.cancelled() and task.exception() is not None:
+            raise task.exception()
+
+    # Callers
+
+    def _call_limit(self, request):
+        mesh = self._mesh_in_force()
+        route = mesh.match(request.host, request.path, request.method)
+        if route is None:
+            return SMALLEST_BODY_LIMIT
+        return min(route.limit.body_bytes, self._limits.body_bytes)
+
+    def _take_call(self, exchange):
+        request = exchange.request
+        mesh = self._mesh_in_force()
+        now = self._clock.monotonic()
+        read = callentry.read(request, mesh, now, self._rng)
+        if request.late:
+            exchange.reply(callserver.refuse(_DRAINING, close=True))
+            return
+        if read.is_error():
+            self._refuse_unread(exchange, read.error, mesh)
+            return
+        trace = callgate.Trace()
+        call = read.ok
+        task = self._spawn(self._serve(exchange, call, trace), call.request)
+
+        def gone():
+            if not trace.committed:
+                task.cancel()
+
+        exchange.gone = gone
+
+    def _refuse_unread(self, exchange, refusal, mesh):
+        name = callentry.request_id(exchange.request, self._rng)
+        subject = problems.Subject(name or '', mesh.number)
+        answer = callserver.refuse(refusal, subject)
+        self._observe(
+            Seen('', answer.status, refusal.ran, refusal.reason, 0.0, 0, False)
+        )
+        exchange.reply(answer)
+
+    async def _serve(self, exchange, call, trace):
+        began = self._clock.monotonic()
+        request = exchange.request
+        digest = await callentry.fingerprint(request)
+        call = dataclasses.replace(call, fingerprint=digest)
+        header = request.fields.get(b'jujubefold-retry-budget', b'')
+        tour = _Tour(
+            call,
+            callentry.message(request, call.route),
+            budget.arriving(
+                header.decode('latin-1'), call.route.retry, call.depth
+            ),
+            trace,
+        )
+        budget.first_try(self._budgets, call.route, began)
+        outcome = await self._try_all(tour)
+        subject = problems.Subject(call.request, call.version)
+        if isinstance(outcome, callserver.Answer):
+            answer = outcome
+            answer.headers.extend(
+                problems.outcome_headers(
+                    errors.Ran.RAN, calls.Reason.NONE, subject
+                )
+            )
+            ran, reason = errors.Ran.RAN, calls.Reason.NONE
+        else:
+            answer = callserver.refuse(outcome, subject, _status_of(outcome))
+            ran, reason = outcome.ran, outcome.reason
+            self._note(call, outcome)
+        exchange.reply(answer)
+        now = self._clock.monotonic()
+        self._observe(
+            Seen(
+                call.route.name,
+                answer.status,
+                ran,
+                reason,
+                now - began,
+                tour.tries,
+                tour.own,
+            )
+        )
+
+    def _note(self, call, refusal):
+        if refusal.ran is errors.Ran.UNKNOWN:
+            self._record(
+                events.Event(
+                    'call.unknown',
+                    version=call.version,
+                    request=call.request,
+                    detail=refusal.reason,
+                )
+            )
+
+    async def _try_all(self, tour):
+        """Try until an outcome is final; return it."""
+        refusal = None
+        while True:
+            choice = self._choose(tour)
+            if isinstance(choice, calls.Nobody):
+                return refusal or choice.refusal
+            outcome = await self._try_one(tour, choice)
+            if isinstance(outcome, callserver.Answer):
+                return outcome
+            if not self._may_go_on(tour, outcome):
+                return outcome
+            refusal = outcome
+
+    def _choose(self, tour):
+        now = self._clock.monotonic()
+        own = routing.OwnUpstream(
+            self._own_member(), gate.load(self._gate.table)
+        )
+        context = dispatch.Context(now, self._clock.wall(), self._rng)
+        return routing.choose(
+            self._routing,
+            tour.call,
+            self._live_members(),
+            own,
+            tour.tried,
+            context,
+        )
+
+    async def _try_one(self, tour, choice):
+        tour.tries += 1
+        name = calls.AttemptId(
+            self._identity.vm,
+            self._identity.incarnation,
+            next(self._sequence),
+        )
+        attempt = calls.Attempt(name, tour.call)
+        part = tour.allowance.pass_on()
+        tour.own = isinstance(choice, calls.Own)
+        if tour.own:
+            tour.tried.add(self._identity.vm)
+            return await self._gate.run(
+                attempt, tour.message, part, tour.trace
+            )
+        tour.tried.add(choice.vm)
+        return await self._forward(choice, attempt, tour.message, part)
+
+    def _may_go_on(self, tour, refusal):
+        """Return whether another try is safe, in time and paid for."""
+        if refusal.ran is errors.Ran.DID_NOT_RUN:
+            if refusal.reason not in _ELSEWHERE:
+                return False
+        elif not (
+            tour.call.idempotent and refusal.reason in _AGAIN_IF_IDEMPOTENT
+        ):
+            return False
+        now = self._clock.monotonic()
+        if now >= tour.call.deadline:
+            return False
+        if not budget.allow(self._budgets, tour.call, now):
+            return False
+        return tour.allowance.spend()
+
+    # Forwarding to another daemon
+
+    async def _forward(self, peer, attempt, message, part):
+        began = self._clock.monotonic()
+        routing.sent(self._routing, peer.vm, began)
+        outcome = load = None
+        try:
+            result = await self._send_hop(peer, attempt, message, part)
+            outcome, load = self._read_outcome(result, message.method)
+        finally:
+            now = self._clock.monotonic()
+            routing.observe(
+                self._routing,
+                _observation(peer.vm, outcome, load, now - began),
+                now,
+            )
+        return outcome
+
+    async def _send_hop(self, peer, attempt, message, part):
+        """Send an attempt and, if its connection is lost, ask for it again.
+
+        Returns:
+            A `callserver.Answer` of the other daemon or a `calls.Refusal`.
+        """
+        now = self._clock.monotonic()
+        extra = ((hops.HOP, hops.encode(attempt, part, now)),)
+        call = attempt.call
+        try:
+            result = await self._exchange(peer, call, message, extra)
+            if isinstance(result, callserver.Answer):
+                return result
+            if not result.sent:
+                return _REACHED_NOBODY
+            if result.how is callclient.Failed.DEADLINE:
+                self._cancel_hop(peer, attempt.id)
+                return _OVERDUE
+            return await self._rejoin(peer, attempt)
+        except asyncio.CancelledError:
+            self._cancel_hop(peer, attempt.id)
+            raise
+
+    async def _rejoin(self, peer, attempt):
+        self._record(
+            events.Event(
+                'peer.rejoin', request=attempt.call.request, detail=peer.vm
+            )
+        )
+        message = self._control(peer, hops.JOIN_PATH, attempt.id)
+        for _ in range(MAX_REJOINS):
+            self._pool_of(peer.call_address).purge()
+            result = await self._exchange(peer, attempt.call, message)
+            if isinstance(result, callserver.Answer):
+                return result
+            if result.how is callclient.Failed.DEADLINE:
+                return _OVERDUE
+            await asyncio.sleep(REJOIN_PAUSE_S)
+        return _LOST
+
+    def _cancel_hop(self, peer, name):
+        message = self._control(peer, hops.CANCEL_PATH, name)
+        self._spawn(self._send_cancel(peer, message), str(name))
+
+    async def _send_cancel(self, peer, message):
+        pool = self._pool_of(peer.call_address)
+        connection = await pool.acquire(callclient.CONNECT_TIMEOUT_S)
+        if isinstance(connection, callclient.Failure):
+            return
+        deadline = self._clock.monotonic() + callclient.CONNECT_TIMEOUT_S
+        bounds = callclient.Bounds(deadline, PEER_SILENCE_S)
+        head = callclient.encode_head(message)
+        result = await connection.start(message, head, bounds)
+        if isinstance(result, callserver.Answer):
+            self._answers.release(result.memory)
+
+    def _control(self, peer, path, name):
+        target = f'{peer.vm}/{peer.incarnation}'.encode('latin-1')
+        headers = [
+            (b'host', peer.call_address.encode()),
+            (hops.ATTEMPT, str(name).encode('latin-1')),
+            (hops.TARGET, target),
+        ]
+        return callclient.Message('POST', path.encode(), headers, [], 0)
+
+    async def _exchange(self, peer, call, message, extra=()):
+        pool = self._pool_of(peer.call_address)
+        connection = pool.take()
+        if connection is None:
+            left = call.deadline - self._clock.monotonic()
+            connection = await pool.acquire(max(0.0, left))
+            if isinstance(connection, callclient.Failure):
+                return connection
+        bounds = callclient.Bounds(
+            call.deadline + PEER_DEADLINE_SLACK_S, PEER_SILENCE_S
+        )
+        head = callclient.encode_head(message, extra)
+        done = connection.start(message, head, bounds)
+        try:
+            return await done
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+
+    def _read_outcome(self, result, method):
+        """Return outcome and load from what another daemon answered."""
+        if isinstance(result, calls.Refusal):
+            return result, None
+        fields = dict(result.headers)
+        load = gate.Load.parse(
+            fields.get(b'jujubefold-load', b'').decode('latin-1')
+        )
+        if fields.get(b'jujubefold-outcome') == b'ran':
+            result.headers = hops.public(result.headers)
+            return result, load
+        self._answers.release(result.memory)
+        return _read_refusal(result, fields, method), load
+
+    # Other daemons
+
+    def _hop_limit(self, request):
+        return self._limits.body_bytes
+
+    def _take_hop(self, exchange):
+        request = exchange.request
+        if request.path == hops.JOIN_PATH:
+            self._take_named(exchange, self._join)
+        elif request.path == hops.BAR_PATH:
+            self._take_named(exchange, self._bar)
+        elif request.path == hops.CANCEL_PATH:
+            self._take_named(exchange, self._cancel)
+        else:
+            self._take_attempt(exchange)
+
+    def _take_attempt(self, exchange):
+        request = exchange.request
+        hop = hops.decode(request.fields.get(hops.HOP, b''))
+        if hop.is_error():
+            exchange.reply(callserver.malformed('hop header malformed'))
+            return
+        if request.late:
+            self._reply_hop(exchange, _DRAINING)
+            return
+        now = self._clock.monotonic()
+        attempt = hops.attempt_of(hop.ok, request, self._routes, now)
+        message = callclient.Message(
+            request.method,
+            request.target,
+            hops.public(callclient.end_to_end(request.headers)),
+            request.pieces,
+            request.size,
+        )
+        self._answer_hop(
+            exchange,
+            attempt.id,
+            self._gate.join_or_run(attempt, message, hop.ok.allowance),
+            hop.ok.request,
+        )
+
+    def _take_named(self, exchange, serve):
+        fields = exchange.request.fields
+        name = hops.parse_attempt(fields.get(hops.ATTEMPT, b''))
+        if name is None:
+            exchange.reply(callserver.malformed('attempt malformed'))
+            return
+        me = f'{self._identity.vm}/{self._identity.incarnation}'
+        if fields.get(hops.TARGET) != me.encode('latin-1'):
+            # Another start of this daemon may have run it.
+            self._reply_hop(exchange, _LOST)
+            return
+        serve(exchange, name)
+
+    def _join(self, exchange, name):
+        self._answer_hop(
+            exchange, name, self._gate.join_or_bar(name), str(name)
+        )
+
+    def _bar(self, exchange, name):
+        state = self._gate.bar(name).encode()
+        exchange.reply(callserver.Answer(200, [], [state], len(state)))
+
+    def _cancel(self, exchange, name):
+        self._gate.cancel(name)
+        exchange.reply(callserver.Answer(204, [], [], 0))
+
+    def _answer_hop(self, exchange, name, outcome, request):
+        """Reply with an awaited outcome; notice if the sender leaves."""
+        task = self._spawn(self._reply_when_known(exchange, outcome), request)
+
+        def gone():
+            task.cancel()
+            loop = asyncio.get_running_loop()
+            loop.call_later(REJOIN_GRACE_S, self._give_up, name)
+
+        exchange.gone = gone
+        self._listeners[name] = self._listeners.get(name, 0) + 1
+        task.add_done_callback(lambda done: self._stop_listening(name))
+
+    def _stop_listening(self, name):
+        self._listeners[name] -= 1
+        if not self._listeners[name]:
+            del self._listeners[name]
+
+    def _give_up(self, name):
+        """Cancel an attempt that no connection waits for any more."""
+        if name not in self._listeners:
+            self._gate.cancel(name)
+
+    async def _reply_when_known(self, exchange, outcome):
+        self._reply_hop(exchange, await outcome)
+
+    def _reply_hop(self, exchange, outcome):
+        load = str(gate.load(self._gate.table)).encode()
+        if isinstance(outcome, callserver.Answer):
+            answer = dataclasses.replace(
+                outcome,
+                headers=[
+                    *outcome.headers,
+                    (b'jujubefold-outcome', b'ran'),
+                    (b'jujubefold-load', load),
+                ],
+            )
+        else:
+            answer = callserver.refuse(outcome, status=_status_of(outcome))
+            answer.headers.append((b'jujubefold-load', load))
+        exchange.reply(answer)
+
+
+@dataclasses.dataclass(slots=True)
+class _Tour:
+    """One call's way through its tries."""
+
+    call: calls.Call
+    message: callclient.Message
+    allowance: budget.Allowance
+    trace: callgate.Trace
+    tried: set = dataclasses.field(default_factory=set)
+    tries: int = 0
+    own: bool = False
+
+
+def _status_of(refusal):
+    """Return the status where the reason alone does not give it."""
+    answer_too_large = (
+        refusal.reason is calls.Reason.TOO_LARGE
+        and refusal.ran is not errors.Ran.DID_NOT_RUN
+    )
+    return 502 if answer_too_large else None
+
+
+def _read_refusal(answer, fields, method):
+    """Return the refusal in another daemon's answer."""
+    try:
+        ran = errors.Ran(fields.get(b'jujubefold-outcome', b'').decode())
+        reason = calls.Reason(fields.get(b'jujubefold-reason', b'').decode())
+        if method == 'HEAD':
+            return calls.Refusal(ran, reason)
+        problem = msgspec.json.decode(
+            b''.join(answer.pieces), type=problems.Problem
+        )
+    except (ValueError, msgspec.DecodeError):
+        return _DAMAGED
+    return calls.Refusal(ran, reason, problem.retry_after, problem.detail)
+
+
+def _observation(vm, outcome, load, seconds):
+    refusal = outcome if isinstance(outcome, calls.Refusal) else None
+    lost = refusal is not None and refusal.reason is calls.Reason.PEER_LOST
+    return routing.Observation(
+        vm=vm,
+        ran_ok=outcome is not None and refusal is None,
+        refused=(
+            refusal is not None
+            and refusal.ran is errors.Ran.DID_NOT_RUN
+            and not lost
+        ),
+        lost=lost,
+        seconds=seconds,
+        load=load,
+    )
--- /dev/null
+++ b/jujubefold/callgate.py
@@ -0,0 +1,490 @@
+"""Gate side of the call path: runs admitted attempts at the upstream.
+
+`gate` decides; this module waits, sends, and reports endings back.
+"""
+
+import asyncio
+import collections
+import dataclasses
+
+from jujubefold import callclient
+from jujubefold import calls
+from jujubefold import callserver
+from jujubefold import crashes
+from jujubefold import errors
+from jujubefold import events
+from jujubefold import gate
+from jujubefold import hops
+from jujubefold import messages
+
+SHED = b'jujubefold-shed'
+RETRY_S = 1.0
+KEPT_S = 60.0
+KEPT_BYTES = 16 * 1024 * 1024
+KEPT_COUNT = 16_384
+CRASH_WINDOW_S = 0.05
+PROBE_TIMEOUT_S = 0.5
+
+_ADMITTING = frozenset(
+    {messages.UpstreamState.WARMING, messages.UpstreamState.SERVING}
+)
+_SHED = calls.Refusal(
+    errors.Ran.DID_NOT_RUN,
+    calls.Reason.UPSTREAM_SHED,
+    RETRY_S,
+    'the upstream shed the request before running it',
+)
+_NOT_SENT = calls.Refusal(
+    errors.Ran.DID_NOT_RUN,
+    calls.Reason.NO_UPSTREAM,
+    RETRY_S,
+    'the upstream takes no connection',
+)
+_LATE = calls.Refusal(
+    errors.Ran.DID_NOT_RUN,
+    calls.Reason.DEADLINE,
+    detail='the deadline passed before the upstream was asked',
+)
+_FORGOTTEN = calls.Refusal(
+    errors.Ran.UNKNOWN,
+    calls.Reason.PEER_LOST,
+    detail='the attempt ended here and its answer is no longer kept',
+)
+_CANCELLED = calls.Refusal(
+    errors.Ran.UNKNOWN,
+    calls.Reason.CANCELLED,
+    detail='the attempt was cancelled',
+)
+_IN_DOUBT = {
+    callclient.Failed.CUT: calls.Reason.UPSTREAM_CUT,
+    callclient.Failed.SILENT: calls.Reason.UPSTREAM_SILENT,
+    callclient.Failed.DEADLINE: calls.Reason.DEADLINE,
+    callclient.Failed.TOO_LARGE: calls.Reason.TOO_LARGE,
+    callclient.Failed.CANCELLED: calls.Reason.CANCELLED,
+}
+_ENDINGS = {
+    callclient.Failed.CUT: calls.Ending.CRASHED,
+    callclient.Failed.SILENT: calls.Ending.SILENT,
+    callclient.Failed.DEADLINE: calls.Ending.SILENT,
+}
+
+Outcome = callserver.Answer | calls.Refusal
+
+
+@dataclasses.dataclass(slots=True)
+class Trace:
+    """How far one attempt has got.
+
+    Args:
+        committed: It is better finished than cancelled, because its answer
+            is recorded under the caller's key.
+    """
+
+    committed: bool = False
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Kept:
+    """An attempt of another daemon, running or ended.
+
+    Args:
+        future: Of its `Outcome`.
+        task: Runs it.
+        ended_at: Monotonic seconds; 0 while it runs.
+        size: Bytes of its answer.
+    """
+
+    future: asyncio.Future
+    task: asyncio.Task
+    trace: Trace
+    ended_at: float = 0.0
+    size: int = 0
+
+
+class CallGate:
+    """Runs attempts at this VM's own upstream.
+
+    Args:
+        identity: This daemon's `identity.Identity`.
+        clock: A `clock.Clock`.
+        table: The `gate.GateTable`.
+        crash_table: The `crashes.CrashTable`.
+        keys: A `callkeys.Keys` for requests with a key, or None.
+        new_pool: Called with an address, returns a `callclient.Pool`.
+        record: Called with each `events.Event`.
+        emit: Called with each `effects.Effect` of a decision.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity,
+        clock,
+        table,
+        crash_table,
+        keys,
+        new_pool,
+        record,
+        emit,
+    ):
+        self.table = table
+        self.pool = None
+        self._identity = identity
+        self._clock = clock
+        self._crashes = crash_table
+        self._keys = keys
+        self._new_pool = new_pool
+        self._record = record
+        self._emit = emit
+        self._waiting = {}
+        self._live = {}
+        self._ended = collections.OrderedDict()
+        self._ended_bytes = 0
+        self._expiry = None
+        self._lost = []
+        self._tasks = set()
+
+    @property
+    def running(self):
+        """Attempts that hold a slot or wait for one."""
+        return (*self.table.running, *self.table.queued)
+
+    @property
+    def address(self):
+        """Where the upstream listens, or None."""
+        return None if self.pool is None else self.pool.address
+
+    def set_address(self, address):
+        """Send to the upstream at this address from now on."""
+        if address == self.address:
+            return
+        old = self.pool
+        self.pool = None if address is None else self._new_pool(address)
+        if old is not None:
+            old.retire()
+
+    def wake(self, admitted):
+        """Start attempts that the gate took from its queue.
+
+        Args:
+            admitted: Tuple of `calls.AttemptId`.
+        """
+        for name in admitted:
+            waiter = self._waiting.pop(name, None)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(None)
+
+    def expire(self):
+        """End what the gate evicted, and look again when it says so."""
+        for item in gate.expire(self.table, self._clock.monotonic()):
+            waiter = self._waiting.pop(item.attempt, None)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(item.refusal)
+        self._arm()
+
+    # Attempts of other daemons, which may be asked for again
+
+    async def join_or_run(self, attempt, message, allowance):
+        """Run another daemon's attempt, or share one that is here.
+
+        Args:
+            attempt: A `calls.Attempt`.
+            message: The `callclient.Message` for the upstream.
+            allowance: Retries that calls below may make.
+
+        Returns:
+            An `Outcome`.
+        """
+        kept = self._find(attempt.id)
+        if kept is None:
+            kept = self._keep(attempt, message, allowance)
+        return await asyncio.shield(kept.future)
+
+    async def join_or_bar(self, name):
+        """Share the outcome of an attempt, or make sure it never runs.
+
+        Args:
+            name: A `calls.AttemptId`.
+
+        Returns:
+            An `Outcome`.
+        """
+        kept = self._find(name)
+        if kept is not None:
+            return await asyncio.shield(kept.future)
+        if self.bar(name) is gate.BarState.BARRED:
+            return calls.Refusal(
+                errors.Ran.DID_NOT_RUN,
+                calls.Reason.BARRED,
+                detail='the attempt had not started and never will',
+            )
+        return _FORGOTTEN
+
+    def bar(self, name):
+        """Make sure that an attempt that has not started never will.
+
+        Returns:
+            A `gate.BarState`.
+        """
+        state = gate.bar(self.table, name, self._clock.monotonic())
+        self.expire()
+        return state
+
+    def cancel(self, name):
+        """Give up an attempt whose caller went away."""
+        kept = self._live.get(name)
+        if kept is not None:
+            if not kept.trace.committed:
+                kept.task.cancel()
+        elif name not in self._ended:
+            self.wake(gate.cancel(self.table, name, self._clock.monotonic()))
+
+    def _find(self, name):
+        return self._live.get(name) or self._ended.get(name)
+
+    def _keep(self, attempt, message, allowance):
+        loop = asyncio.get_running_loop()
+        trace = Trace()
+        task = loop.create_task(self.run(attempt, message, allowance, trace))
+        kept = Kept(loop.create_future(), task, trace)
+        self._live[attempt.id] = kept
+        task.add_done_callback(lambda done: self._end(attempt.id, done))
+        return kept
+
+    def _end(self, name, task):
+        kept = self._live.pop(name)
+        kept.ended_at = self._clock.monotonic()
+        outcome = _CANCELLED if task.cancelled() else task.result()
+        kept.future.set_result(outcome)
+        if isinstance(outcome, callserver.Answer):
+            kept.size = outcome.size
+            self._ended_bytes += kept.size
+        self._ended[name] = kept
+        self._forget()
+
+    def _forget(self):
+        """Drop the oldest outcomes; the newest is always kept."""
+        oldest = self._clock.monotonic() - KEPT_S
+        while len(self._ended) > 1:
+            name, kept = next(iter(self._ended.items()))
+            full = (
+                self._ended_bytes > KEPT_BYTES or len(self._ended) > KEPT_COUNT
+            )
+            if not full and kept.ended_at > oldest:
+                return
+            del self._ended[name]
+            self._ended_bytes -= kept.size
+
+    # One attempt
+
+    async def run(self, attempt, message, allowance, trace):
+        """Admit an attempt and run it.
+
+        Args:
+            attempt: A `calls.Attempt` that is not here already.
+            message: The `callclient.Message` for the upstream.
+            allowance: Retries that calls below may make.
+            trace: A `Trace`, changed here.
+
+        Returns:
+            An `Outcome`.
+        """
+        call = attempt.call
+        now = self._clock.monotonic()
+        refusal = crashes.check(self._crashes, call.fingerprint, now)
+        if refusal is not None:
+            return refusal
+        if not call.key or call.idempotent or self._keys is None:
+            return await self._admit(attempt, message, allowance, None)
+        refusal = self._hopeless(call)
+        if refusal is not None:
+            return refusal
+        return await self._keys.once(
+            call,
+            lambda claim: self._admit_claimed(
+                attempt, message, allowance, trace, claim
+            ),
+        )
+
+    async def _admit_claimed(self, attempt, message, allowance, trace, claim):
+        def start():
+            trace.committed = claim.is_valid()
+            return trace.committed
+
+        return await self._admit(attempt, message, allowance, start)
+
+    def _hopeless(self, call):
+        """Return a refusal that the gate would surely give, or None."""
+        if self.table.state not in _ADMITTING:
+            return _NOT_SENT
+        if len(self.table.queue) > self.table.queue_limit:
+            return calls.Refusal(
+                errors.Ran.DID_NOT_RUN, calls.Reason.QUEUE_FULL, RETRY_S
+            )
+        return None
+
+    async def _admit(self, attempt, message, allowance, start):
+        now = self._clock.monotonic()
+        suspect = crashes.is_suspect(self._crashes, attempt.call.fingerprint)
+        match gate.offer(self.table, attempt, now, suspect):
+            case calls.Refused(refusal=refusal):
+                return refusal
+            case calls.Joined():
+                return _FORGOTTEN
+            case calls.Queued():
+                refusal = await self._wait(attempt.id)
+                if refusal is not None:
+                    return refusal
+        return await self._execute(attempt, message, allowance, start)
+
+    async def _wait(self, name):
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiting[name] = waiter
+        self.expire()
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self._leave(name)
+            raise
+
+    def _leave(self, name):
+        self._waiting.pop(name, None)
+        now = self._clock.monotonic()
+        if name in self.table.running:
+            ending = calls.Ending.NEVER_SENT
+            self.wake(gate.finish(self.table, name, ending, now))
+        else:
+            self.wake(gate.cancel(self.table, name, now))
+
+    async def _execute(self, attempt, message, allowance, start):
+        ending = calls.Ending.CANCELLED
+        try:
+            outcome, ending = await self._ask(
+                attempt.call, message, allowance, start
+            )
+        finally:
+            now = self._clock.monotonic()
+            self.wake(gate.finish(self.table, attempt.id, ending, now))
+        if ending is calls.Ending.CRASHED:
+            self._suspect_crash(attempt.call)
+        elif ending is calls.Ending.ANSWERED:
+            crashes.answered(self._crashes, attempt.call.fingerprint, now)
+        return outcome
+
+    async def _ask(self, call, message, allowance, start):
+        """Send once; again only where that is provably safe.
+
+        Returns:
+            An `Outcome` and its `calls.Ending`.
+        """
+        while True:
+            result = await self._exchange(call, message, allowance, start)
+            if isinstance(result, callserver.Answer):
+                return self._answered(result)
+            stale = result.reused and result.how is callclient.Failed.CUT
+            if not (stale and call.idempotent):
+                return self._failed(result)
+            self.pool.purge()
+
+    async def _exchange(self, call, message, allowance, start):
+        pool = self.pool
+        if pool is None:
+            return callclient.Failure(callclient.Failed.REFUSED, False)
+        connection = pool.take()
+        if connection is None:
+            left = call.deadline - self._clock.monotonic()
+            connection = await pool.acquire(max(0.0, left))
+            if isinstance(connection, callclient.Failure):
+                return connection
+        now = self._clock.monotonic()
+        if now >= call.deadline or (start is not None and not start()):
+            pool.released(connection)
+            return callclient.Failure(callclient.Failed.DEADLINE, False)
+        head = callclient.encode_head(
+            message, hops.context_headers(call, allowance, now)
+        )
+        bounds = callclient.Bounds(call.deadline, call.route.timeout.attempt)
+        done = connection.start(message, head, bounds)
+        try:
+            return await done
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+
+    def _answered(self, answer):
+        if answer.status == 503 and SHED in dict(answer.headers):
+            self.pool.answers.release(answer.memory)
+            return _SHED, calls.Ending.SHED
+        answer.headers = hops.public(answer.headers)
+        return answer, calls.Ending.ANSWERED
+
+    def _failed(self, failure):
+        if not failure.sent:
+            late = failure.how is callclient.Failed.DEADLINE
+            return _LATE if late else _NOT_SENT, calls.Ending.NEVER_SENT
+        if failure.how is callclient.Failed.SILENT:
+            self._record(
+                events.Event('upstream.silent', detail=self.pool.address)
+            )
+        refusal = calls.Refusal(
+            errors.Ran.UNKNOWN, _IN_DOUBT[failure.how], detail=failure.detail
+        )
+        return refusal, _ENDINGS.get(failure.how, calls.Ending.CANCELLED)
+
+    # Crashes
+
+    def _suspect_crash(self, call):
+        """Look, a moment later, whether the whole upstream is gone."""
+        self._lost.append(call.fingerprint)
+        if len(self._lost) == 1:
+            task = asyncio.get_running_loop().create_task(self._probe())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _probe(self):
+        await asyncio.sleep(CRASH_WINDOW_S)
+        lost, self._lost = self._lost, []
+        if self.pool is None or await self._is_alive(lost):
+            return
+        self._record(
+            events.Event('upstream.crashed', detail=f'{len(lost)} requests')
+        )
+        name = f'{self._identity.vm}/{self._identity.incarnation}'
+        now = self._clock.monotonic()
+        for effect in crashes.crashed(self._crashes, name, lost, now):
+            self._emit(effect)
+
+    async def _is_alive(self, lost):
+        """Return whether an upstream that cut answers still runs.
+
+        Several cut at once while none was left is a crash, even if a new
+        process listens already.
+        """
+        if len(lost) > 1 and not self.pool.busy:
+            return False
+        self.pool.purge()
+        found = await self.pool.acquire(PROBE_TIMEOUT_S)
+        if isinstance(found, callclient.Failure):
+            return found.how is not callclient.Failed.REFUSED
+        self.pool.released(found)
+        return True
+
+    def _arm(self):
+        if self._expiry is not None:
+            self._expiry.cancel()
+            self._expiry = None
+        at = gate.next_expiry(self.table)
+        if at is None:
+            return
+        delay = max(0.0, at - self._clock.monotonic())
+        loop = asyncio.get_running_loop()
+        self._expiry = loop.call_later(delay, self.expire)
+
+    def close(self):
+        """Stop timers and close connections."""
+        if self._expiry is not None:
+            self._expiry.cancel()
+        for task in tuple(self._tasks):
+            task.cancel()
+        if self.pool is not None:
+            self.pool.close()
--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -26,6 +26,7 @@
 JOINED_WRITE_BYTES = 64 * 1024
 SWEEP_INTERVAL_S = 0.25
 LINGER_S = 1.0
+HEARTBEAT_S = 0.4
 MEMORY_RETRY_S = 1.0
 
 _METHODS = frozenset(
@@ -43,6 +44,7 @@
     }
 )
 _NO_BODY = frozenset({204, 304})
+_PROCESSING = b'HTTP/1.1 102 Processing\r\n\r\n'
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -78,6 +80,7 @@
         pieces: Body in order.
         size: Body length in bytes.
         peer: Address of the sender, `ip:port`.
+        late: Whether its headers came after the server began to drain.
     """
 
     method: str
@@ -87,6 +90,7 @@
     headers: list
     fields: dict
     peer: str
+    late: bool = False
     keep_alive: bool = True
     pieces: list = dataclasses.field(default_factory=list)
     size: int = 0
@@ -358,6 +362,7 @@
             headers=self._headers,
             fields=fields,
             peer=self._peer,
+            late=self._server.stopping,
         )
 
     def _expect_body(self, request, length):
@@ -444,6 +449,7 @@
             if isinstance(following, Answer):
                 self._send(following, 'GET', False)
             else:
+                self._moved_at = self._server.now
                 self._current = Exchange(self, following)
                 self._server.handler.take(self._current)
         self._advancing = False
@@ -536,7 +542,9 @@
             if waited > timeouts.write:
                 self.abort()
         elif self._current is not None:
-            return
+            if self._server.heartbeat and waited > HEARTBEAT_S:
+                self._moved_at = now
+                self._transport.write(_PROCESSING)
         elif self._waits:
             if waited > timeouts.memory:
                 self._refuse_for_memory()
@@ -683,10 +691,21 @@
         requests: `bodies.Budget` for request bodies.
         answers: `bodies.Budget` that answers were reserved in.
         timeouts: A `Timeouts`.
+        heartbeat: Whether senders that wait are told every moment, by an
+            interim answer, that the connection still works.
     """
 
-    def __init__(self, handler, clock, requests, answers, timeouts=None):
+    def __init__(
+        self,
+        handler,
+        clock,
+        requests,
+        answers,
+        timeouts=None,
+        heartbeat=False,
+    ):
         self.handler = handler
+        self.heartbeat = heartbeat
         self.requests = requests
         self.answers = answers
         self.stopping = False
@@ -703,6 +722,11 @@
         """How many connections are open."""
         return len(self._connections)
 
+    @property
+    def busy(self):
+        """Whether any request is under way."""
+        return any(not item.idle for item in self._connections)
+
     async def start(self, bind, tls=None):
         """Listen.
 
--- /dev/null
+++ b/tests/callnodes.py
@@ -0,0 +1,200 @@
+"""Daemons' call paths and upstreams in one process, for tests."""
+
+import asyncio
+import dataclasses
+import random
+
+from jujubefold import bodies
+from jujubefold import callclient
+from jujubefold import callflow
+from jujubefold import clock
+from jujubefold import example
+from jujubefold import gate
+from jujubefold import identity
+from jujubefold import mesh
+from jujubefold import messages
+from jujubefold import routing
+
+ANY = '127.0.0.1:0'
+SERVICE = 'example'
+
+
+def new_route(name, path, **extra):
+    """Return a route to the example service."""
+    group = mesh.EndpointGroup('all', SERVICE)
+    values = {
+        'host': '*',
+        'methods': (),
+        'targets': (mesh.Target(group),),
+        'retry': mesh.RetryPolicy(),
+        'limit': mesh.LimitPolicy(),
+        'timeout': mesh.TimeoutPolicy(),
+        'headers': mesh.HeaderRule(),
+    }
+    return mesh.Route(name=name, path=path, **(values | extra))
+
+
+MESH = mesh.Mesh(
+    number=7,
+    routes=(
+        new_route('keyed', '/orders', keyed=True),
+        new_route(
+            'quick',
+            '/quick',
+            timeout=mesh.TimeoutPolicy(request=1.0, attempt=0.3),
+        ),
+        new_route('small', '/small', limit=mesh.LimitPolicy(body_bytes=1000)),
+        new_route('all', '/'),
+    ),
+)
+
+
+@dataclasses.dataclass(eq=False)
+class Node:
+    """One daemon's call path, with an upstream when it has one."""
+
+    flow: callflow.CallFlow
+    member: messages.Member
+    gate_table: gate.GateTable
+    upstream: example.Upstream | None = None
+    caller_address: str = ''
+    events: list = dataclasses.field(default_factory=list)
+    seen: list = dataclasses.field(default_factory=list)
+
+
+class Fleet:
+    """Nodes that know each other.
+
+    Args:
+        keys: Called with a node's identity, returns its keys, or None.
+    """
+
+    def __init__(self, configuration=MESH, keys=None, limits=None):
+        self.nodes = []
+        self.mesh = configuration
+        self.clock = clock.SystemClock()
+        self._keys = keys
+        self._limits = limits
+        self._members = {}
+
+    async def add(self, slots=6, upstream=True, behaviour=None):
+        """Start a node and return it."""
+        number = len(self.nodes) + 1
+        gate_table = gate.new_gate(slots)
+        rng = random.Random(number)
+        who = identity.Identity(f'vm{number}', 'here', 'a', '', '', '', number)
+        node = Node(None, None, gate_table)
+        node.flow = callflow.CallFlow(
+            identity=who,
+            clock=self.clock,
+            rng=rng,
+            mesh_in_force=lambda: self.mesh,
+            live_members=lambda: self.others(node),
+            own_member=lambda: node.member,
+            gate_table=gate_table,
+            routing_table=routing.new_routing(rng),
+            keys=self._keys(who) if self._keys else None,
+            observe=node.seen.append,
+            record=node.events.append,
+            limits=self._limits,
+        )
+        node.caller_address, peer = await node.flow.start(ANY, ANY)
+        node.member = messages.Member(
+            vm=who.vm,
+            incarnation=who.incarnation,
+            region='here',
+            failure_domain='a',
+            peer_address='',
+            call_address=peer,
+        )
+        self.nodes.append(node)
+        if upstream:
+            node.upstream = example.Upstream(
+                behaviour or example.Behaviour(slots=slots),
+                crash=lambda: asyncio.ensure_future(node.upstream.kill()),
+            )
+            node.flow.upstream_address = await node.upstream.start(ANY)
+            self.announce(node, messages.UpstreamState.SERVING)
+        self._members.clear()
+        return node
+
+    def announce(self, node, state):
+        """Tell the node and the others what its upstream is."""
+        now = self.clock.monotonic()
+        slots = node.gate_table.slots
+        admitted = gate.set_upstream(node.gate_table, state, slots, now)
+        node.flow.upstream_changed(admitted)
+        node.member = messages.Member(
+            **{
+                name: getattr(node.member, name)
+                for name in node.member.__struct_fields__
+            }
+            | {'service': SERVICE, 'upstream_state': state, 'slots': slots}
+        )
+        self._members.clear()
+
+    def others(self, node):
+        """Return the members that a node sees."""
+        found = self._members.get(node)
+        if found is None:
+            found = self._members[node] = tuple(
+                other.member for other in self.nodes if other is not node
+            )
+        return found
+
+    async def stop(self, grace=0.0):
+        """Stop all nodes and upstreams."""
+        for node in self.nodes:
+            await node.flow.stop(grace)
+            if node.upstream is not None:
+                await node.upstream.kill()
+
+
+class Caller:
+    """A caller with keep-alive connections to one node."""
+
+    def __init__(self, address, clock_=None):
+        self.pool = callclient.Pool(
+            address,
+            1000,
+            clock_ or clock.SystemClock(),
+            bodies.Budget(1 << 30),
+            1 << 28,
+        )
+
+    async def ask(self, method='GET', path='/x', pieces=(), **headers):
+        """Return the answer, or how it failed.
+
+        Args:
+            headers: Names with `_` for `-`.
+        """
+        found = await self.pool.acquire(5)
+        if isinstance(found, callclient.Failure):
+            return found
+        pairs = [(b'host', b'example')]
+        for name, value in headers.items():
+            pairs.append(
+                (name.replace('_', '-').encode(), str(value).encode())
+            )
+        size = sum(len(piece) for piece in pieces)
+        message = callclient.Message(
+            method, path.encode(), pairs, list(pieces), size
+        )
+        head = callclient.encode_head(message)
+        bounds = callclient.Bounds(float('inf'), float('inf'))
+        done = found.start(message, head, bounds)
+        try:
+            answer = await done
+        except asyncio.CancelledError:
+            found.abort()
+            raise
+        return answer
+
+
+def outcome(answer):
+    """Return outcome and reason that an answer states."""
+    fields = dict(answer.headers)
+    return (
+        fields.get(b'jujubefold-outcome', b'').decode(),
+        fields.get(b'jujubefold-reason', b'none').decode(),
+    )
