--- /dev/null
+++ b/tests/test_callserver.py
@@ -0,0 +1,396 @@
+"""HTTP server of the call path, over real sockets."""
+
+import asyncio
+import re
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from jujubefold import bodies
+from jujubefold import callserver
+from jujubefold import clock
+
+BODY_LIMIT = 1000
+LINES = b'GET / HTTP/1.1\r\nHost: a\r\n'
+CHUNKED = b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n'
+
+# What is sent, and the status it is refused with.
+REFUSED = (
+    (b'nonsense\r\n\r\n', 400),
+    (b'GET / HTTP/1.1\r\n\r\n', 400),
+    (LINES + b'Host: b\r\n\r\n', 400),
+    (b'GET /\r\n\r\n', 505),
+    (b'GET / HTTP/2.0\r\nHost: a\r\n\r\n', 505),
+    (b'TRACE / HTTP/1.1\r\nHost: a\r\n\r\n', 501),
+    (b'CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n', 501),
+    (LINES + b'Connection: upgrade\r\nUpgrade: websocket\r\n\r\n', 501),
+    (LINES + b'Expect: miracles\r\n\r\n', 417),
+    (LINES + b'X: a\r\n folded\r\n\r\n', 400),
+    (LINES + b'X : a\r\n\r\n', 400),
+    (LINES + b'X: a\0b\r\n\r\n', 400),
+    (LINES + b'X: a\nY: b\r\n\r\n', 400),
+    (LINES + b'Content-Length: 1\r\nContent-Length: 1\r\n\r\nx', 400),
+    (LINES + b'Content-Length: 1, 1\r\n\r\nx', 400),
+    (LINES + b'Content-Length: -1\r\n\r\n', 400),
+    (LINES + b'Content-Length: +1\r\n\r\nx', 400),
+    (CHUNKED + b'Content-Length: 5\r\n\r\n0\r\n\r\n', 400),
+    (LINES + b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n', 400),
+    (CHUNKED + b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n', 400),
+    (LINES + b'Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n', 501),
+    (LINES + b'Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n', 501),
+    (CHUNKED.replace(b'1.1', b'1.0') + b'\r\n0\r\n\r\n', 400),
+    (CHUNKED + b'\r\nzz\r\n', 400),
+    (CHUNKED + b'\r\n3 \r\nabc\r\n0\r\n\r\n', 400),
+    (CHUNKED + b'\r\nfffffffffffffffff\r\n', 400),
+    (CHUNKED + b'\r\n3\r\nabcX', 400),
+    (CHUNKED + b'\r\n1;' + b'x' * 600_000, 400),
+    (CHUNKED + b'\r\n3e9\r\n' + b'x' * 1001, 413),
+    (LINES + b'Content-Length: 1001\r\n\r\n', 413),
+    (b'GET /' + b'a' * 9000 + b' HTTP/1.1\r\nHost: a\r\n\r\n', 414),
+    (b'GET /' + b'a' * 40_000, 414),
+    (LINES + b'X: ' + b'a' * 40_000, 431),
+    (LINES + b'X: a\r\n' * 200 + b'\r\n', 431),
+    (b'GET /a#b HTTP/1.1\r\nHost: a\r\n\r\n', 400),
+    (b'GET /a/../b HTTP/1.1\r\nHost: a\r\n\r\n', 400),
+    (b'GET /a/%2E%2e/b HTTP/1.1\r\nHost: a\r\n\r\n', 400),
+    (b'GET /a%2f..%2fb HTTP/1.1\r\nHost: a\r\n\r\n', 400),
+    (b'GET a HTTP/1.1\r\nHost: a\r\n\r\n', 400),
+    (LINES + b'Idempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n', 400),
+)
+
+
+class Handler:
+    """Answers with method, target and body, at once or when told."""
+
+    def __init__(self):
+        self.taken = []
+        self.held = []
+        self.hold = False
+        self.gone = 0
+        self.status = 200
+        self.extra = b''
+
+    def body_limit(self, request):
+        return BODY_LIMIT
+
+    def take(self, exchange):
+        self.taken.append(exchange.request)
+        exchange.gone = self._gone
+        if self.hold:
+            self.held.append(exchange)
+        else:
+            self.answer(exchange)
+
+    def answer(self, exchange):
+        request = exchange.request
+        body = b'%b %b %b' % (
+            request.method.encode(),
+            request.target,
+            b''.join(request.pieces),
+        )
+        pieces = [body, self.extra]
+        size = len(body) + len(self.extra)
+        exchange.reply(callserver.Answer(self.status, [], pieces, size))
+
+    def _gone(self):
+        self.gone += 1
+
+
+class Running:
+    """A server that runs within a test."""
+
+    def __init__(self, memory=1 << 20):
+        self.clock = clock.PausedClock()
+        self.handler = Handler()
+        self.requests = bodies.Budget(memory)
+        self.server = callserver.Server(
+            self.handler, self.clock, self.requests, bodies.Budget(1 << 24)
+        )
+
+    async def __aenter__(self):
+        self.address = await self.server.start('127.0.0.1:0')
+        return self
+
+    async def __aexit__(self, *_):
+        await self.server.close()
+
+    async def connect(self):
+        host, _, port = self.address.rpartition(':')
+        return await asyncio.open_connection(host, int(port))
+
+    async def raw(self, data, close=False):
+        """Send bytes and return all that comes until the end."""
+        reader, writer = await self.connect()
+        writer.write(data)
+        if close:
+            writer.close()
+        try:
+            return await asyncio.wait_for(reader.read(), 10)
+        except ConnectionError:
+            return b''
+        finally:
+            writer.close()
+
+    async def until(self, true):
+        for _ in range(1000):
+            if true():
+                return
+            await asyncio.sleep(0.005)
+        raise AssertionError('condition not reached')
+
+    def pass_time(self, seconds):
+        for _ in range(int(seconds / callserver.SWEEP_INTERVAL_S)):
+            self.clock.advance(callserver.SWEEP_INTERVAL_S)
+            self.server.sweep()
+
+
+async def _request(reader, method='GET'):
+    head = await reader.readuntil(b'\r\n\r\n')
+    status = int(head.split()[1])
+    length = int(re.search(rb'content-length: (\d+)', head)[1])
+    body = b'' if method == 'HEAD' else await reader.readexactly(length)
+    return status, head, body
+
+
+class TestServer(testtools.TestCase):
+    def run_with(self, scenario, **extra):
+        async def within():
+            async with Running(**extra) as running:
+                await scenario(running)
+
+        asyncio.run(within())
+
+    def test_refuses_what_breaks_the_protocol_and_closes(self):
+        async def scenario(running):
+            for data, status in REFUSED:
+                answer = await running.raw(data)
+                self.assertEqual(
+                    b'HTTP/1.1 %d' % status, answer[:12], data[:90]
+                )
+                self.assertIn(b'jujubefold-outcome: did-not-run', answer)
+                self.assertIn(b'connection: close', answer)
+            self.assertEqual([], running.handler.taken)
+
+        self.run_with(scenario)
+
+    def test_smuggled_request_is_not_served(self):
+        async def scenario(running):
+            hidden = b'GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n'
+            for data, _ in REFUSED:
+                await running.raw(data + hidden)
+            targets = [request.target for request in running.handler.taken]
+            self.assertNotIn(b'/hidden', targets)
+
+        self.run_with(scenario)
+
+    def test_forms_that_are_accepted(self):
+        forms = (
+            (b'GET http://b/x HTTP/1.1\r\nHost: a\r\n', b'GET /x '),
+            (b'OPTIONS * HTTP/1.1\r\nHost: a\r\n', b'OPTIONS * '),
+            (b'GET /a.b?c=../d HTTP/1.1\r\nHost: a\r\n', b'GET /a.b?c=../d '),
+            (b'GET / HTTP/1.0\r\n', b'GET / '),
+        )
+
+        async def scenario(running):
+            for head, body in forms:
+                answer = await running.raw(head + b'Connection: close\r\n\r\n')
+                self.assertEqual(body, answer.partition(b'\r\n\r\n')[2])
+            self.assertEqual('b', running.handler.taken[0].host)
+
+        self.run_with(scenario)
+
+    def test_trailers_are_dropped(self):
+        async def scenario(running):
+            body = b'1;e=f\r\nx\r\n0\r\nHost: z\r\n\r\n'
+            await running.raw(CHUNKED + b'Connection: close\r\n\r\n' + body)
+            request = running.handler.taken[0]
+            self.assertEqual('a', request.host)
+            self.assertEqual([b'x'], request.pieces)
+
+        self.run_with(scenario)
+
+    def test_cut_upload_is_never_delivered(self):
+        cuts = (
+            LINES + b'Content-Length: 5\r\n\r\nhell',
+            CHUNKED + b'\r\n3\r\nabc\r\n',
+            CHUNKED + b'\r\n3\r\nabc\r\n0\r\n',
+            LINES,
+        )
+
+        async def scenario(running):
+            for data in cuts:
+                await running.raw(data, close=True)
+            await running.until(lambda: not running.server.connections)
+            self.assertEqual([], running.handler.taken)
+            self.assertEqual(0, running.requests.used)
+
+        self.run_with(scenario)
+
+    def test_expect_continue_and_head_and_bodiless_statuses(self):
+        async def scenario(running):
+            reader, writer = await running.connect()
+            head = b'Expect: 100-continue\r\nContent-Length: 2\r\n\r\n'
+            writer.write(LINES.replace(b'GET', b'POST') + head)
+            interim = await reader.readuntil(b'\r\n\r\n')
+            self.assertEqual(b'HTTP/1.1 100 Continue\r\n\r\n', interim)
+            writer.write(b'ok')
+            self.assertEqual(b'POST / ok', (await _request(reader))[2])
+            writer.write(LINES.replace(b'GET', b'HEAD') + b'\r\n')
+            self.assertEqual(200, (await _request(reader, 'HEAD'))[0])
+            running.handler.status = 204
+            writer.write(LINES + b'\r\n')
+            answer = await reader.readuntil(b'\r\n\r\n')
+            self.assertNotIn(b'content-length', answer)
+            running.handler.status = 200
+            writer.write(LINES + b'\r\n')
+            self.assertEqual(b'GET / ', (await _request(reader))[2])
+            writer.close()
+
+        self.run_with(scenario)
+
+    def test_slow_callers_are_refused_or_closed(self):
+        timeouts = callserver.Timeouts()
+        cases = (
+            (b'GET / HTTP/1.1\r\nHo', timeouts.head, b'HTTP/1.1 408'),
+            (LINES + b'Content-Length: 9\r\n\r\nx', timeouts.body, b'HTTP'),
+            (b'', timeouts.idle, b''),
+        )
+
+        async def scenario(running):
+            for data, bound, expected in cases:
+                reader, writer = await running.connect()
+                writer.write(data)
+                await running.until(lambda: running.server.connections)
+                await asyncio.sleep(0.05)
+                running.pass_time(bound - 1)
+                self.assertEqual(1, running.server.connections)
+                running.pass_time(2)
+                answer = await asyncio.wait_for(reader.read(), 10)
+                self.assertEqual(expected, answer[: len(expected)])
+                writer.close()
+                await running.until(lambda: not running.server.connections)
+            self.assertEqual([], running.handler.taken)
+
+        self.run_with(scenario)
+
+    def test_trickled_headers_do_not_extend_the_bound(self):
+        async def scenario(running):
+            reader, writer = await running.connect()
+            writer.write(LINES)
+            for _ in range(12):
+                writer.write(b'X: y\r\n')
+                await asyncio.sleep(0.01)
+                running.pass_time(1)
+            answer = await asyncio.wait_for(reader.read(), 10)
+            self.assertEqual(b'HTTP/1.1 408', answer[:12])
+            writer.close()
+
+        self.run_with(scenario)
+
+    def test_caller_that_reads_nothing_is_closed(self):
+        async def scenario(running):
+            running.handler.extra = bytes(8 << 20)
+            _, writer = await running.connect()
+            writer.write(LINES + b'\r\n')
+            await running.until(lambda: running.handler.taken)
+            await asyncio.sleep(0.05)
+            running.pass_time(callserver.Timeouts().write + 1)
+            await running.until(lambda: not running.server.connections)
+            writer.close()
+
+        self.run_with(scenario)
+
+    def test_body_waits_for_memory_and_is_refused_in_the_end(self):
+        async def scenario(running):
+            running.handler.hold = True
+            post = LINES.replace(b'GET', b'POST')
+            body = b'Content-Length: 600\r\n\r\n' + bytes(600)
+            first, first_writer = await running.connect()
+            first_writer.write(post + body)
+            await running.until(lambda: running.handler.held)
+            second, second_writer = await running.connect()
+            second_writer.write(post + body)
+            await running.until(lambda: running.server.connections == 2)
+            await asyncio.sleep(0.05)
+            self.assertEqual(1, len(running.handler.taken))
+            running.handler.answer(running.handler.held.pop())
+            await running.until(lambda: running.handler.held)
+            third, third_writer = await running.connect()
+            third_writer.write(post + body)
+            await asyncio.sleep(0.05)
+            running.pass_time(callserver.Timeouts().memory + 1)
+            answer = await asyncio.wait_for(third.read(), 10)
+            self.assertEqual(b'HTTP/1.1 503', answer[:12])
+            self.assertIn(b'retry-after: 1', answer)
+            self.assertEqual(2, len(running.handler.taken))
+            running.handler.answer(running.handler.held.pop())
+            await _request(second)
+            for writer in (first_writer, second_writer, third_writer):
+                writer.close()
+            await running.until(lambda: not running.server.connections)
+            self.assertEqual(0, running.requests.used)
+
+        self.run_with(scenario, memory=1000)
+
+    def test_caller_that_leaves_is_noticed(self):
+        async def scenario(running):
+            running.handler.hold = True
+            _, writer = await running.connect()
+            writer.write(LINES + b'\r\n')
+            await running.until(lambda: running.handler.held)
+            writer.close()
+            await running.until(lambda: running.handler.gone)
+            running.handler.answer(running.handler.held.pop())
+
+        self.run_with(scenario)
+
+    def test_drain_answers_what_runs_and_closes(self):
+        async def scenario(running):
+            running.handler.hold = True
+            reader, writer = await running.connect()
+            idle, idle_writer = await running.connect()
+            writer.write(LINES + b'\r\n')
+            await running.until(lambda: running.handler.held)
+            running.server.drain()
+            self.assertEqual(b'', await asyncio.wait_for(idle.read(), 10))
+            running.handler.answer(running.handler.held.pop())
+            answer = await asyncio.wait_for(reader.read(), 10)
+            self.assertIn(b'connection: close', answer)
+            self.assertTrue(answer.endswith(b'GET / '))
+            writer.close()
+            idle_writer.close()
+
+        self.run_with(scenario)
+
+    @hypothesis.settings(derandomize=True, max_examples=40, deadline=None)
+    @hypothesis.given(
+        sizes=strategies.lists(
+            strategies.integers(0, 900), min_size=1, max_size=30
+        ),
+        cut=strategies.integers(1, 3000),
+        order=strategies.randoms(use_true_random=False),
+    )
+    def test_pipelined_answers_match_their_requests(self, sizes, cut, order):
+        async def scenario(running):
+            running.handler.hold = True
+            data = b''.join(
+                b'POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%b'
+                % (index, size, bytes([97 + index % 26]) * size)
+                for index, size in enumerate(sizes)
+            )
+            reader, writer = await running.connect()
+            for start in range(0, len(data), cut):
+                writer.write(data[start : start + cut])
+                if order.random() < 0.2:
+                    await asyncio.sleep(0)
+            for index, size in enumerate(sizes):
+                await running.until(lambda: running.handler.held)
+                self.assertEqual(1, len(running.handler.held))
+                running.handler.answer(running.handler.held.pop())
+                body = (await _request(reader))[2]
+                letter = bytes([97 + index % 26])
+                self.assertEqual(b'POST /%d %b' % (index, letter * size), body)
+            writer.close()
+
+        self.run_with(scenario, memory=2000)
