--- a/jujubefold/adminserver.py
+++ b/jujubefold/adminserver.py
@@ -107,19 +107,22 @@
         self._server.ssl_adapter = ssl_adapter
         self._thread = None
 
-    def start(self):
-        """Bind and serve.
+    def bind(self):
+        """Listen; requests wait until `start`.
 
         Returns:
             The bound `ip:port`.
         """
         self._server.prepare()
+        host, port = self._server.bind_addr[:2]
+        return f'{host}:{port}'
+
+    def start(self):
+        """Serve what `bind` has let in."""
         self._thread = threading.Thread(
             target=self._server.serve, name='admin', daemon=True
         )
         self._thread.start()
-        host, port = self._server.bind_addr[:2]
-        return f'{host}:{port}'
 
     def stop(self):
         """Stop serving; requests in flight are finished."""
--- /dev/null
+++ b/jujubefold/daemon.py
@@ -0,0 +1,107 @@
+"""Console program `jujubefoldd`: one daemon beside an upstream."""
+
+import asyncio
+import json
+import pathlib
+import signal
+import sys
+import typing
+
+import typer
+
+from jujubefold import adminapi
+from jujubefold import adminserver
+from jujubefold import clock
+from jujubefold import logs
+from jujubefold import runtime
+from jujubefold import settings
+
+INVALID_SETTINGS = 3
+CUT_SOMETHING = 8
+
+
+async def serve(options):
+    """Run a daemon until it is asked to stop.
+
+    Args:
+        options: A `settings.Settings`.
+
+    Returns:
+        A `runtime.Stopped`.
+    """
+    loop = asyncio.get_running_loop()
+    daemon = runtime.Runtime(options, clock.SystemClock())
+    logs.configure(
+        options.logs.level, daemon.identity.vm, daemon.identity.incarnation
+    )
+    api = adminapi.AdminApi(daemon, loop)
+    server = adminserver.AdminServer(
+        options.daemon.admin_address, api.endpoints()
+    )
+    await daemon.start(server.bind())
+    server.start()
+    _handle_signals(loop, daemon)
+    _print_addresses(daemon)
+    await daemon.stop_wanted.wait()
+    stopped = await _stop(loop, daemon)
+    await asyncio.to_thread(server.stop)
+    return stopped
+
+
+def _handle_signals(loop, daemon):
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.drain)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload_keys)
+
+
+async def _stop(loop, daemon):
+    stopping = asyncio.ensure_future(daemon.stop())
+    hurry = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, hurry.set)
+    waiting = asyncio.ensure_future(hurry.wait())
+    await asyncio.wait(
+        (stopping, waiting), return_when=asyncio.FIRST_COMPLETED
+    )
+    waiting.cancel()
+    if stopping.done():
+        return stopping.result()
+    stopping.cancel()
+    return await daemon.stop(grace=0.0)
+
+
+def _print_addresses(daemon):
+    line = {
+        'vm': daemon.identity.vm,
+        'caller_address': daemon.caller_address,
+        'call_address': daemon.identity.call_address,
+        'peer_address': daemon.identity.peer_address,
+        'admin_address': daemon.identity.admin_address,
+    }
+    print(json.dumps(line), flush=True)
+
+
+def _main(
+    path: typing.Annotated[
+        pathlib.Path, typer.Argument(help='Settings, a TOML file.')
+    ],
+):
+    """Run one jujubefold daemon until SIGTERM."""
+    loaded = settings.load(path)
+    if loaded.is_error():
+        for failure in loaded.error:
+            print(f'{failure.where}: {failure.reason}', file=sys.stderr)
+        raise typer.Exit(INVALID_SETTINGS)
+    stopped = asyncio.run(serve(loaded.ok))
+    for request in stopped.cut:
+        print(f'cut request {request}', file=sys.stderr)
+    raise typer.Exit(CUT_SOMETHING if stopped.cut else 0)
+
+
+def main():
+    """Run the console program."""
+    typer.run(_main)
+
+
+if __name__ == '__main__':
+    main()
--- a/jujubefold/grpcpeers.py
+++ b/jujubefold/grpcpeers.py
@@ -52,6 +52,9 @@
     Args:
         bind_address: `ip:port` to listen on; port 0 picks one.
         credentials: A `trust.PeerCredentials`, or None for plain text.
+
+    Attributes:
+        observe: Called with `sent` or `received` and bytes of an envelope.
     """
 
     def __init__(self, bind_address, credentials=None):
@@ -64,6 +67,7 @@
         self._receive = None
         self._rate = _Rate(MAX_RATE, MAX_BURST)
         self._refused = 0
+        self.observe = _ignore
 
     @property
     def channels(self):
@@ -128,8 +132,8 @@
     def _handlers(self):
         handler = grpc.unary_unary_rpc_method_handler(
             self._handle,
-            request_deserializer=messages.decode,
-            response_serializer=messages.encode,
+            request_deserializer=self._decode,
+            response_serializer=self._encode,
         )
         return grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler})
 
@@ -152,6 +156,15 @@
             )
         return self._receive(decoded.ok)
 
+    def _encode(self, envelope):
+        data = messages.encode(envelope)
+        self.observe('sent', len(data))
+        return data
+
+    def _decode(self, data):
+        self.observe('received', len(data))
+        return messages.decode(data)
+
     async def _refuse(self, context, code, why):
         self._refused += 1
         await context.abort(code, why)
@@ -178,8 +191,8 @@
             )
         call = channel.unary_unary(
             _PATH,
-            request_serializer=messages.encode,
-            response_deserializer=messages.decode,
+            request_serializer=self._encode,
+            response_deserializer=self._decode,
         )
         return channel, call
 
@@ -238,5 +251,9 @@
         return True
 
 
+def _ignore(direction, size):
+    pass
+
+
 def _unreachable(address, why):
     return expression.Error(errors.PeerUnreachable(f'{address}: {why}'))
--- a/jujubefold/hlc.py
+++ b/jujubefold/hlc.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+MAX_AHEAD_S = 3600.0
+
 _NANOSECONDS = 1_000_000_000
 
 
@@ -40,8 +42,12 @@
         """Return a timestamp later than `other` and every earlier one.
 
         Args:
-            other: A `Timestamp` received from another daemon.
+            other: A `Timestamp` received from another daemon; one that is
+                further ahead than any honest clock is ignored.
         """
+        limit = int((self._clock.wall() + MAX_AHEAD_S) * _NANOSECONDS)
+        if other.wall_ns > limit:
+            return self.tick()
         return self._advance(max(self._last, other))
 
     def _advance(self, floor):
--- a/jujubefold/settings.py
+++ b/jujubefold/settings.py
@@ -60,6 +60,7 @@
     table_url: str
     objects_url: str
     timeout: float = pydantic.Field(default=2.0, gt=0, le=60)
+    submit_timeout: float = pydantic.Field(default=8.0, gt=0, le=120)
     calls_per_second: float = pydantic.Field(default=20.0, gt=0)
 
 
