--- a/jujubefold/core.py
+++ b/jujubefold/core.py
@@ -10,6 +10,7 @@
 from jujubefold import membership
 from jujubefold import probing
 from jujubefold import progress
+from jujubefold import upstreams
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,6 +24,7 @@
         probing: Probes under way.
         joining: How far joining the fleet has come.
         progress: Who has the newest version in force.
+        upstream: The lease of the upstream on this VM.
     """
 
     identity: identity.Identity
@@ -37,10 +39,14 @@
     progress: 'progress.ProgressTable' = dataclasses.field(
         default_factory=progress.ProgressTable
     )
+    upstream: 'upstreams.UpstreamTable' = dataclasses.field(
+        default_factory=upstreams.UpstreamTable
+    )
 
 
 SYSTEMS = (
     membership.run,
+    upstreams.run,
     joining.run,
     probing.run,
     dissemination.run,
--- a/jujubefold/gossip.py
+++ b/jujubefold/gossip.py
@@ -3,7 +3,6 @@
 import dataclasses
 import enum
 import heapq
-import math
 
 import msgspec
 
@@ -11,8 +10,9 @@
 
 # Rides on one message, so that it stays within one network packet.
 MAX_UPDATE_BYTES = 1000
-# Times a record is sent for each doubling of the fleet.
-SENDS_PER_DOUBLING = 2
+# How often one daemon passes a record on; comparing views repairs the rest.
+URGENT_SENDS = 6
+OTHER_SENDS = 3
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -56,11 +56,10 @@
         """Forget the record of a VM, if there is one."""
         self._entries.pop(vm, None)
 
-    def take(self, fleet, room=MAX_UPDATE_BYTES):
+    def take(self, room=MAX_UPDATE_BYTES):
         """Return the records to send next and count them as sent.
 
         Args:
-            fleet: Number of daemons, which bounds the repeats.
             room: Bytes that the records may take together.
 
         Returns:
@@ -68,9 +67,9 @@
         """
         if not self._entries:
             return ()
-        return tuple(self._pick(sends(fleet), room))
+        return tuple(self._pick(room))
 
-    def _pick(self, limit, room):
+    def _pick(self, room):
         smallest = min(entry.size for entry in self._entries.values())
         best = heapq.nsmallest(
             room // smallest, self._entries.values(), key=_rank
@@ -80,18 +79,14 @@
                 return
             room -= entry.size
             entry.sent += 1
-            if entry.sent >= limit:
+            if entry.sent >= _limit(entry):
                 del self._entries[entry.member.vm]
             yield entry.member
 
 
-def sends(fleet):
-    """Return how often one daemon repeats a record.
-
-    Args:
-        fleet: Number of daemons.
-    """
-    return SENDS_PER_DOUBLING * math.ceil(math.log2(fleet + 2))
+def _limit(entry):
+    other = entry.priority is Priority.OTHER
+    return OTHER_SENDS if other else URGENT_SENDS
 
 
 def _rank(entry):
--- a/jujubefold/joining.py
+++ b/jujubefold/joining.py
@@ -18,7 +18,9 @@
 MAX_FAILURES = 3
 # First pages that one contact gives out a second.
 ADMISSIONS_PER_S = 20.0
+BURST_S = 0.5
 MAX_RETRY_AFTER_S = 30.0
+MAX_TURNS = 4096
 PAGE_MEMBERS = 100
 CONTACT_SLOTS = 16
 REREAD_S = 1.0
@@ -42,7 +44,9 @@
         failed: Addresses that failed since the last success.
         failures: Contacts that failed one after another.
         store_failures: Reads of the contact table that failed in a row.
-        admitted_at: When the next joiner may be let in.
+        promised: Contact that gave this daemon a turn, or ''.
+        turns: When a joiner may come back, by VM.
+        turn_at: The last turn given.
         check_at: When the contact table is next looked at, or None.
         checking: Whether a read for that check is under way.
         reread: Whether the next step must read the contact table.
@@ -58,7 +62,9 @@
     failed: set[str] = dataclasses.field(default_factory=set)
     failures: int = 0
     store_failures: int = 0
-    admitted_at: float = 0.0
+    promised: str = ''
+    turns: dict[str, float] = dataclasses.field(default_factory=dict)
+    turn_at: float = 0.0
     check_at: float | None = None
     checking: bool = False
     reread: bool = False
@@ -86,7 +92,7 @@
 @dispatch.handle.register
 def _(item: messages.Join, tables, context, sender=''):
     if not item.after:
-        wait = _admit(tables.joining, context.now)
+        wait = _admit(tables.joining, item.member.vm, context.now)
         if wait > 0:
             yield effects.Send(sender, _later(wait))
             return
@@ -102,8 +108,10 @@
         return
     joining.failures = 0
     joining.failed.clear()
+    joining.promised = ''
     if item.retry_after_ms > 0:
         joining.contact = ''
+        joining.promised = sender
         wait = min(item.retry_after_ms / _MILLISECONDS, MAX_RETRY_AFTER_S)
         joining.next_at = context.now + wait * context.rng.uniform(1, 1.2)
         return
@@ -147,6 +155,7 @@
     if joining.joined or address != joining.contact:
         return
     joining.contact = ''
+    joining.promised = ''
     joining.after = ''
     joining.failures += 1
     joining.failed.add(address)
@@ -165,6 +174,8 @@
         joining.failures = 0
         joining.reread = False
         yield from _read_contacts(joining, context)
+    elif joining.promised:
+        yield from _ask(tables, context, joining.promised)
     elif joining.listed:
         # The lowest slot goes first, so that those listed find each other.
         yield from _ask(tables, context, hopeful[0])
@@ -209,18 +220,31 @@
     joining.next_at = context.now + context.rng.uniform(0, MAX_BACKOFF_S)
 
 
-def _admit(joining, now):
-    """Return seconds that a joiner must wait for its own turn."""
-    earliest = now - 1.0
-    turn = max(joining.admitted_at, earliest) + 1 / ADMISSIONS_PER_S
+def _admit(joining, vm, now):
+    """Return seconds until a joiner's turn, 0 when it may come in."""
+    turn = joining.turns.get(vm)
+    if turn is None:
+        turn = max(joining.turn_at + 1 / ADMISSIONS_PER_S, now - BURST_S)
+        if len(joining.turns) >= MAX_TURNS:
+            _drop_missed(joining, now)
+        if len(joining.turns) >= MAX_TURNS:
+            return MAX_RETRY_AFTER_S
+        joining.turn_at = turn
     if turn <= now:
-        joining.admitted_at = turn
+        joining.turns.pop(vm, None)
         return 0.0
-    if turn - now < MAX_RETRY_AFTER_S:
-        joining.admitted_at = turn
+    joining.turns[vm] = turn
     return min(turn - now, MAX_RETRY_AFTER_S)
 
 
+def _drop_missed(joining, now):
+    joining.turns = {
+        vm: turn
+        for vm, turn in joining.turns.items()
+        if turn > now - MAX_RETRY_AFTER_S
+    }
+
+
 def _later(wait):
     return messages.Welcome((), retry_after_ms=int(wait * _MILLISECONDS) + 1)
 
--- a/jujubefold/membership.py
+++ b/jujubefold/membership.py
@@ -34,7 +34,7 @@
 STALL_S = 1.5
 # Time for which a daemon may be unable to serve before it says so.
 WEDGED_S = 3.0
-MAX_HEALTH = 8
+MAX_HEALTH = 4
 BUCKETS = 64
 
 _INCARNATION_SHIFT = 16
@@ -354,7 +354,7 @@
         first.append(about)
     if introduce:
         first.append(table.me)
-    return (*first, *table.updates.take(fleet_size(table)))
+    return (*first, *table.updates.take())
 
 
 def bucket_of(vm):
@@ -533,7 +533,7 @@
     table.ended.pop(vm, None)
     match member.state:
         case messages.MemberState.SUSPECT:
-            table.suspects[vm] = now + SUSPICION_S * (1 + table.health)
+            table.suspects[vm] = now + SUSPICION_S * (1 + min(table.health, 1))
         case messages.MemberState.DEAD:
             table.ended[vm] = now + DEAD_KEPT_S
         case messages.MemberState.LEFT:
--- a/jujubefold/probing.py
+++ b/jujubefold/probing.py
@@ -19,11 +19,13 @@
 RANDOM_EVERY = 5
 RECONTACT_S = 20.0
 RECONTACT_SOON_S = 1.0
-SYNC_AFTER_S = 5.0
-SYNC_INTERVAL_S = 10.0
-SYNC_RECORDS = 24
+SYNC_AFTER_S = 3.0
+SYNC_INTERVAL_S = 5.0
+SYNC_RECORDS = 128
 # A daemon that hears nobody suspects others only from this doubt on.
 ISOLATED_HEALTH = 3
+# Incarnation in a helper's answer before the target has answered it.
+NOT_HEARD = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,7 +71,7 @@
         relays: By sequence.
         next_at: Monotonic seconds of the next probe, or None.
         rounds: Probes sent.
-        heard_at: When any probe was last answered.
+        heard_at: When another daemon was last heard.
         recontact_at: When a dead member is next tried, or None.
         recontacted: Address of the dead member tried last.
         sync_at: Earliest time of the next comparison.
@@ -116,6 +118,7 @@
     yield from membership.apply_all(table, item.updates, context)
     if _is_over(table):
         return
+    tables.probing.heard_at = context.now
     known = _record_at(table, sender)
     stranger = item.target not in (0, table.me.incarnation)
     yield effects.Send(
@@ -135,6 +138,7 @@
     table = tables.membership
     probing = tables.probing
     yield from membership.apply_all(table, item.updates, context)
+    probing.heard_at = context.now
     if sender == probing.recontacted:
         probing.recontacted = ''
         probing.recontact_at = context.now + RECONTACT_SOON_S * _jitter(
@@ -148,7 +152,6 @@
     probe = probing.probes.get(item.sequence)
     if probe is not None and _answers(probe, item):
         del probing.probes[item.sequence]
-        probing.heard_at = context.now
         table.health = max(0, table.health - 1)
     if item.view:
         yield from _compare(tables, context, item, sender)
@@ -157,6 +160,8 @@
 @dispatch.handle.register
 def _(item: messages.PingRequest, tables, context, sender=''):
     probing = tables.probing
+    # Tells the requester that its own network works.
+    yield effects.Send(sender, messages.Ack(item.sequence, NOT_HEARD))
     known = tables.membership.by_address.get(item.address)
     if known is None or len(probing.relays) >= MAX_RELAYS:
         return
@@ -233,7 +238,7 @@
 
 
 def _answers(probe, ack):
-    return probe.target in (0, ack.incarnation)
+    return ack.incarnation != NOT_HEARD and probe.target == ack.incarnation
 
 
 def _judge(tables, context, sequence):
@@ -308,14 +313,23 @@
     if table.doubted and rounds % 2:
         vm = next(iter(table.doubted))
         return table.members[vm], True
-    if rounds % RANDOM_EVERY == RANDOM_EVERY - 1 and table.by_address:
-        return table.members[_any(table, context)], True
-    near = overlay.neighbours(table)
-    return (near[rounds % len(near)], False) if near else (None, False)
+    if rounds % RANDOM_EVERY == RANDOM_EVERY - 1:
+        return _anybody(table, context), True
+    near = [
+        member
+        for member in overlay.neighbours(table)
+        if member.state is messages.MemberState.ALIVE
+    ]
+    if near:
+        return near[rounds % len(near)], False
+    return _anybody(table, context), True
 
 
-def _any(table, context):
-    return context.rng.choice(tuple(table.by_address.values()))
+def _anybody(table, context):
+    if not table.by_address:
+        return None
+    vm = context.rng.choice(tuple(table.by_address.values()))
+    return table.members[vm]
 
 
 def _recontact(tables, context):
