Clear innocent requests at the daemon that suspects them

A daemon that had seen a request answered ignored reports on it, and its neighbours had no reason to pass a clearance on, so the daemon beside the crashed upstream kept suspecting a popular request until it refused it. A clearance now also goes straight to the VMs whose upstreams crashed.

--- a/jujubefold/crashes.py
+++ b/jujubefold/crashes.py
@@ -35,8 +35,9 @@
 MAX_ANSWERED = 4096
 MAX_FINGERPRINT_CHARS = 128
 MAX_REPORTS_A_TICK = 32
-MAX_REPORTS_A_SENDER = 64
+MAX_REPORTS_A_SENDER = 256
 REPORT_WINDOW_S = 10.0
+MAX_WAITING_REPORTS = 1024
 
 _MILLI = 1000
 
@@ -90,6 +91,9 @@
         answered: Monotonic seconds of the last answer, by fingerprint.
         outbox: Reports to send at the next tick, the newest for each
             fingerprint and upstream.
+        owed: Clearances to send straight to a VM whose upstream crashed,
+            as VM and fingerprint; neighbours that never suspected the
+            request would not pass them on.
         inflows: Reports taken, by sender.
     """
 
@@ -98,6 +102,7 @@
     outbox: dict[tuple[str, str], messages.CrashReport] = dataclasses.field(
         default_factory=dict
     )
+    owed: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     inflows: dict[str, Inflow] = dataclasses.field(default_factory=dict)
 
 
@@ -142,8 +147,11 @@
     table.answered[fingerprint] = now
     if len(table.answered) > MAX_ANSWERED:
         del table.answered[next(iter(table.answered))]
-    if table.suspects.pop(fingerprint, None) is not None:
-        _post(table, messages.CrashReport(fingerprint, '', 0))
+    suspect = table.suspects.pop(fingerprint, None)
+    if suspect is not None:
+        _post(table, _clearance(fingerprint))
+        for upstream in suspect.evidence:
+            _owe(table, upstream, fingerprint)
 
 
 def crashed(table, upstream, running, now):
@@ -180,6 +188,7 @@
     """
     table = tables.crashes
     _expire(table, context.now)
+    yield from _send_owed(table, tables.membership)
     if not table.outbox:
         return
     keys = tuple(table.outbox)[:MAX_REPORTS_A_TICK]
@@ -198,6 +207,7 @@
         _clear(table, item, context.now)
         return
     if _answered_lately(table, item.fingerprint, context.now):
+        _owe(table, item.upstream, item.fingerprint)
         return
     evidence = Evidence(
         min(item.count, MAX_COUNT_A_UPSTREAM),
@@ -208,6 +218,14 @@
     )
 
 
+def _send_owed(table, members):
+    for _ in range(min(len(table.owed), MAX_REPORTS_A_TICK)):
+        vm, fingerprint = table.owed.pop()
+        member = members.members.get(vm)
+        if member is not None:
+            yield effects.Send(member.peer_address, _clearance(fingerprint))
+
+
 def _weight(table, fingerprint):
     suspect = table.suspects.get(fingerprint)
     return FRESH_MILLI + (0 if suspect is None else _blame(suspect))
@@ -282,8 +300,13 @@
     )
 
 
+def _clearance(fingerprint):
+    return messages.CrashReport(fingerprint, upstream='', count=0)
+
+
 def _post(table, report):
-    table.outbox[report.fingerprint, report.upstream] = report
+    if len(table.outbox) < MAX_WAITING_REPORTS:
+        table.outbox[report.fingerprint, report.upstream] = report
 
 
 def _acceptable(table, members, item, sender, now):
@@ -296,6 +319,15 @@
     return _within_rate(table, sender, now)
 
 
+def _vm_of(upstream):
+    return upstream.rpartition('/')[0]
+
+
+def _owe(table, upstream, fingerprint):
+    if len(table.owed) < MAX_WAITING_REPORTS:
+        table.owed.add((_vm_of(upstream), fingerprint))
+
+
 def _is_member(members, upstream):
     vm, _, incarnation = upstream.rpartition('/')
     member = members.me if vm == members.me.vm else members.members.get(vm)
@@ -316,9 +348,10 @@
 
 
 def _clear(table, item, now):
-    if table.suspects.pop(item.fingerprint, None) is not None:
-        table.answered[item.fingerprint] = now
-        _post(table, item)
+    suspect = table.suspects.get(item.fingerprint)
+    if suspect is None or suspect.until > now:
+        return
+    answered(table, item.fingerprint, now)
 
 
 def _expire(table, now):
