--- a/jujubefold/floor.py
+++ b/jujubefold/floor.py
@@ -210,6 +210,11 @@
     return witnesses(table, options.witnesses, table.members.values())
 
 
+def _needed(count):
+    """Return how many answers meet every quorum of `count` witnesses."""
+    return count - quorum(count) + 1
+
+
 def _know(table, number, source):
     table.known = number
     table.answers.clear()
@@ -273,8 +278,9 @@
     if table.known is not None or sender not in asked or not item.since_ms:
         return
     table.answers[sender] = item
-    needed = options.witnesses - quorum(options.witnesses) + 1
     counted = [table.answers[name] for name in asked & set(table.answers)]
-    if len(asked) >= options.witnesses and len(counted) >= needed:
+    if len(asked) >= options.witnesses and len(counted) >= _needed(
+        options.witnesses
+    ):
         number = max(max(each.noted, each.held) for each in counted)
         yield from _know(table, number, 'witnesses')
--- a/tests/cores.py
+++ b/tests/cores.py
@@ -212,6 +212,11 @@
         context = dispatch.Context(self.now, self.clock.wall(), each.rng)
         self.carry(address, list(core.tick(each.tables, context, inputs)))
 
+    def hear(self, index, sender, message):
+        """Give one core a message as if it came from `sender`."""
+        item = dispatch.Received(sender, 1, message)
+        self.feed(member(index).peer_address, [item])
+
     def accept(self, index, base=None, padding=0):
         """Have an operator's next patch accepted at a VM's daemon."""
         head = self.wait(self.acceptance.head()).ok.number
--- /dev/null
+++ b/tests/test_floor.py
@@ -0,0 +1,152 @@
+"""Floors after a start without state, by the store and by witnesses."""
+
+from unittest import mock
+
+import testtools
+
+from jujubefold import floor
+from jujubefold import messages
+from jujubefold import settings
+from tests import cores
+
+COUNT = 8
+VERSION_MESSAGES = (
+    messages.Announce,
+    messages.Push,
+    messages.Chain,
+    messages.Snapshot,
+)
+
+
+def options(witnesses):
+    return settings.Dissemination(
+        witnesses=witnesses, start_jitter=0.5, settle=1.0
+    )
+
+
+def fleet_of(witnesses):
+    """Return a fleet with version 1 in force and its restart victim, 0."""
+    fleet = cores.Fleet(COUNT, options(witnesses), domains=4)
+    fleet.run(2.0)
+    fleet.accept(0)
+    fleet.run(5.0)
+    assert fleet.converged()
+    return fleet
+
+
+def only_notes_pass(source, target, item):
+    return isinstance(item, VERSION_MESSAGES)
+
+
+def accept_alone(fleet):
+    """Put version 2 in force at 0 only; the store then goes down."""
+    fleet.drop = only_notes_pass
+    assert fleet.accept(0).is_ok()
+    fleet.store_up = False
+    fleet.run(3.0)
+
+
+def witnesses_of(fleet, index):
+    """Return the VM indexes of a daemon's witnesses."""
+    table = fleet.core(index).membership
+    found = floor.witnesses(table, 3, table.members.values())
+    return [int(member.vm.split('-')[1]) for member in found]
+
+
+def restart(fleet, index):
+    fleet.kill(index)
+    fleet.start(index)
+
+
+class TestFloor(testtools.TestCase):
+    def test_store_gives_the_floor(self):
+        for count in (0, 3):
+            fleet = fleet_of(count)
+            restart(fleet, 0)
+            self.assertTrue(fleet.run_until(fleet.converged, 10.0))
+
+    def test_without_witnesses_a_start_waits_for_the_store(self):
+        fleet = fleet_of(0)
+        accept_alone(fleet)
+        self.assertEqual(2, fleet.core(0).dissemination.in_force)
+        restart(fleet, 0)
+        fleet.drop = lambda *given: False
+        fleet.run(60.0)
+        table = fleet.core(0).dissemination
+        self.assertEqual((0, 1), (table.in_force, table.number))
+        fleet.store_up = True
+        self.assertTrue(fleet.run_until(fleet.converged, 30.0))
+        self.assertEqual([], fleet.backward())
+
+    def test_witnesses_let_a_start_serve_while_the_store_is_down(self):
+        fleet = fleet_of(3)
+        fleet.store_up = False
+        for index in (0, 5):
+            restart(fleet, index)
+        self.assertTrue(fleet.run_until(fleet.converged, 20.0))
+
+    def test_witnesses_keep_a_start_from_going_back(self):
+        fleet = fleet_of(3)
+        accept_alone(fleet)
+        self.assertEqual(2, fleet.core(0).dissemination.in_force)
+        restart(fleet, 0)
+        fleet.run(30.0)
+        table = fleet.core(0).dissemination
+        self.assertEqual((2, 0), (table.floors.known, table.in_force))
+        fleet.drop = lambda *given: False
+        fleet.store_up = True
+        self.assertTrue(fleet.run_until(fleet.converged, 30.0))
+        self.assertEqual([], fleet.backward())
+
+    def test_witness_that_lost_its_notes_does_not_count(self):
+        fleet = fleet_of(3)
+        accept_alone(fleet)
+        for index in witnesses_of(fleet, 0)[:2]:
+            restart(fleet, index)
+        restart(fleet, 0)
+        fleet.run(30.0)
+        self.assertIsNone(fleet.core(0).dissemination.floors.known)
+        with mock.patch.object(floor, '_needed', lambda count: 1):
+            fleet.run(5.0)
+            # One witness that kept its notes would not do for a quorum.
+            known = fleet.core(0).dissemination.floors.known
+        self.assertIsNotNone(known)
+
+    def test_without_a_quorum_a_version_is_not_in_force(self):
+        fleet = fleet_of(3)
+        lost = [cores.member(n).peer_address for n in witnesses_of(fleet, 0)]
+        fleet.cut = lambda one, other: one in lost[:2] or other in lost[:2]
+        fleet.accept(0)
+        fleet.run(10.0)
+        table = fleet.core(0).dissemination
+        self.assertEqual((1, 2), (table.in_force, table.number))
+        fleet.cut = lambda one, other: False
+        self.assertTrue(fleet.run_until(fleet.converged, 10.0))
+
+    def test_witness_that_starts_again_is_asked_again(self):
+        fleet = fleet_of(3)
+        first = witnesses_of(fleet, 0)[0]
+        restart(fleet, first)
+        fleet.run(10.0)
+        notes = fleet.core(first).dissemination.floors.notes
+        self.assertEqual(1, notes[cores.member(0).peer_address])
+
+    def test_witnesses_are_elsewhere_and_stable(self):
+        fleet = cores.Fleet(24, options(3), domains=4)
+        before = {index: witnesses_of(fleet, index) for index in range(24)}
+        for index, found in before.items():
+            self.assertNotIn(index % 4, [each % 4 for each in found])
+        table = fleet.core(0).membership
+        gone = before[0][0]
+        del table.members[f'vm-{gone}']
+        after = witnesses_of(fleet, 0)
+        self.assertEqual(before[0][1:], after[:2])
+
+    def test_notes_never_go_down(self):
+        fleet = fleet_of(3)
+        address = 'peer:1'
+        table = fleet.core(0)
+        for number in (5, 3, 5, 4):
+            note = messages.Note(address, 1, number, '')
+            fleet.hear(0, address, note)
+        self.assertEqual(5, table.dissemination.floors.notes[address])
