--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -42,21 +42,21 @@
 )
 
 
-def domain_cut(fleet, index):
+def domain_cut(fleet, index, count=COUNT):
     """Cut the failure domain of a VM from the others."""
     inside = {
         cores.member(each, fleet.domains).peer_address
-        for each in range(COUNT)
+        for each in range(count)
         if each % fleet.domains == index % fleet.domains
     }
     return lambda one, other: (one in inside) != (other in inside)
 
 
-def region_cut(fleet, index):
+def region_cut(fleet, index, count=COUNT):
     """Cut the region of a VM from the others."""
     regions = {
         member.peer_address: member.region
-        for member in (cores.member(n, fleet.domains) for n in range(COUNT))
+        for member in (cores.member(n, fleet.domains) for n in range(count))
     }
     region = cores.member(index, fleet.domains).region
     return lambda one, other: (
@@ -357,3 +357,168 @@
         with mock.patch.object(floor, 'permits', lambda table, number: True):
             found = played().backward()
         self.assertIn(cores.member(0).peer_address, found)
+
+
+FLEET = 12
+# Seconds within which a version must be in force on a small fleet.
+CONVERGED_S = 2.0
+# Bytes a second a daemon may send for the control of the fleet.
+CONTROL_BYTES_S = 2048
+
+
+def lossy(fleet):
+    fleet.loss = 0.4
+
+
+def doubled(fleet):
+    fleet.doubling = 1.0
+
+
+def late(fleet):
+    fleet.jitter = 5.0
+
+
+def store_down(fleet):
+    fleet.store_up = False
+
+
+def paused(fleet):
+    fleet.paused = {cores.member(n).peer_address for n in (3, 4)}
+
+
+def resumed(fleet):
+    fleet.paused.clear()
+
+
+def cut_domain(fleet):
+    fleet.cut = domain_cut(fleet, 1, FLEET)
+
+
+def cut_region(fleet):
+    fleet.cut = region_cut(fleet, 1, FLEET)
+
+
+def herd(fleet):
+    for index in range(FLEET // 2):
+        fleet.kill(index)
+        fleet.start(index)
+
+
+def herd_without_store(fleet):
+    fleet.store_up = False
+    herd(fleet)
+
+
+def mend(fleet):
+    """Undo all faults but keep what runs."""
+    fleet.store_up = True
+    fleet.loss = fleet.doubling = fleet.jitter = 0.0
+    fleet.cut = lambda one, other: False
+    fleet.paused.clear()
+
+
+# Fault, and the daemons that must have the version while it lasts.
+EVERYBODY = range(FLEET)
+FAULTS = (
+    (lossy, EVERYBODY),
+    (doubled, EVERYBODY),
+    (late, EVERYBODY),
+    (store_down, EVERYBODY),
+    (paused, [n for n in EVERYBODY if n not in (3, 4)]),
+    # The store is in reach of both sides, so the cut hides nothing.
+    (cut_domain, EVERYBODY),
+    (cut_region, EVERYBODY),
+    (herd, EVERYBODY),
+    (herd_without_store, range(FLEET // 2, FLEET)),
+)
+
+
+class TestFaults(testtools.TestCase):
+    def fleet(self, name='convergence', count=FLEET, domains=4):
+        fleet = cores.Fleet(count, OPTIONS[name], domains=domains)
+        fleet.run(3.0)
+        return fleet
+
+    def test_versions_spread_through_faults(self):
+        for name in ('convergence', 'bytes'):
+            for fault, served in FAULTS:
+                with self.subTest(preset=name, fault=fault.__name__):
+                    self.spread_through(name, fault, served)
+
+    def spread_through(self, name, fault, served):
+        fleet = self.fleet(name)
+        fleet.accept(FLEET - 1)
+        fleet.run(0.3)
+        accepted = fleet.accept(FLEET - 1)
+        fault(fleet)
+        addresses = [cores.member(n).peer_address for n in served]
+
+        def reached():
+            numbers = (fleet.served[each] for each in addresses)
+            return all(each and each[-1] == 2 for each in numbers)
+
+        self.assertEqual(2, accepted.ok.number)
+        self.assertIsNotNone(fleet.run_until(reached, 60.0))
+        mend(fleet)
+        self.assertIsNotNone(fleet.run_until(fleet.converged, 30.0))
+        self.assertEqual(([], []), (fleet.backward(), fleet.torn))
+
+    def test_calm_fleet_converges_in_seconds(self):
+        fleet = self.fleet()
+        fleet.accept(0)
+        taken = fleet.run_until(fleet.converged, 30.0)
+        self.assertLessEqual(taken, CONVERGED_S)
+
+    def test_readers_spread_what_a_dead_acceptor_did_not_tell(self):
+        for name in ('convergence', 'bytes'):
+            fleet = self.fleet(name)
+            fleet.kill(0)
+            fleet.accept(0)
+            fleet.start(0)
+            self.assertIsNotNone(fleet.run_until(fleet.converged, 20.0))
+
+    def test_reads_of_the_store_do_not_grow_with_the_fleet(self):
+        for name in ('convergence', 'bytes'):
+            chosen = OPTIONS[name]
+            for count in (12, 36):
+                fleet = self.fleet(name, count)
+                fleet.run(10.0)
+                before = fleet.store_reads
+                seconds = 100.0
+                fleet.run(seconds)
+                rate = 4 * chosen.readers / chosen.head_interval
+                made = (fleet.store_reads - before) / seconds
+                most = rate / (1 - dissemination.JITTER)
+                self.assertLessEqual(made, most)
+
+    def test_healed_cut_is_no_flood(self):
+        fleet = self.fleet()
+        fleet.cut = domain_cut(fleet, 1, FLEET)
+        fleet.store_up = False
+        for _ in range(5):
+            fleet.store_up = True
+            fleet.accept(0, padding=500)
+            fleet.store_up = False
+            fleet.run(1.0)
+        self.assertFalse(fleet.converged())
+        fleet.cut = lambda one, other: False
+        before = fleet.sent_bytes
+        taken = fleet.run_until(fleet.converged, 20.0)
+        self.assertIsNotNone(taken)
+        fleet.run(10.0 - min(taken, 10.0))
+        made = (fleet.sent_bytes - before) / max(taken, 10.0) / FLEET
+        self.assertLessEqual(made, CONTROL_BYTES_S)
+
+    def test_herd_that_returns_is_served_within_bounds(self):
+        fleet = self.fleet(count=24)
+        for _ in range(3):
+            fleet.accept(0, padding=500)
+            fleet.run(1.0)
+        for index in range(1, 24):
+            fleet.kill(index)
+        for index in range(1, 24):
+            fleet.start(index)
+        before = fleet.sent['Pull']
+        self.assertIsNotNone(fleet.run_until(fleet.converged, 20.0))
+        # One pull each, and as many again for those refused or late.
+        self.assertLessEqual(fleet.sent['Pull'] - before, 2 * 23)
