--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,7 +9,7 @@
 import bench
 from bench import report
 
-_HELPERS = {'__main__', 'report'}
+_HELPERS = {'__main__', 'report', 'callnode', 'plainhop'}
 
 
 def _names():
--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -11,6 +11,7 @@
 from jujubefold import callclient
 from jujubefold import callentry
 from jujubefold import callgate
+from jujubefold import callkeys
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import crashes
@@ -24,9 +25,6 @@
 
 SWEEP_INTERVAL_S = 0.05
 DRAIN_POLL_S = 0.02
-# Silence, on a connection that sends a sign of life every
-# `callserver.HEARTBEAT_S`, after which it is taken for lost.
-PEER_SILENCE_S = 2.0
 # Added to the caller's deadline so that the gate's own word arrives first.
 PEER_DEADLINE_SLACK_S = 0.05
 REJOIN_GRACE_S = 1.0
@@ -92,6 +90,8 @@
         body_bytes: Largest body that any route may allow.
         upstream_connections: Connections to the own upstream.
         timeouts: Bounds on what callers may take.
+        peer_silence: Seconds after which a connection to another daemon is
+            taken for lost; it shows life each `callserver.HEARTBEAT_S`.
     """
 
     request_bytes: int = 64 * 1024 * 1024
@@ -99,6 +99,7 @@
     body_bytes: int = 32 * 1024 * 1024
     upstream_connections: int = 110
     timeouts: callserver.Timeouts = callserver.Timeouts()
+    peer_silence: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,7 +152,7 @@
         routing_table: A `routing.RoutingTable`.
         crash_table: A `crashes.CrashTable`, or None for a new one.
         budgets: A `budget.Budgets`, or None for new ones.
-        keys: A `callkeys.Keys` for requests with a key, or None.
+        claims: A `claims.Claims` for requests with a key, or None.
         observe: Called with each `Seen`.
         record: Called with each `events.Event`.
         emit: Called with each `effects.Effect` of a decision.
@@ -171,7 +172,7 @@
         routing_table,
         crash_table=None,
         budgets=None,
-        keys=None,
+        claims=None,
         observe=None,
         record=None,
         emit=None,
@@ -203,7 +204,7 @@
             clock=clock,
             table=gate_table,
             crash_table=crash_table or crashes.new_crashes(),
-            keys=keys,
+            keys=self._new_keys(claims),
             new_pool=self._new_upstream_pool,
             record=self._record,
             emit=emit or (lambda effect: None),
@@ -293,6 +294,12 @@
     def _is_busy(self):
         return bool(self._tasks) or any(port.busy for port in self._ports)
 
+    def _new_keys(self, claims):
+        if claims is None:
+            return None
+        holder = f'{self._identity.vm}/{self._identity.incarnation}'
+        return callkeys.Keys(claims, holder, self._clock, self._record)
+
     def _new_server(self, serve, body_limit, heartbeat):
         return callserver.Server(
             _Port(serve, body_limit),
@@ -450,6 +457,9 @@
                 return outcome
             if not self._may_go_on(tour, outcome):
                 return outcome
+            if outcome.reason is calls.Reason.BARRED:
+                # Only its connection was lost: the daemon itself answers.
+                tour.tried.discard(choice.vm)
             refusal = outcome
 
     def _choose(self, tour):
@@ -569,7 +579,7 @@
         if isinstance(connection, callclient.Failure):
             return
         deadline = self._clock.monotonic() + callclient.CONNECT_TIMEOUT_S
-        bounds = callclient.Bounds(deadline, PEER_SILENCE_S)
+        bounds = callclient.Bounds(deadline, self._limits.peer_silence)
         head = callclient.encode_head(message)
         result = await connection.start(message, head, bounds)
         if isinstance(result, callserver.Answer):
@@ -593,7 +603,7 @@
             if isinstance(connection, callclient.Failure):
                 return connection
         bounds = callclient.Bounds(
-            call.deadline + PEER_DEADLINE_SLACK_S, PEER_SILENCE_S
+            call.deadline + PEER_DEADLINE_SLACK_S, self._limits.peer_silence
         )
         head = callclient.encode_head(message, extra)
         done = connection.start(message, head, bounds)
--- a/jujubefold/callgate.py
+++ b/jujubefold/callgate.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 
 from jujubefold import callclient
 from jujubefold import calls
@@ -301,18 +302,10 @@
             return refusal
         return await self._keys.once(
             call,
-            lambda claim: self._admit_claimed(
-                attempt, message, allowance, trace, claim
-            ),
+            trace,
+            functools.partial(self._admit, attempt, message, allowance),
         )
 
-    async def _admit_claimed(self, attempt, message, allowance, trace, claim):
-        def start():
-            trace.committed = claim.is_valid()
-            return trace.committed
-
-        return await self._admit(attempt, message, allowance, start)
-
     def _hopeless(self, call):
         """Return a refusal that the gate would surely give, or None."""
         if self.table.state not in _ADMITTING:
--- a/jujubefold/example.py
+++ b/jujubefold/example.py
@@ -1,7 +1,8 @@
 """Example upstream: slots, drain, cold start, shed, deadlines, cancel.
 
 Faults on demand, named by the header `example-fault`: `crash` before it
-answers, `cut` the answer half way, go `silent`, `shed`, `delay:MS`.
+answers, `cut` the answer half way, go `silent`, `shed`, `delay:MS`,
+`large:MEGABYTES`.
 """
 
 import asyncio
@@ -25,12 +26,14 @@
 FAULT = b'example-fault'
 SHED = b'jujubefold-shed'
 EXECUTIONS_PATH = '/_executions'
+STATS_PATH = '/_stats'
 HEALTH_PATH = '/health'
 CRASH_STATUS = 70
 ANNOUNCE_TTL_S = 6.0
 ANNOUNCE_TIMEOUT_S = 2.0
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 MEMORY_BYTES = 128 * 1024 * 1024
+MEGABYTE = 1024 * 1024
 DRAIN_GRACE_S = 30.0
 DRAIN_POLL_S = 0.02
 
@@ -68,6 +71,20 @@
     cold_factor: float = 10.0
 
 
+class Stats(msgspec.Struct, frozen=True):
+    """What an upstream counted since its start.
+
+    Args:
+        busy: Seconds of all slots in use, added up.
+        most_running: Most requests that ran at once.
+    """
+
+    executions: int
+    cancelled: int
+    most_running: int
+    busy: float
+
+
 class Upstream:
     """Counts what runs, by request id.
 
@@ -79,6 +96,7 @@
     def __init__(self, behaviour, crash=None):
         self.executions = collections.Counter()
         self.cancelled = 0
+        self.busy = 0.0
         self.most_running = 0
         self.running = 0
         self.draining = False
@@ -128,6 +146,9 @@
         if request.path == EXECUTIONS_PATH:
             _reply(exchange, 200, msgspec.json.encode(self.executions))
             return
+        if request.path == STATS_PATH:
+            _reply(exchange, 200, msgspec.json.encode(self._stats()))
+            return
         if request.path == HEALTH_PATH:
             _reply(exchange, 503 if self.draining else 200, b'{}')
             return
@@ -143,6 +164,14 @@
             return
         self._begin(exchange, fault)
 
+    def _stats(self):
+        return Stats(
+            self.executions.total(),
+            self.cancelled,
+            self.most_running,
+            self.busy,
+        )
+
     def _begin(self, exchange, fault):
         self.running += 1
         self.most_running = max(self.most_running, self.running)
@@ -171,6 +200,7 @@
         return age < self._behaviour.cold_start
 
     async def _work(self, exchange, fault, seconds):
+        began = self._clock.monotonic()
         try:
             if fault == 'silent':
                 await asyncio.get_running_loop().create_future()
@@ -180,6 +210,8 @@
                 self._crash()
             elif fault == 'cut':
                 exchange.reply_cut(_answer(200, _echo(exchange.request)))
+            elif fault.startswith('large:'):
+                exchange.reply(_large(int(fault.partition(':')[2])))
             elif seconds > left:
                 _reply(exchange, 504, b'{"detail":"deadline"}')
             else:
@@ -188,6 +220,7 @@
             self.cancelled += 1
         finally:
             self.running -= 1
+            self.busy += self._clock.monotonic() - began
 
 
 def _left(request):
@@ -215,6 +248,13 @@
     )
 
 
+def _large(megabytes):
+    piece = bytes(MEGABYTE)
+    return callserver.Answer(
+        200, [], [piece] * megabytes, megabytes * MEGABYTE
+    )
+
+
 def _reply(exchange, status, body, headers=()):
     exchange.reply(_answer(status, body, headers))
 
--- a/tests/callnodes.py
+++ b/tests/callnodes.py
@@ -66,14 +66,14 @@
     """Nodes that know each other.
 
     Args:
-        keys: Called with a node's identity, returns its keys, or None.
+        claims: Called with a node's identity, returns its claims, or None.
     """
 
-    def __init__(self, configuration=MESH, keys=None, limits=None):
+    def __init__(self, configuration=MESH, claims=None, limits=None):
         self.nodes = []
         self.mesh = configuration
         self.clock = clock.SystemClock()
-        self._keys = keys
+        self._claims = claims
         self._limits = limits
         self._members = {}
 
@@ -93,7 +93,7 @@
             own_member=lambda: node.member,
             gate_table=gate_table,
             routing_table=routing.new_routing(rng),
-            keys=self._keys(who) if self._keys else None,
+            claims=self._claims(who) if self._claims else None,
             observe=node.seen.append,
             record=node.events.append,
             limits=self._limits,
@@ -142,6 +142,10 @@
             )
         return found
 
+    def forget_members(self):
+        """Show nodes what changed about the others."""
+        self._members.clear()
+
     async def stop(self, grace=0.0):
         """Stop all nodes and upstreams."""
         for node in self.nodes:
@@ -150,6 +154,76 @@
                 await node.upstream.kill()
 
 
+class Link:
+    """A path between two ends that tests damage.
+
+    Args:
+        target: `ip:port` that it leads to.
+    """
+
+    def __init__(self, target):
+        self.target = target
+        self.lose_answers = 0
+        self._tasks = set()
+        self._writers = set()
+        self._silent = set()
+
+    async def start(self):
+        """Return the address of this end."""
+        self._server = await asyncio.start_server(self._relay, '127.0.0.1', 0)
+        name = self._server.sockets[0].getsockname()
+        return f'{name[0]}:{name[1]}'
+
+    def go_silent(self):
+        """Carry nothing more on the connections of now."""
+        self._silent |= self._writers
+
+    def cut(self):
+        """Close the connections of now."""
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def stop(self):
+        """Close all."""
+        self._server.close()
+        self.cut()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _relay(self, reader, writer):
+        host, _, port = self.target.rpartition(':')
+        try:
+            far = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, far[1])
+        self._writers.update(pair)
+        for source, sink, back in (
+            (reader, far[1], False),
+            (far[0], writer, True),
+        ):
+            task = asyncio.ensure_future(self._pump(source, sink, pair, back))
+            self._tasks.add(task)
+
+    async def _pump(self, source, sink, pair, back):
+        try:
+            while data := await source.read(65536):
+                if sink in self._silent:
+                    continue
+                if back and self.lose_answers and b' 200 ' in data:
+                    self.lose_answers -= 1
+                    break
+                sink.write(data)
+                await sink.drain()
+        except ConnectionError:
+            pass
+        if not self._silent.intersection(pair):
+            for writer in pair:
+                writer.transport.abort()
+        self._writers.difference_update(pair)
+
+
 class Caller:
     """A caller with keep-alive connections to one node."""
 
--- /dev/null
+++ b/tests/test_callflow.py
@@ -0,0 +1,592 @@
+"""Flow of the call path: what callers are told against what ran."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import testtools
+
+from jujubefold import callclient
+from jujubefold import callflow
+from jujubefold import callserver
+from jujubefold import example
+from jujubefold import gate
+from jujubefold import hops
+from jujubefold import messages
+from tests import callnodes
+
+QUICK = callflow.Limits(peer_silence=1.2)
+
+
+@contextlib.asynccontextmanager
+async def fleet_of(*upstreams, limits=None, **extra):
+    """Yield a fleet of nodes; True for each that has an upstream."""
+    fleet = callnodes.Fleet(limits=limits, **extra)
+    try:
+        for upstream in upstreams:
+            await fleet.add(upstream=upstream)
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+async def until(true):
+    """Wait for a condition."""
+    for _ in range(2000):
+        if true():
+            return
+        await asyncio.sleep(0.005)
+    raise AssertionError('condition not reached')
+
+
+def executions(fleet, request):
+    """Return how often a request ran, over all upstreams."""
+    return sum(
+        node.upstream.executions[request]
+        for node in fleet.nodes
+        if node.upstream is not None
+    )
+
+
+async def link_to(fleet, node):
+    """Put a link before a node's port for other daemons."""
+    link = callnodes.Link(node.member.call_address)
+    address = await link.start()
+    node.member = messages.Member(
+        **{
+            name: getattr(node.member, name)
+            for name in node.member.__struct_fields__
+        }
+        | {'call_address': address}
+    )
+    fleet.forget_members()
+    return link
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """One way for things to go wrong, and what a caller is then told.
+
+    Args:
+        fault: For the example upstream.
+        told: Outcome and reason.
+        ran: Executions expected.
+    """
+
+    name: str
+    fault: str
+    method: str
+    path: str
+    status: int
+    told: tuple
+    ran: int
+
+
+FAULTS = (
+    Fault('none', '', 'POST', '/x', 200, ('ran', 'none'), 1),
+    Fault('crash', 'crash', 'POST', '/x', 502, ('unknown', 'upstream-cut'), 1),
+    Fault('cut', 'cut', 'POST', '/x', 502, ('unknown', 'upstream-cut'), 1),
+    Fault(
+        'cut, idempotent',
+        'cut',
+        'GET',
+        '/x',
+        502,
+        ('unknown', 'upstream-cut'),
+        2,
+    ),
+    Fault(
+        'silent',
+        'silent',
+        'POST',
+        '/quick',
+        504,
+        ('unknown', 'upstream-silent'),
+        1,
+    ),
+    Fault(
+        'late',
+        'delay:1500',
+        'POST',
+        '/quick',
+        504,
+        ('unknown', 'upstream-silent'),
+        1,
+    ),
+    Fault(
+        'shed', 'shed', 'POST', '/x', 503, ('did-not-run', 'upstream-shed'), 0
+    ),
+)
+
+# Path, headers, body size and what the refusal says.
+REFUSALS = (
+    ('/orders', {}, 0, 400, 'key-required'),
+    ('/orders', {'idempotency_key': '"'}, 0, 400, 'malformed'),
+    ('/x', {'jujubefold_depth': 32}, 0, 508, 'too-deep'),
+    ('/x', {'jujubefold_depth': 'x'}, 0, 400, 'malformed'),
+    ('/x', {'jujubefold_deadline_ms': 0}, 0, 504, 'deadline'),
+    ('/x', {'jujubefold_deadline_ms': '-1'}, 0, 400, 'malformed'),
+    ('/x', {'jujubefold_request_id': 'a b'}, 0, 400, 'malformed'),
+    ('/small', {}, 1001, 413, 'too-large'),
+)
+
+
+class TestCallFlow(testtools.TestCase):
+    def run_with(self, scenario, *upstreams, **extra):
+        async def within():
+            async with fleet_of(*upstreams, **extra) as fleet:
+                await asyncio.wait_for(scenario(fleet), 60)
+
+        asyncio.run(within())
+
+    def check_truth(self, fleet, answer, request, idempotent=False):
+        told = callnodes.outcome(answer)[0]
+        ran = executions(fleet, request)
+        if told == 'ran':
+            self.assertTrue(ran, request)
+        elif told == 'did-not-run':
+            self.assertEqual(0, ran, request)
+        if not idempotent:
+            self.assertLessEqual(ran, 1, request)
+
+    def test_callers_are_told_the_truth_about_upstream_faults(self):
+        async def scenario(fleet):
+            entry = fleet.nodes[0]
+            caller = callnodes.Caller(entry.caller_address)
+            for case in FAULTS:
+                answer = await caller.ask(
+                    case.method,
+                    case.path,
+                    jujubefold_request_id=case.name.replace(', ', '-'),
+                    example_fault=case.fault,
+                )
+                name = case.name.replace(', ', '-')
+                self.assertEqual(case.status, answer.status, name)
+                self.assertEqual(case.told, callnodes.outcome(answer), name)
+                self.assertEqual(case.ran, executions(fleet, name), name)
+                if case.fault == 'crash':
+                    await self.restart_upstreams(fleet)
+
+        for upstreams in ((True, True), (False, True, True)):
+            self.run_with(scenario, *upstreams)
+
+    async def restart_upstreams(self, fleet):
+        for node in fleet.nodes:
+            if node.upstream is None:
+                continue
+            counted = node.upstream.executions
+            await node.upstream.kill()
+            node.upstream = example.Upstream(
+                example.Behaviour(), crash=lambda: None
+            )
+            node.upstream.executions = counted
+            node.flow.upstream_address = await node.upstream.start(
+                callnodes.ANY
+            )
+
+    def test_refusals_say_why_in_header_and_problem(self):
+        async def scenario(fleet):
+            caller = callnodes.Caller(fleet.nodes[0].caller_address)
+            for path, headers, size, status, reason in REFUSALS:
+                pieces = [bytes(size)] if size else []
+                answer = await caller.ask('POST', path, pieces, **headers)
+                self.assertEqual(status, answer.status, (path, headers))
+                self.assertEqual(
+                    ('did-not-run', reason), callnodes.outcome(answer)
+                )
+                self.assertIn(reason.encode(), b''.join(answer.pieces))
+            self.assertFalse(fleet.nodes[0].upstream.executions)
+
+        self.run_with(scenario, True)
+
+    def test_headers_tell_upstreams_what_is_left(self):
+        async def scenario(fleet):
+            taken = []
+            upstream = fleet.nodes[1].upstream
+            take = upstream.take
+            upstream._server.handler.take = lambda exchange: (
+                taken.append(exchange.request.fields),
+                take(exchange),
+            )
+            caller = callnodes.Caller(fleet.nodes[0].caller_address)
+            await caller.ask(
+                jujubefold_request_id='r',
+                jujubefold_deadline_ms=900,
+                jujubefold_depth=3,
+                jujubefold_attempt='forged',
+                jujubefold_hop='forged',
+                connection='x-secret',
+                x_secret='1',
+                x_kept='2',
+                te='trailers',
+            )
+            fields = taken[0]
+            self.assertEqual(b'r', fields[b'jujubefold-request-id'])
+            self.assertEqual(b'4', fields[b'jujubefold-depth'])
+            self.assertEqual(b'0', fields[b'jujubefold-retry-budget'])
+            self.assertEqual(b'7', fields[b'jujubefold-version'])
+            self.assertTrue(0 < int(fields[b'jujubefold-deadline-ms']) <= 900)
+            self.assertEqual(b'2', fields[b'x-kept'])
+            for name in (
+                b'jujubefold-attempt',
+                b'jujubefold-hop',
+                b'x-secret',
+                b'te',
+            ):
+                self.assertNotIn(name, fields)
+
+        self.run_with(scenario, False, True)
+
+    def test_slots_are_exact_and_answers_match_under_load(self):
+        async def one(caller, number):
+            path = f'/x?{number}'
+            answer = await caller.ask(
+                'POST', path, [b'y' * number], example_echo=number
+            )
+            self.assertEqual(200, answer.status, answer)
+            self.assertIn(
+                b'{"echo":"%d","size":%d,' % (number, number),
+                b''.join(answer.pieces),
+            )
+
+        async def scenario(fleet):
+            for node in fleet.nodes:
+                caller = callnodes.Caller(node.caller_address)
+                await asyncio.gather(
+                    *(one(caller, number) for number in range(30))
+                )
+            upstream = fleet.nodes[1].upstream
+            self.assertLessEqual(upstream.most_running, 6)
+            self.assertEqual(0, fleet.nodes[0].flow.buffered_bytes)
+
+        self.run_with(scenario, False, True)
+
+    def test_caller_that_leaves_frees_slot_and_queue(self):
+        async def scenario(fleet):
+            gate_node = fleet.nodes[1]
+            for node in fleet.nodes:
+                caller = callnodes.Caller(node.caller_address)
+                asked = [
+                    asyncio.ensure_future(
+                        caller.ask('POST', example_fault='delay:60000')
+                    )
+                    for _ in range(8)
+                ]
+                table = gate_node.gate_table
+                await until(lambda: len(table.queue) == 2)
+                await until(lambda: gate_node.upstream.running == 6)
+                for task in asked:
+                    task.cancel()
+                await until(lambda: not table.running and not table.queue)
+                await until(lambda: not gate_node.upstream.running)
+                answer = await caller.ask('POST')
+                self.assertEqual(200, answer.status)
+            self.assertEqual(12, gate_node.upstream.cancelled)
+
+        self.run_with(scenario, False, True)
+
+    def test_lost_answer_between_daemons_is_fetched_again(self):
+        async def scenario(fleet):
+            entry, gate_node = fleet.nodes
+            link = await link_to(fleet, gate_node)
+            caller = callnodes.Caller(entry.caller_address)
+            link.lose_answers = 1
+            answer = await caller.ask('POST', jujubefold_request_id='a')
+            self.assertEqual(('ran', 'none'), callnodes.outcome(answer))
+            self.assertEqual(1, executions(fleet, 'a'))
+            await link.stop()
+
+        self.run_with(scenario, False, True)
+
+    def test_connection_gone_silent_before_the_request(self):
+        async def scenario(fleet):
+            entry, gate_node = fleet.nodes
+            link = await link_to(fleet, gate_node)
+            caller = callnodes.Caller(entry.caller_address)
+            await caller.ask('POST')
+            link.go_silent()
+            answer = await caller.ask('POST', jujubefold_request_id='a')
+            self.assertEqual(('ran', 'none'), callnodes.outcome(answer))
+            self.assertEqual(1, executions(fleet, 'a'))
+            names = [event.name for event in entry.events]
+            self.assertIn('peer.silent', names)
+            await link.stop()
+
+        self.run_with(scenario, False, True, limits=QUICK)
+
+    def test_connection_gone_silent_while_the_request_runs(self):
+        async def scenario(fleet):
+            entry, gate_node = fleet.nodes
+            link = await link_to(fleet, gate_node)
+            caller = callnodes.Caller(entry.caller_address)
+            asked = asyncio.ensure_future(
+                caller.ask(
+                    'POST',
+                    jujubefold_request_id='a',
+                    example_fault='delay:2000',
+                )
+            )
+            await until(lambda: executions(fleet, 'a'))
+            link.go_silent()
+            answer = await asked
+            self.assertEqual(('ran', 'none'), callnodes.outcome(answer))
+            self.assertEqual(1, executions(fleet, 'a'))
+            await link.stop()
+
+        self.run_with(scenario, False, True, limits=QUICK)
+
+    def test_slow_answer_is_not_taken_for_silence(self):
+        async def scenario(fleet):
+            entry = fleet.nodes[0]
+            caller = callnodes.Caller(entry.caller_address)
+            answer = await caller.ask('POST', example_fault='delay:2500')
+            self.assertEqual(('ran', 'none'), callnodes.outcome(answer))
+            self.assertEqual([], entry.events)
+
+        self.run_with(scenario, False, True, limits=QUICK)
+
+    def test_daemon_killed_while_it_has_the_request(self):
+        async def scenario(fleet):
+            entry, gate_node = fleet.nodes
+            caller = callnodes.Caller(entry.caller_address)
+            asked = asyncio.ensure_future(
+                caller.ask(
+                    'POST',
+                    jujubefold_request_id='a',
+                    example_fault='delay:1000',
+                )
+            )
+            await until(lambda: executions(fleet, 'a'))
+            await gate_node.flow.stop(0)
+            answer = await asked
+            self.assertEqual(
+                ('unknown', 'peer-lost'), callnodes.outcome(answer)
+            )
+            self.check_truth(fleet, answer, 'a')
+
+        self.run_with(scenario, False, True)
+
+    def test_another_start_of_a_daemon_cannot_say_did_not_run(self):
+        async def scenario(fleet):
+            entry, gate_node = fleet.nodes
+            link = await link_to(fleet, gate_node)
+            caller = callnodes.Caller(entry.caller_address)
+            asked = asyncio.ensure_future(
+                caller.ask(
+                    'POST',
+                    jujubefold_request_id='a',
+                    example_fault='delay:1000',
+                )
+            )
+            await until(lambda: executions(fleet, 'a'))
+            reborn = await fleet.add(upstream=False)
+            link.target = reborn.member.call_address
+            link.cut()
+            answer = await asked
+            self.assertEqual(
+                ('unknown', 'peer-lost'), callnodes.outcome(answer)
+            )
+            await link.stop()
+
+        self.run_with(scenario, False, True)
+
+    def test_resent_attempt_joins_and_gets_the_same_bytes(self):
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            caller = callnodes.Caller(node.member.call_address)
+            hop = hops.Hop(
+                'other', 5, 1, 'a', '1.2.3.4', 'h', 'all', 7, 5,
+                5000, 5000, 0, 0, '', False, 'f',
+            )  # fmt: skip
+            fields = {
+                'jujubefold_hop': hops._encoder.encode(hop).decode(),
+                'example_fault': 'delay:200',
+            }
+            asked = [
+                asyncio.ensure_future(caller.ask('POST', **fields))
+                for _ in range(3)
+            ]
+            await until(lambda: executions(fleet, 'a'))
+            control = {
+                'jujubefold_attempt': 'other/5/1',
+                'jujubefold_target': 'vm1/1',
+            }
+            state = await caller.ask('POST', hops.BAR_PATH, **control)
+            self.assertEqual([b'running'], state.pieces)
+            asked.append(
+                asyncio.ensure_future(
+                    caller.ask('POST', hops.JOIN_PATH, **control)
+                )
+            )
+            answers = await asyncio.gather(*asked)
+            answers.append(await caller.ask('POST', **fields))
+            answers.append(await caller.ask('POST', hops.JOIN_PATH, **control))
+            bodies = {b''.join(answer.pieces) for answer in answers}
+            self.assertEqual(1, len(bodies))
+            self.assertEqual({200}, {answer.status for answer in answers})
+            self.assertEqual(1, executions(fleet, 'a'))
+            state = await caller.ask('POST', hops.BAR_PATH, **control)
+            self.assertEqual([b'ended'], state.pieces)
+
+        self.run_with(scenario, True)
+
+    def test_barred_attempt_never_runs(self):
+        async def scenario(fleet):
+            caller = callnodes.Caller(fleet.nodes[0].member.call_address)
+            control = {
+                'jujubefold_attempt': 'other/5/1',
+                'jujubefold_target': 'vm1/1',
+            }
+            state = await caller.ask('POST', hops.BAR_PATH, **control)
+            self.assertEqual([gate.BarState.BARRED.encode()], state.pieces)
+            hop = hops.Hop(
+                'other', 5, 1, 'a', '1.2.3.4', 'h', 'all', 7, 5,
+                5000, 5000, 0, 0, '', False, 'f',
+            )  # fmt: skip
+            answer = await caller.ask(
+                'POST', jujubefold_hop=hops._encoder.encode(hop).decode()
+            )
+            self.assertEqual(
+                ('did-not-run', 'barred'), callnodes.outcome(answer)
+            )
+            self.assertEqual(0, executions(fleet, 'a'))
+            for target, attempt in (('vm1/2', 'o/1/1'), ('vm1/1', 'o/x/1')):
+                answer = await caller.ask(
+                    'POST',
+                    hops.JOIN_PATH,
+                    jujubefold_attempt=attempt,
+                    jujubefold_target=target,
+                )
+                self.assertNotIn(answer.status, (200, 503))
+
+        self.run_with(scenario, True)
+
+    def test_upstream_that_takes_no_connection_is_not_the_end(self):
+        async def scenario(fleet):
+            first = fleet.nodes[0]
+            await first.upstream.kill()
+            caller = callnodes.Caller(first.caller_address)
+            answer = await caller.ask('POST', jujubefold_request_id='a')
+            self.assertEqual(('ran', 'none'), callnodes.outcome(answer))
+            self.assertEqual(1, executions(fleet, 'a'))
+            await fleet.nodes[1].upstream.kill()
+            answer = await caller.ask('POST', jujubefold_request_id='b')
+            self.assertEqual('did-not-run', callnodes.outcome(answer)[0])
+
+        self.run_with(scenario, True, True)
+
+    def test_several_cut_at_once_are_a_crash(self):
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            caller = callnodes.Caller(node.caller_address)
+            asked = [
+                asyncio.ensure_future(
+                    caller.ask('POST', example_fault='delay:60000')
+                )
+                for _ in range(3)
+            ]
+            await until(lambda: node.upstream.running == 3)
+            await node.upstream.kill()
+            for answer in await asyncio.gather(*asked):
+                self.assertEqual(
+                    ('unknown', 'upstream-cut'), callnodes.outcome(answer)
+                )
+            names = [event.name for event in node.events]
+            await until(
+                lambda: 'upstream.crashed' in [e.name for e in node.events]
+            )
+            self.assertEqual(3, names.count('call.unknown'))
+
+        self.run_with(scenario, True)
+
+    def test_large_bodies_both_ways(self):
+        async def scenario(fleet):
+            pieces = [bytes([n]) * (1 << 20) for n in range(10)]
+            for node in fleet.nodes:
+                caller = callnodes.Caller(node.caller_address)
+                answer = await caller.ask('POST', '/x', pieces)
+                self.assertEqual(200, answer.status)
+                self.assertIn(b'"size":10485760', b''.join(answer.pieces))
+                answer = await caller.ask('POST', example_fault='large:10')
+                self.assertEqual(10 << 20, answer.size)
+            await until(lambda: not fleet.nodes[0].flow.buffered_bytes)
+            await until(lambda: not fleet.nodes[1].flow.buffered_bytes)
+
+        self.run_with(scenario, False, True)
+
+    def test_stop_finishes_uploads_and_names_what_it_cut(self):
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            host, _, port = node.caller_address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n'
+                b'jujubefold-request-id: a\r\n\r\nab'
+            )
+            caller = callnodes.Caller(node.caller_address)
+            asked = asyncio.ensure_future(
+                caller.ask('POST', example_fault='delay:60000')
+            )
+            await until(lambda: node.upstream.running)
+            stopping = asyncio.ensure_future(node.flow.stop(1.0))
+            await asyncio.sleep(0.1)
+            writer.write(b'cd')
+            answer = await asyncio.wait_for(reader.read(), 10)
+            self.assertIn(b'jujubefold-outcome: ran', answer)
+            self.assertIn(b'"size":4', answer)
+            writer.close()
+            self.assertEqual(1, len(await stopping))
+            self.assertIsInstance(await asked, callclient.Failure)
+
+        self.run_with(scenario, True)
+
+    def test_draining_daemon_refuses_truthfully(self):
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            caller = callnodes.Caller(node.caller_address)
+            asked = asyncio.ensure_future(
+                caller.ask('POST', example_fault='delay:300')
+            )
+            await until(lambda: node.upstream.running)
+            host, _, port = node.caller_address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b'GET /x HTTP/1.1\r\nHo')
+            await asyncio.sleep(0.05)
+            stopping = asyncio.ensure_future(node.flow.stop(5.0))
+            await asyncio.sleep(0.05)
+            writer.write(b'st: a\r\n\r\n')
+            answer = await asyncio.wait_for(reader.read(), 10)
+            self.assertEqual(b'HTTP/1.1 503', answer[:12])
+            self.assertIn(b'jujubefold-reason: draining', answer)
+            self.assertIn(b'connection: close', answer)
+            self.assertEqual(200, (await asked).status)
+            self.assertEqual((), await stopping)
+            writer.close()
+
+        self.run_with(scenario, True)
+
+    def test_answer_larger_than_memory_is_not_cut_short(self):
+        async def scenario(fleet):
+            caller = callnodes.Caller(fleet.nodes[0].caller_address)
+            answer = await caller.ask('POST', example_fault='large:3')
+            self.assertEqual(502, answer.status)
+            self.assertEqual(
+                ('unknown', 'too-large'), callnodes.outcome(answer)
+            )
+
+        limits = callflow.Limits(answer_bytes=2 << 20)
+        for upstreams in ((True,), (False, True)):
+            self.run_with(scenario, *upstreams, limits=limits)
+
+    def test_answers_state_version_and_request(self):
+        async def scenario(fleet):
+            for node in fleet.nodes:
+                caller = callnodes.Caller(node.caller_address)
+                answer = await caller.ask('HEAD', jujubefold_request_id='a')
+                self.assertIsInstance(answer, callserver.Answer)
+                fields = dict(answer.headers)
+                self.assertEqual(b'7', fields[b'jujubefold-version'])
+                self.assertEqual(b'a', fields[b'jujubefold-request-id'])
+                self.assertNotIn(b'jujubefold-load', fields)
+
+        self.run_with(scenario, False, True)
