--- a/jujubefold/gate.py
+++ b/jujubefold/gate.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import collections
 import dataclasses
 import enum
 import itertools
@@ -15,10 +16,11 @@
 from jujubefold import attempts
 from jujubefold import calls
 from jujubefold import errors
+from jujubefold import fairness
 from jujubefold import messages
 
 DEFAULT_QUEUE_LIMIT = 32
-# Slots given back each second after the upstream shed load.
+# Slots given back each second after the upstream shed load or fell silent.
 SHED_RECOVERY_SLOTS_PER_S = 1.0
 # Seconds after which an estimate without new answers counts half.
 ESTIMATE_HALF_LIFE_S = 5.0
@@ -148,13 +150,17 @@
         state: State that the upstream announced.
         running: Attempts that hold a slot.
         queue: `Waiting` by deadline.
+        queued: The same by attempt.
+        shares: What callers hold and lately got.
         evicted: Left the queue, to be told by `expire`.
         memory: Attempts that ended.
         estimates: Service times by route name; '' for all routes.
+        arrivals: Numbers the attempts that wait.
+        suspects_running: Running attempts that are suspects.
         warmup: Seconds over which slots are ramped up.
         warm_from: Monotonic seconds at which the ramp began.
-        learned: Slots that were free of shed load, at `shed_at`.
-        shed_at: Monotonic seconds of the last shed answer.
+        learned: Slots that the upstream could take at `shed_at`.
+        shed_at: Monotonic seconds of the last shed or silent attempt.
         limit: Slots usable when last looked at.
     """
 
@@ -168,6 +174,9 @@
     queued: dict[calls.AttemptId, Waiting] = dataclasses.field(
         default_factory=dict
     )
+    shares: fairness.FairnessTable = dataclasses.field(
+        default_factory=fairness.FairnessTable
+    )
     evicted: list[Expired] = dataclasses.field(default_factory=list)
     memory: attempts.AttemptTable = dataclasses.field(
         default_factory=attempts.AttemptTable
@@ -227,6 +236,9 @@
 def finish(gate, attempt_id, ending, now):
     """Free the slot of an attempt; calling it again changes nothing.
 
+    After a crash call `set_upstream` first, or the attempts that wait are
+    sent to an upstream that is gone.
+
     Args:
         gate: A `GateTable`.
         attempt_id: A running attempt.
@@ -246,6 +258,7 @@
             raise errors.BrokenInvariant(f'{attempt_id} ended while queued')
         return ()
     gate.suspects_running -= entry.suspect
+    fairness.release(gate.shares, entry.attempt.call.caller)
     _learn(gate, entry, ending, now)
     outcome = _NOT_RUN.get(ending, ending)
     attempts.remember(gate.memory, attempt_id, outcome, now)
@@ -425,6 +438,8 @@
 def _start(gate, attempt, suspect, now):
     gate.running[attempt.id] = Running(attempt, now, suspect)
     gate.suspects_running += suspect
+    fairness.hold(gate.shares, attempt.call.caller)
+    fairness.start(gate.shares, attempt.call.caller, now)
 
 
 def _enqueue(gate, attempt, suspect, now):
@@ -433,8 +448,9 @@
     entry = Waiting(deadline, next(gate.arrivals), latest, attempt, suspect)
     bisect.insort(gate.queue, entry, key=_QUEUE_KEY)
     gate.queued[attempt.id] = entry
+    fairness.hold(gate.shares, attempt.call.caller)
     while (excess := _excess(gate, now)) is not None:
-        victim = _victim(excess)
+        victim = _victim(gate, excess, now)
         refusal = _full_refusal(gate, len(excess), now)
         if victim is entry:
             _leave(gate, attempt.id)
@@ -460,27 +476,28 @@
     return None
 
 
-def _victim(entries):
-    """Return who leaves: lowest priority, then the fattest caller."""
+def _victim(gate, entries, now):
+    """Return who leaves: lowest priority, then who holds or got most."""
     lowest = min(entry.attempt.call.route.priority for entry in entries)
-    candidates = [
-        entry
-        for entry in entries
-        if entry.attempt.call.route.priority == lowest
-    ]
-    by_caller = {}
-    by_route = {}
-    for entry in candidates:
+    by_route = collections.Counter(
+        entry.attempt.call.route.name for entry in entries
+    )
+
+    def excess(entry):
         call = entry.attempt.call
-        by_caller[call.caller] = by_caller.get(call.caller, 0) + 1
-        by_route[call.route.name] = by_route.get(call.route.name, 0) + 1
-    return max(
-        candidates,
-        key=lambda entry: (
-            by_caller[entry.attempt.call.caller],
-            by_route[entry.attempt.call.route.name],
+        return (
+            fairness.usage(gate.shares, call.caller, now),
+            by_route[call.route.name],
             entry.order,
+        )
+
+    return max(
+        (
+            entry
+            for entry in entries
+            if entry.attempt.call.route.priority == lowest
         ),
+        key=excess,
     )
 
 
@@ -493,6 +510,7 @@
 
 def _leave(gate, attempt_id):
     entry = gate.queued.pop(attempt_id)
+    fairness.release(gate.shares, entry.attempt.call.caller)
     index = bisect.bisect_left(gate.queue, _QUEUE_KEY(entry), key=_QUEUE_KEY)
     del gate.queue[index]
 
@@ -548,8 +566,15 @@
         _observe(gate, entry.attempt.call.route.name, seconds, now)
         _observe(gate, '', seconds, now)
     elif ending is calls.Ending.SHED:
-        gate.learned = max(1, min(gate.limit, len(gate.running)))
-        gate.shed_at = now
+        _narrow(gate, len(gate.running), now)
+    elif ending is calls.Ending.SILENT:
+        # The upstream may still be running it.
+        _narrow(gate, _limit(gate, now) - 1, now)
+
+
+def _narrow(gate, slots, now):
+    gate.learned = max(1, min(_limit(gate, now), slots))
+    gate.shed_at = now
 
 
 def _observe(gate, route, seconds, now):
