--- a/jujubefold/callkeys.py
+++ b/jujubefold/callkeys.py
@@ -6,7 +6,7 @@
 
 from jujubefold import calls
 from jujubefold import callserver
-from jujubefold import claims
+from jujubefold import claimoutcome
 from jujubefold import errors
 from jujubefold import events
 
@@ -80,23 +80,23 @@
         Returns:
             A `callserver.Answer` or a `calls.Refusal`.
         """
-        request = claims.ClaimRequest(
+        request = claimoutcome.ClaimRequest(
             f'{call.host}{call.path}', call.key, call.fingerprint, self._holder
         )
         left = max(0.0, call.deadline - self._clock.monotonic())
         found = await self._claims.claim(request, left)
         match found:
-            case claims.Claimed():
+            case claimoutcome.Claimed():
                 return await self._run(found, trace, run)
-            case claims.Answered(answer=answer):
+            case claimoutcome.Answered(answer=answer):
                 return _repeat(answer)
-            case claims.Running():
+            case claimoutcome.Running():
                 return _RUNNING
-            case claims.InDoubt():
+            case claimoutcome.InDoubt():
                 return _IN_DOUBT
-            case claims.Reused():
+            case claimoutcome.Reused():
                 return _REUSED
-            case claims.Unavailable():
+            case claimoutcome.Unavailable():
                 return _unavailable(found)
 
     async def _run(self, claimed, trace, run):
