Run the whole path as separate processes

Cause: parts were tested apart; nothing served a request end to end. Conclusion: the thin path stands; depth follows.

--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -507,9 +507,7 @@
         now = self._clock.monotonic()
         if now >= tour.call.deadline:
             return False
-        if not budget.allow(self._budgets, tour.call, now):
-            return False
-        return tour.allowance.spend()
+        return budget.allow(self._budgets, tour.allowance, tour.call, now)
 
     # Forwarding to another daemon
 
--- a/jujubefold/porcelain.py
+++ b/jujubefold/porcelain.py
@@ -17,10 +17,10 @@
 from jujubefold import patches
 from jujubefold import settings
 from jujubefold import timeline as event_line
+from jujubefold import versions as versions_model
 
 POLL_INTERVAL_S = 0.2
 PAGE = 100
-EMPTY_DOCUMENT = b'{}'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -306,14 +306,14 @@
 
 def _document(client, number):
     if number == 0:
-        return expression.Ok((0, EMPTY_DOCUMENT))
+        return expression.Ok((0, json.loads(versions_model.EMPTY_DOCUMENT)))
     if number is None:
         head = client.get('/v1/head', adminmodels.VersionSummary)
         if head.is_error():
             return head
         return _document(client, head.ok.number)
     return version(client, number).map(
-        lambda detail: (number, bytes(detail.document))
+        lambda detail: (number, json.loads(bytes(detail.document)))
     )
 
 
--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -7,7 +7,6 @@
 
 from jujubefold import acceptance
 from jujubefold import callflow
-from jujubefold import callkeys
 from jujubefold import claims
 from jujubefold import contacts
 from jujubefold import core
@@ -99,7 +98,11 @@
         )
         self._gate = gate.new_gate(options.upstream.slots)
         self._claims = claims.Claims(
-            self._rows, self._objects, clock, self._rng, self._holder_gone
+            self._rows,
+            self._objects,
+            clock,
+            self._rng,
+            is_holder_gone=self._holder_gone,
         )
         self._flow = self._new_flow()
 
@@ -329,7 +332,6 @@
         )
 
     def _new_flow(self):
-        holder = f'{self._identity.vm}/{self._identity.incarnation}'
         self._crashes = core.crashes.new_crashes()
         return callflow.CallFlow(
             identity=self._identity,
@@ -341,7 +343,7 @@
             gate_table=self._gate,
             routing_table=routing.new_routing(self._rng),
             crash_table=self._crashes,
-            keys=callkeys.Keys(self._claims, holder, self._clock, self.record),
+            claims=self._claims,
             observe=self._call_seen,
             record=self.record,
             emit=self._perform_later,
@@ -452,15 +454,7 @@
 
     def _put_in_force(self, held):
         self._mesh = held.mesh
-        number = held.version.number
-        self._metrics.version.set({}, number)
-        self.record(
-            events.Event(
-                'version.in_force',
-                version=number,
-                patch=held.version.patch_id,
-            )
-        )
+        self._metrics.version.set({}, held.version.number)
 
     # Keeping the call path in step with the tables
 
--- /dev/null
+++ b/tests/fleets.py
@@ -0,0 +1,137 @@
+"""Real processes on loopback, for tests: platform, daemons, upstreams."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+STOP_TIMEOUT_S = 40.0
+WAIT_S = 60.0
+
+
+def wait_for(condition, what, timeout=WAIT_S):
+    """Wait until a condition holds and return its value."""
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.05)
+    raise AssertionError(f'not within {timeout} s: {what}')
+
+
+class Process:
+    """A process of the package that prints its addresses first."""
+
+    def __init__(self, module, *arguments, log=None):
+        environment = os.environ | {'PYTHONUNBUFFERED': '1'}
+        self._log = log
+        self.popen = subprocess.Popen(
+            [sys.executable, '-m', f'jujubefold.{module}', *arguments],
+            stdout=subprocess.PIPE,
+            stderr=log or subprocess.DEVNULL,
+            env=environment,
+        )
+        line = self.popen.stdout.readline()
+        if not line:
+            raise AssertionError(f'{module} ended with {self.popen.wait()}')
+        self.addresses = json.loads(line)
+
+    def send(self, number):
+        """Send a signal."""
+        self.popen.send_signal(number)
+
+    def stop(self, number=signal.SIGTERM):
+        """Stop and return the exit status."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+        status = self.popen.wait(STOP_TIMEOUT_S)
+        self.popen.stdout.close()
+        return status
+
+
+class Fleet(contextlib.ExitStack):
+    """A platform, daemons and upstreams; all end with the context.
+
+    Args:
+        region: Region of all daemons.
+        domains: Failure domains, given to daemons in turn.
+        settings: More lines of the settings files.
+        folder: Where settings and logs are kept; a new one by default.
+    """
+
+    def __init__(
+        self, region='tw-north', domains=('a', 'b', 'c'), settings=''
+    ):
+        super().__init__()
+        self._region = region
+        self._domains = domains
+        self._settings = settings
+        self.daemons = []
+        self.upstreams = []
+        folder = self.enter_context(tempfile.TemporaryDirectory())
+        self.folder = pathlib.Path(folder)
+        self.platform = self._start('platform')
+
+    @property
+    def contacts(self):
+        """Peer addresses of the first daemons."""
+        return [d.addresses['peer_address'] for d in self.daemons[:3]]
+
+    def add_daemon(self, vm=None, domain=None, **addresses):
+        """Start a daemon and return its `Process`."""
+        number = len(self.daemons) + 1
+        vm = vm or f'vm-{number}'
+        domain = domain or self._domains[number % len(self._domains)]
+        lines = [
+            '[daemon]',
+            f'vm = "{vm}"',
+            f'region = "{self._region}"',
+            f'failure_domain = "{domain}"',
+            f'contacts = {json.dumps(self.contacts)}',
+            *(f'{key} = "{value}"' for key, value in addresses.items()),
+            '[platform]',
+            f'table_url = "{self.platform.addresses["table_url"]}"',
+            f'objects_url = "{self.platform.addresses["objects_url"]}"',
+            self._settings,
+        ]
+        path = self.folder / f'{vm}.toml'
+        path.write_text('\n'.join(lines) + '\n')
+        daemon = self._start('daemon', str(path), name=vm)
+        self.daemons.append(daemon)
+        return daemon
+
+    def add_upstream(self, daemon, service, *arguments):
+        """Start an upstream that announces itself to a daemon."""
+        admin = daemon.addresses['admin_address']
+        upstream = self._start(
+            'example',
+            '--service',
+            service,
+            '--admin',
+            f'http://{admin}',
+            *arguments,
+        )
+        self.upstreams.append(upstream)
+        return upstream
+
+    def _start(self, module, *arguments, name=None):
+        log = None
+        if name is not None:
+            path = self.folder / f'{name}.log'
+            log = self.enter_context(path.open('ab'))
+        process = Process(module, *arguments, log=log)
+        self.callback(_end, process)
+        return process
+
+
+def _end(process):
+    if process.popen.poll() is None:
+        process.popen.kill()
+        process.popen.wait()
+    process.popen.stdout.close()
