--- a/tests/fleets.py
+++ b/bench/fleets.py
@@ -1,4 +1,4 @@
-"""Real processes on loopback, for tests: platform, daemons, upstreams."""
+"""Real processes on loopback: platform, daemons and upstreams."""
 
 import contextlib
 import json
--- a/jujubefold/cli.py
+++ b/jujubefold/cli.py
@@ -45,6 +45,7 @@
 app = typer.Typer(
     help='Operate a jujubefold fleet through any of its daemons.',
     no_args_is_help=True,
+    pretty_exceptions_enable=False,
     epilog=(
         'Exit status: 0 done, 2 wrong usage, 3 invalid input, 4 refused and '
         'did not run, 5 outcome unknown, 6 daemon unreachable, 7 not in '
@@ -82,7 +83,7 @@
     output: Output
     tls: dict[str, str]
 
-    @functools.cached_property
+    @property
     def client(self):
         """Client of the chosen daemon."""
         return self.open(self.daemon)
--- a/jujubefold/daemon.py
+++ b/jujubefold/daemon.py
@@ -100,7 +100,9 @@
 
 def main():
     """Run the console program."""
-    typer.run(_main)
+    app = typer.Typer(pretty_exceptions_enable=False, add_completion=False)
+    app.command()(_main)
+    app()
 
 
 if __name__ == '__main__':
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -7,9 +7,9 @@
 import testtools
 import urllib3
 
+from bench import fleets
 from jujubefold import adminclient
 from jujubefold import porcelain
-from tests import fleets
 
 DECLARATIONS = """
 schema = 1
