Measure membership, suspicion and herds; replace lapsed contact rows

A fleet that came back to a contact table of dead addresses tried all 16 rows before anyone wrote a new one. After two failures a daemon now replaces a lapsed row with a rising chance. The fake network now holds what reaches a paused process, as a kernel does.

--- /dev/null
+++ b/bench/herd.py
@@ -0,0 +1,124 @@
+"""Return of a herd: time to be whole again, and load on the store."""
+
+import collections
+
+from bench import membership
+from bench import report
+from jujubefold import messages
+
+SIZES = (50, 200, 400, 820)
+QUICK_SIZES = (30,)
+LIMIT_S = 300
+CONTACTS = ('10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1')
+STORE_RETURNS_S = 60
+
+
+def measure(quick, seed):
+    """Kill a third or all of the daemons and start them together.
+
+    Args:
+        quick: Whether to use the small size only.
+        seed: Seed of delays and jitter.
+
+    Returns:
+        A `report.Report`.
+    """
+    sizes = QUICK_SIZES if quick else SIZES
+    rows = []
+    for size in sizes:
+        rows.append(_row(size, 'third', CONTACTS, True, seed))
+        rows.append(_row(size, 'all', CONTACTS, True, seed))
+        rows.append(_row(size, 'all, no contacts', (), True, seed))
+        rows.append(_row(size, 'all, store down', (), False, seed))
+    return report.Report(
+        name='herd',
+        command=f'python -m bench herd --seed {seed}',
+        columns=(
+            'daemons',
+            'what returns',
+            'whole after s',
+            'sent KB each',
+            'joins a contact s',
+            'store reads s',
+            'store writes s',
+            'store reads each',
+        ),
+        rows=tuple(rows),
+        notes=(
+            'Whole: all views are equal and name everybody. Per-second '
+            'figures are the highest of any second. Without contacts the '
+            f'contact table is read; it is down for {STORE_RETURNS_S} s in '
+            'the last case, and time counts from the start.',
+        ),
+        x='daemons',
+        ys=('whole after s', 'store reads s'),
+        group='what returns',
+    )
+
+
+def _row(size, what, contacts, store_up, seed):
+    fleet = membership.seated(size, seed)
+    fleet.run(3)
+    if not contacts:
+        fleet.store.update(_stale())
+    gone = list(fleet.daemons.values())
+    if what == 'third':
+        gone = gone[::3]
+    fleet.kill(*(daemon.vm for daemon in gone))
+    fleet.run(2)
+    fleet.sent.clear()
+    fleet.store_up = store_up
+    began = fleet.clock.monotonic()
+    for daemon in gone:
+        _start(fleet, daemon, contacts)
+    if not store_up:
+        fleet.run(STORE_RETURNS_S)
+        fleet.store_up = True
+    passed = fleet.run_until(lambda: _whole(fleet, size), LIMIT_S, 1.0)
+    whole = None if passed is None else fleet.clock.monotonic() - began
+    return (
+        size,
+        what,
+        float('inf') if whole is None else whole,
+        _sent(fleet) / size / 1024,
+        _most_joins(fleet),
+        _most(fleet.reads),
+        _most(fleet.writes),
+        len(fleet.reads) / size,
+    )
+
+
+def _stale():
+    return {slot: f'10.99.0.{slot}:1' for slot in range(16)}
+
+
+def _start(fleet, daemon, contacts):
+    who = daemon.tables.identity
+    fleet.add(
+        who.vm, who.failure_domain, who.region, contacts, who.peer_address
+    )
+
+
+def _whole(fleet, size):
+    tables = [daemon.table for daemon in fleet.daemons.values()]
+    views = {table.digests.view for table in tables}
+    return len(views) == 1 and len(tables[0].by_address) == size - 1
+
+
+def _sent(fleet):
+    return sum(len(messages.encode(item)) for *_, item in fleet.sent)
+
+
+def _most(times):
+    counts = collections.Counter(int(at) for at in times)
+    return max(counts.values(), default=0)
+
+
+def _most_joins(fleet):
+    counts = collections.Counter(
+        (item.address, int(at))
+        for at, _, item in fleet.sent
+        for message in item.messages
+        if isinstance(message, messages.Welcome) and message.members
+    )
+    return max(counts.values(), default=0)
--- a/jujubefold/joining.py
+++ b/jujubefold/joining.py
@@ -8,14 +8,16 @@
 from jujubefold import messages
 from jujubefold import overlay
 
-# A herd that starts together spreads its first step over this time.
+# A herd that starts together spreads its first step over this time, and
+# over more of it when that step is a read of the platform's table.
 FIRST_SPREAD_S = 1.0
+FIRST_READ_SPREAD_S = 4.0
 ANSWER_TIMEOUT_S = 2.0
 MIN_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 30.0
-MAX_STORE_BACKOFF_S = 60.0
+MAX_STORE_BACKOFF_S = 20.0
 # Contacts that may fail in a row before the contact table is read.
-MAX_FAILURES = 3
+MAX_FAILURES = 2
 # First pages that one contact gives out a second.
 ADMISSIONS_PER_S = 20.0
 BURST_S = 0.5
@@ -24,6 +26,8 @@
 PAGE_MEMBERS = 100
 CONTACT_SLOTS = 16
 REREAD_S = 1.0
+# Chance that a daemon replaces a lapsed row at its first read; it doubles.
+REPLACE_CHANCE = 0.25
 CONTACT_CHECK_S = 600.0
 FIRST_CONTACT_CHECK_S = 60.0
 
@@ -49,6 +53,7 @@
         turn_at: The last turn given.
         check_at: When the contact table is next looked at, or None.
         checking: Whether a read for that check is under way.
+        held: Reads after which a lapsed row was left to others.
         reread: Whether the next step must read the contact table.
         lapsed: Address in this daemon's slot that was tried, or ''.
     """
@@ -67,6 +72,7 @@
     turn_at: float = 0.0
     check_at: float | None = None
     checking: bool = False
+    held: int = 0
     reread: bool = False
     lapsed: str = ''
 
@@ -81,7 +87,7 @@
     if tables.membership.leaving or tables.membership.stopped:
         return
     if joining.next_at is None:
-        joining.next_at = context.now + context.rng.uniform(0, FIRST_SPREAD_S)
+        joining.next_at = context.now + _first_wait(tables, context)
     if joining.joined:
         yield from _check_contact(tables, context)
         _start_over_when_alone(tables, context)
@@ -162,6 +168,12 @@
     joining.next_at = context.now + _backoff(joining.failures, context)
 
 
+def _first_wait(tables, context):
+    known = tables.membership.contacts
+    spread = FIRST_SPREAD_S if known else FIRST_READ_SPREAD_S
+    return context.rng.uniform(0, spread)
+
+
 def _step(tables, context):
     joining = tables.joining
     if joining.contact:
@@ -280,19 +292,28 @@
 
 def _use_contacts(tables, context, rows):
     joining = tables.joining
-    if any(row not in joining.failed for row in joining.found):
-        joining.next_at = context.now
-        return
+    hopeful = any(row not in joining.failed for row in joining.found)
+    lapsed = any(row in joining.failed for row in joining.found)
+    joining.next_at = context.now
     if joining.listed:
-        # Nobody else answers: whoever comes next finds this daemon.
-        joining.joined = True
-        joining.failed.clear()
-        return
-    slot = _free_slot(tables, rows)
-    joining.failed.clear()
+        # When nobody else answers, whoever comes next finds this daemon.
+        joining.joined = not hopeful
+    elif not hopeful or lapsed:
+        yield from _list_me(tables, context, rows, lapsed)
+
+
+def _list_me(tables, context, rows, lapsed):
+    joining = tables.joining
+    chance = REPLACE_CHANCE * 2**joining.held if lapsed else 1.0
     joining.next_at = context.now + context.rng.uniform(1, 2) * REREAD_S
     joining.reread = True
-    yield effects.WriteContact(slot)
+    if context.rng.random() < chance:
+        joining.held = 0
+        yield effects.WriteContact(_free_slot(tables, rows))
+    else:
+        # Of a herd that finds lapsed rows, a few replace them.
+        joining.held += 1
+    joining.failed.clear()
 
 
 def _free_slot(tables, rows):
--- a/jujubefold/overlay.py
+++ b/jujubefold/overlay.py
@@ -66,7 +66,7 @@
         count: Readers wanted in each failure domain.
     """
     domain = _current(table).domains.get(table.me.failure_domain, ())
-    mine = (_point(table.me.vm, _READER_RING), table.me.vm)
+    mine = _place(table.me.vm, _READER_RING)
     return bisect.bisect_left(domain, mine) < count
 
 
@@ -77,7 +77,7 @@
         table: A `membership.MembershipTable`.
     """
     ring = _ring(_current(table), 0)
-    return ring.bisect_left((_point(table.me.vm, 0), table.me.vm))
+    return ring.bisect_left(_place(table.me.vm, 0))
 
 
 def _current(table):
@@ -104,7 +104,7 @@
     found = rings.rings.get(ring)
     if found is None:
         found = sortedcontainers.SortedList(
-            (_point(vm, ring), vm) for vm in rings.placed
+            _place(vm, ring) for vm in rings.placed
         )
         rings.rings[ring] = found
     return found
@@ -113,18 +113,18 @@
 def _move(rings, vm, member):
     domain = rings.placed.pop(vm, None)
     if domain is not None:
-        rings.domains[domain].remove((_point(vm, _READER_RING), vm))
+        rings.domains[domain].remove(_place(vm, _READER_RING))
         for ring, order in rings.rings.items():
-            order.remove((_point(vm, ring), vm))
+            order.remove(_place(vm, ring))
     if not membership.is_live(member):
         return
     rings.placed[vm] = member.failure_domain
     order = rings.domains.setdefault(
         member.failure_domain, sortedcontainers.SortedList()
     )
-    order.add((_point(vm, _READER_RING), vm))
+    order.add(_place(vm, _READER_RING))
     for ring, order in rings.rings.items():
-        order.add((_point(vm, ring), vm))
+        order.add(_place(vm, ring))
 
 
 def _successor(table, order, ring, found):
@@ -137,7 +137,7 @@
 
 
 def _ahead(table, order, ring, found):
-    start = order.bisect_left((_point(table.me.vm, ring), table.me.vm))
+    start = order.bisect_left(_place(table.me.vm, ring))
     steps = min(len(order), LOOK_AHEAD + len(found))
     for step in range(steps):
         _, vm = order[(start + step) % len(order)]
@@ -156,6 +156,7 @@
 
 
 @functools.lru_cache(maxsize=65536)
-def _point(vm, ring):
+def _place(vm, ring):
     data = f'{ring}/{vm}'.encode()
-    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest())
+    digest = hashlib.blake2b(data, digest_size=8).digest()
+    return int.from_bytes(digest), vm
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -16,6 +16,7 @@
 
 SEND_TIMEOUT_S = 1.0
 TICK_S = 0.1
+PAUSE_CHECK_S = 0.05
 
 
 class Daemon:
@@ -86,6 +87,7 @@
         self.writes = []
         self.store = {}
         self.store_up = True
+        self.make = Daemon
         self.loss = loss
         self._delay = delay
         self._rng = random.Random(seed)
@@ -100,7 +102,7 @@
         who = identity.Identity(
             vm, region, domain, peer, peer, peer, incarnation
         )
-        daemon = Daemon(self, who, contacts)
+        daemon = self.make(self, who, contacts)
         self.daemons[daemon.vm] = daemon
         self._at(self._rng.uniform(0, TICK_S), self._tick, daemon)
         return daemon
@@ -118,6 +120,12 @@
         for vm in vms:
             del self.daemons[vm]
 
+    def pause(self, vm, seconds):
+        """Stop one process for a while."""
+        daemon = self.daemons[vm]
+        daemon.paused = True
+        self._at(seconds, setattr, daemon, 'paused', False)
+
     def block(self, sources, targets):
         """Lose everything from one group of VMs to another."""
         self.blocked |= set(itertools.product(sources, targets))
@@ -202,12 +210,22 @@
         if self._lost(daemon.vm, self._vm_at(batch.to)):
             self._at(SEND_TIMEOUT_S, self._fail, daemon, batch.to)
             return
-        self._at(self._one_way(), self._receive, daemon, batch.to, envelope)
+        give_up = self.clock.monotonic() + SEND_TIMEOUT_S
+        self._at(
+            self._one_way(), self._receive, daemon, batch.to, envelope, give_up
+        )
 
-    def _receive(self, source, to, envelope):
+    def _receive(self, source, to, envelope, give_up):
         daemon = self.daemons.get(self._vm_at(to))
-        if daemon is None or daemon.paused or daemon.stopped:
-            self._at(SEND_TIMEOUT_S, self._fail, source, to)
+        left = give_up - self.clock.monotonic()
+        if daemon is None or daemon.stopped or left <= 0:
+            self._at(max(0.0, left), self._fail, source, to)
+            return
+        if daemon.paused:
+            # The receiver's kernel keeps it until the process runs again.
+            self._at(
+                PAUSE_CHECK_S, self._receive, source, to, envelope, give_up
+            )
             return
         routed = peering.route(
             daemon.tick(*self._inputs(envelope)), envelope.address
@@ -221,11 +239,19 @@
             self._at(self._one_way(), self._answer, source, answer)
 
     def _answer(self, daemon, envelope):
-        if self._running(daemon) and envelope.messages and not daemon.paused:
+        if not self._running(daemon) or not envelope.messages:
+            return
+        if daemon.paused:
+            self._at(PAUSE_CHECK_S, self._answer, daemon, envelope)
+        else:
             self.carry(daemon, daemon.tick(*self._inputs(envelope)))
 
     def _fail(self, daemon, address):
-        if self._running(daemon) and not daemon.paused:
+        if not self._running(daemon):
+            return
+        if daemon.paused:
+            self._at(PAUSE_CHECK_S, self._fail, daemon, address)
+        else:
             self.carry(daemon, daemon.tick(dispatch.Unreachable(address)))
 
     def _inputs(self, envelope):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,5 +1,6 @@
 """Faults of VMs, networks, clocks and stores, against cores by hand."""
 
+import msgspec
 import testtools
 
 from jujubefold import dispatch
@@ -228,6 +229,55 @@
                 self.assertTrue(fleet.whole())
 
 
+class TestDoubt(testtools.TestCase):
+    """A daemon doubts itself before it doubts others."""
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = fakes.Fleet()
+        self.daemon = self.fleet.add('me')
+        self.others = tuple(
+            messages.Member(
+                f'vm-{index}', 5, 'r', 'd', f'10.1.0.{index}:1', ''
+            )
+            for index in range(4)
+        )
+        self.daemon.tick(received(messages.Gossip(self.others)))
+
+    def hear_nobody(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.fleet.clock.advance(0.1)
+            self.daemon.tick()
+
+    def states(self):
+        return {member.state for member in self.daemon.table.members.values()}
+
+    def test_a_pause_ends_no_suspicion(self):
+        suspect = msgspec.structs.replace(
+            self.others[0], state=messages.MemberState.SUSPECT
+        )
+        self.daemon.tick(received(messages.Gossip((suspect,))))
+        self.hear_nobody(1)
+        self.fleet.clock.advance(60)
+        self.hear_nobody(2)
+        self.assertIs(messages.MemberState.SUSPECT, self.daemon.sees('vm-0'))
+        self.hear_nobody(60)
+        self.assertIs(messages.MemberState.DEAD, self.daemon.sees('vm-0'))
+
+    def test_a_pause_fails_no_probe(self):
+        self.hear_nobody(1.9)
+        self.daemon.table.health = membership.MAX_HEALTH
+        self.fleet.clock.advance(60)
+        self.hear_nobody(0.5)
+        self.assertEqual({messages.MemberState.ALIVE}, self.states())
+
+    def test_who_hears_nobody_waits_before_suspecting_others(self):
+        self.hear_nobody(4)
+        self.assertEqual({messages.MemberState.ALIVE}, self.states())
+        self.hear_nobody(180)
+        self.assertEqual({messages.MemberState.DEAD}, self.states())
+
+
 class TestHealing(testtools.TestCase):
     def test_everyone_sees_everyone_again(self):
         for fault in HEALING:
