--- a/jujubefold/membership.py
+++ b/jujubefold/membership.py
@@ -87,6 +87,7 @@
         ended: When a dead or left member is forgotten, by VM.
         doubted: VMs that another daemon holds dead and this one does not.
         by_address: VM of the live member at a peer address.
+        changes: Raised whenever any record changes; lets callers cache.
         moved: VMs that became live or ceased to be, for the overlay.
         digests: A `Digests`.
         overlay: The overlay's rings, once built.
@@ -116,6 +117,7 @@
         default_factory=dict
     )
     by_address: dict[str, str] = dataclasses.field(default_factory=dict)
+    changes: int = 0
     moved: list[str] = dataclasses.field(default_factory=list)
     digests: Digests = dataclasses.field(default_factory=Digests)
     overlay: typing.Any = None
@@ -280,6 +282,7 @@
         before, revision=before.revision + 1, **changes
     )
     _toggle(table, table.me)
+    table.changes += 1
     _spread(table, table.me, before)
 
 
@@ -504,6 +507,7 @@
         if table.by_address.get(known.peer_address) == known.vm:
             del table.by_address[known.peer_address]
     table.members[member.vm] = member
+    table.changes += 1
     if is_live(member):
         _toggle(table, member)
     if is_live(known) != is_live(member):
@@ -628,6 +632,7 @@
 def _forget(table, vm):
     del table.ended[vm]
     del table.members[vm]
+    table.changes += 1
     table.updates.discard(vm)
 
 
--- a/jujubefold/probing.py
+++ b/jujubefold/probing.py
@@ -16,7 +16,9 @@
 HELPERS = 3
 MAX_RELAYS = 64
 # One probe in so many goes to any member instead of a neighbour.
-RANDOM_EVERY = 5
+RANDOM_EVERY = 20
+# Members probed besides, because another daemon holds them dead.
+DOUBTS_A_ROUND = 4
 RECONTACT_S = 20.0
 RECONTACT_SOON_S = 1.0
 SYNC_AFTER_S = 3.0
@@ -278,15 +280,20 @@
 
 
 def _probe_next(tables, context):
-    probing = tables.probing
     table = tables.membership
+    for vm in tuple(table.doubted)[:DOUBTS_A_ROUND]:
+        yield from _probe(tables, context, table.members[vm], True)
     member, chance = _choose(tables, context)
-    probing.rounds += 1
-    if member is None:
-        return
-    sequence = _number(probing)
+    tables.probing.rounds += 1
+    if member is not None:
+        yield from _probe(tables, context, member, chance)
+
+
+def _probe(tables, context, member, introduce):
+    table = tables.membership
+    sequence = _number(tables.probing)
     timeout = PROBE_TIMEOUT_S * _patience(table)
-    probing.probes[sequence] = Probe(
+    tables.probing.probes[sequence] = Probe(
         member.vm,
         member.peer_address,
         member.incarnation,
@@ -299,7 +306,7 @@
         messages.Ping(
             sequence,
             member.incarnation,
-            membership.news(table, about, introduce=chance),
+            membership.news(table, about, introduce),
             table.digests.view,
         ),
     )
@@ -310,10 +317,9 @@
     """Return whom to probe, and whether by chance."""
     table = tables.membership
     rounds = tables.probing.rounds
-    if table.doubted and rounds % 2:
-        vm = next(iter(table.doubted))
-        return table.members[vm], True
-    if rounds % RANDOM_EVERY == RANDOM_EVERY - 1:
+    # Who hears little may have none but the dead for neighbours.
+    lonely = table.health > 0 and rounds % 2
+    if lonely or rounds % RANDOM_EVERY == RANDOM_EVERY - 1:
         return _anybody(table, context), True
     near = [
         member
--- a/jujubefold/progress.py
+++ b/jujubefold/progress.py
@@ -130,6 +130,7 @@
 def _note(tables, vm):
     member = tables.membership.members.get(vm)
     if member is not None and member.in_force < tables.progress.number:
+        tables.membership.changes += 1
         tables.membership.members[vm] = msgspec.structs.replace(
             member, in_force=tables.progress.number
         )
