Flood news of leaving along both directions of every edge

Views are compared per neighbour; one that matched hid three that differed, and two daemons stayed blind.

--- a/jujubefold/flooding.py
+++ b/jujubefold/flooding.py
@@ -6,6 +6,8 @@
 
 FLOOD_INTERVAL_S = 0.1
 FLOOD_RECORDS = 24
+# A daemon that probed this one within that time is a neighbour, too.
+OBSERVED_S = 15.0
 
 _LEAVING = frozenset(
     {messages.UpstreamState.DRAINING, messages.UpstreamState.GONE}
@@ -22,17 +24,41 @@
     if not table.flood or context.now < table.flood_at:
         return
     table.flood_at = context.now + FLOOD_INTERVAL_S
+    near = {n.peer_address for n in overlay.neighbours(table)}
+    leaving, others = _take(table)
+    # A neighbour may be dead, so this news takes every edge both ways.
+    yield from _gossip(leaving, near | _observers(table, context.now))
+    yield from _gossip(others, near)
+
+
+def _take(table):
     chosen = sorted(table.flood.values(), key=_rank)[:FLOOD_RECORDS]
     for member in chosen:
         del table.flood[member.vm]
-    message = messages.Gossip(tuple(chosen))
-    for neighbour in overlay.neighbours(table):
-        yield effects.Send(neighbour.peer_address, message, urgent=True)
+    leaving = tuple(member for member in chosen if _leaves(member))
+    return leaving, tuple(m for m in chosen if not _leaves(m))
+
+
+def _gossip(members, addresses):
+    if not members:
+        return
+    message = messages.Gossip(members)
+    for address in sorted(addresses):
+        yield effects.Send(address, message, urgent=True)
+
+
+def _observers(table, now):
+    return {
+        address
+        for address, at in table.observers.items()
+        if now - at < OBSERVED_S
+    }
+
+
+def _leaves(member):
+    left = member.state is messages.MemberState.LEFT
+    return left or member.upstream_state in _LEAVING
 
 
 def _rank(member):
-    leaving = (
-        member.upstream_state in _LEAVING
-        or member.state is messages.MemberState.LEFT
-    )
-    return not leaving, member.vm
+    return not _leaves(member), member.vm
--- a/jujubefold/membership.py
+++ b/jujubefold/membership.py
@@ -82,6 +82,7 @@
         contacts: Peer addresses from settings to join through.
         updates: News that rides on messages.
         flood: Records that go to all neighbours at once, by VM.
+        observers: When each peer address last probed this daemon.
         flood_at: Monotonic seconds before which nothing is flooded.
         suspects: When a suspect is taken for dead, by VM.
         ended: When a dead or left member is forgotten, by VM.
@@ -110,6 +111,7 @@
     contacts: tuple[str, ...] = ()
     updates: gossip.Queue = dataclasses.field(default_factory=gossip.Queue)
     flood: dict[str, messages.Member] = dataclasses.field(default_factory=dict)
+    observers: dict[str, float] = dataclasses.field(default_factory=dict)
     flood_at: float = 0.0
     suspects: dict[str, float] = dataclasses.field(default_factory=dict)
     ended: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/jujubefold/probing.py
+++ b/jujubefold/probing.py
@@ -4,6 +4,7 @@
 
 from jujubefold import dispatch
 from jujubefold import effects
+from jujubefold import flooding
 from jujubefold import joining
 from jujubefold import membership
 from jujubefold import messages
@@ -24,6 +25,8 @@
 SYNC_AFTER_S = 3.0
 SYNC_INTERVAL_S = 5.0
 SYNC_RECORDS = 128
+MAX_DIFFERS = 64
+MAX_OBSERVERS = 16
 # A daemon that hears nobody suspects others only from this doubt on.
 ISOLATED_HEALTH = 3
 # Incarnation in a helper's answer before the target has answered it.
@@ -77,7 +80,7 @@
         recontact_at: When a dead member is next tried, or None.
         recontacted: Address of the dead member tried last.
         sync_at: Earliest time of the next comparison.
-        differs_since: Since when views differ from neighbours', or None.
+        differs: Since when a daemon's view differs, by peer address.
     """
 
     sequence: int = 0
@@ -89,7 +92,7 @@
     recontact_at: float | None = None
     recontacted: str = ''
     sync_at: float = 0.0
-    differs_since: float | None = None
+    differs: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def run(tables, context):
@@ -121,6 +124,7 @@
     if _is_over(table):
         return
     tables.probing.heard_at = context.now
+    _note_observer(table, sender, context.now)
     known = _record_at(table, sender)
     stranger = item.target not in (0, table.me.incarnation)
     yield effects.Send(
@@ -215,6 +219,18 @@
     yield from ()
 
 
+def _note_observer(table, address, now):
+    table.observers[address] = now
+    if len(table.observers) > MAX_OBSERVERS:
+        table.observers = {
+            address: at
+            for address, at in table.observers.items()
+            if now - at < flooding.OBSERVED_S
+        }
+    while len(table.observers) > MAX_OBSERVERS:
+        del table.observers[next(iter(table.observers))]
+
+
 def _is_over(table):
     left = table.me.state is messages.MemberState.LEFT
     return left or table.stopped
@@ -382,11 +398,11 @@
     probing = tables.probing
     table = tables.membership
     if ack.view == table.digests.view:
-        probing.differs_since = None
+        probing.differs.pop(sender, None)
         return
-    if probing.differs_since is None:
-        probing.differs_since = context.now
-    waited = context.now - probing.differs_since
+    if len(probing.differs) >= MAX_DIFFERS:
+        probing.differs.clear()
+    waited = context.now - probing.differs.setdefault(sender, context.now)
     if waited < SYNC_AFTER_S or context.now < probing.sync_at:
         return
     probing.sync_at = context.now + SYNC_INTERVAL_S * _jitter(context)
