Follow changed TLS files on both ports without a restart

Loading new files into the listening context kept trusting an authority that had been replaced, and its name hid the new one. New connections now get a new context, and gRPC channels are opened again when the files change; files that cannot be read leave the keys in use.

--- a/jujubefold/grpcpeers.py
+++ b/jujubefold/grpcpeers.py
@@ -60,6 +60,7 @@
     def __init__(self, bind_address, credentials=None):
         self._bind_address = bind_address
         self._credentials = credentials
+        self._stamps = credentials.stamps if credentials else None
         self._channels = collections.OrderedDict()
         self._kept = frozenset()
         self._closing = set()
@@ -170,6 +171,7 @@
         await context.abort(code, why)
 
     def _channel(self, address):
+        self._follow_keys()
         found = self._channels.get(address)
         if found is None:
             found = self._open(address)
@@ -178,6 +180,14 @@
         self._trim(address)
         return found[1]
 
+    def _follow_keys(self):
+        if self._credentials is None:
+            return
+        self._credentials.refresh()
+        if self._credentials.stamps != self._stamps:
+            self._stamps = self._credentials.stamps
+            self.reload()
+
     def _open(self, address):
         if self._credentials is None:
             channel = grpc.aio.insecure_channel(
--- a/jujubefold/trust.py
+++ b/jujubefold/trust.py
@@ -1,5 +1,7 @@
 """Trust: keys, TLS contexts that reload, and who may submit patches."""
 
+import contextlib
+import dataclasses
 import ssl
 
 import expression
@@ -12,8 +14,18 @@
 _SUBJECT_NAMES = 'x509_subject_alternative_name'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Keys:
+    """Contents of the files, and the stamps they were read at."""
+
+    certificate: bytes
+    key: bytes
+    authority: bytes
+    stamps: tuple
+
+
 class PeerCredentials:
-    """gRPC credentials of a daemon, read again whenever they are needed.
+    """gRPC credentials of a daemon that follow changes of its files.
 
     Args:
         tls: A `settings.Tls`.
@@ -21,7 +33,13 @@
 
     def __init__(self, tls):
         self._tls = tls
-        self._seen = _stamps(tls)
+        self._keys = _read(tls)
+        self._served = self._keys
+
+    @property
+    def stamps(self):
+        """Identifies the keys that new channels use."""
+        return self._keys.stamps
 
     @property
     def options(self):
@@ -31,25 +49,31 @@
     def server(self):
         """Return server credentials that fetch changed keys by themselves."""
         return grpc.dynamic_ssl_server_credentials(
-            _configuration(self._tls),
+            _configuration(self._keys),
             self._fetch,
             require_client_authentication=True,
         )
 
     def channel(self):
-        """Return channel credentials of the keys on file now."""
+        """Return channel credentials of the keys read last."""
         return grpc.ssl_channel_credentials(
-            root_certificates=self._tls.authority.read_bytes(),
-            private_key=self._tls.key.read_bytes(),
-            certificate_chain=self._tls.certificate.read_bytes(),
+            root_certificates=self._keys.authority,
+            private_key=self._keys.key,
+            certificate_chain=self._keys.certificate,
         )
 
+    def refresh(self):
+        """Read changed files; the keys stay when they cannot be read."""
+        with contextlib.suppress(OSError):
+            if _stamps(self._tls) != self._keys.stamps:
+                self._keys = _read(self._tls)
+
     def _fetch(self):
-        stamps = _stamps(self._tls)
-        if stamps == self._seen:
+        self.refresh()
+        if self._served is self._keys:
             return None
-        self._seen = stamps
-        return _configuration(self._tls)
+        self._served = self._keys
+        return _configuration(self._keys)
 
 
 class ServerContext:
@@ -62,15 +86,19 @@
     def __init__(self, tls):
         self._tls = tls
         self._seen = _stamps(tls)
+        self._current = _server_context(tls)
         self._context = _server_context(tls)
+        self._context.sni_callback = self._choose
 
     @property
     def context(self):
-        """The `ssl.SSLContext` that new connections use."""
+        """The `ssl.SSLContext` to listen with; it stays the same."""
         return self._context
 
     def reload(self):
-        """Load changed files into the context in place.
+        """Use changed files for new connections.
+
+        An authority that was removed is trusted no longer.
 
         Returns:
             `Ok(bool)`, whether anything changed, or `Error(errors.Invalid)`
@@ -80,8 +108,7 @@
         if stamps == self._seen:
             return expression.Ok(False)
         try:
-            _server_context(self._tls)
-            _load(self._context, self._tls)
+            self._current = _server_context(self._tls)
         except (OSError, ssl.SSLError) as error:
             return expression.Error(
                 errors.Invalid(str(error), str(self._tls.certificate))
@@ -89,6 +116,9 @@
         self._seen = stamps
         return expression.Ok(True)
 
+    def _choose(self, connection, name, listening):
+        connection.context = self._current
+
 
 def client_context(tls):
     """Return the `ssl.SSLContext` with which a daemon calls another.
@@ -201,10 +231,20 @@
     context.load_verify_locations(tls.authority)
 
 
-def _configuration(tls):
+def _configuration(keys):
     return grpc.ssl_server_certificate_configuration(
-        ((tls.key.read_bytes(), tls.certificate.read_bytes()),),
-        root_certificates=tls.authority.read_bytes(),
+        ((keys.key, keys.certificate),),
+        root_certificates=keys.authority,
+    )
+
+
+def _read(tls):
+    stamps = _stamps(tls)
+    return _Keys(
+        tls.certificate.read_bytes(),
+        tls.key.read_bytes(),
+        tls.authority.read_bytes(),
+        stamps,
     )
 
 
--- a/tests/test_grpcpeers.py
+++ b/tests/test_grpcpeers.py
@@ -183,6 +183,5 @@
             before = await client.exchange(address, envelope('a'), 3.0)
             # A new authority replaces the old one in the same files.
             certificates.Authority(folder).issue('vm-1')
-            client.reload()
             after = await client.exchange(address, envelope('a'), 3.0)
             self.assertTrue(before.is_ok() and after.is_ok())
