Do not try the dead at an address that a live daemon has

A VM replaced at its old address made every daemon ping that address once a second for two hours, taking each answer for the dead one's return. A full table forgets the oldest record of the dead before it refuses a new daemon.

--- a/jujubefold/membership.py
+++ b/jujubefold/membership.py
@@ -223,6 +223,8 @@
         _doubt(table, known, member)
         return
     if known is None:
+        if len(table.members) >= MAX_MEMBERS and table.ended:
+            _forget(table, next(iter(table.ended)))
         if len(table.members) < MAX_MEMBERS:
             yield from _store(table, member, context)
         return
--- a/jujubefold/probing.py
+++ b/jujubefold/probing.py
@@ -366,11 +366,7 @@
         0.5, 1.5
     )
     table = tables.membership
-    dead = [
-        vm
-        for vm in table.ended
-        if table.members[vm].state is messages.MemberState.DEAD
-    ]
+    dead = [vm for vm in table.ended if _may_return(table, table.members[vm])]
     if not dead:
         return
     member = table.members[context.rng.choice(dead)]
@@ -386,6 +382,11 @@
     )
 
 
+def _may_return(table, member):
+    dead = member.state is messages.MemberState.DEAD
+    return dead and member.peer_address not in table.by_address
+
+
 def _record_at(table, address):
     vm = table.by_address.get(address)
     if vm is not None:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -321,6 +321,17 @@
         fleet.kill('vm-0005')
         fleet.add('vm-new', 'd1', 'r1', ('10.0.0.1:1',), old.address)
         self.assertIsNotNone(fleet.run_until(fleet.whole, ONE_DETECTED_S))
+        fleet.run(30)
+        fleet.sent.clear()
+        fleet.run(60)
+        stale = [
+            message
+            for _, _, envelope in fleet.sent
+            for message in envelope.messages
+            if isinstance(message, messages.Ping)
+            and message.target == old.tables.identity.incarnation
+        ]
+        self.assertEqual([], stale)
 
 
 class TestWedged(testtools.TestCase):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -169,6 +169,12 @@
             page = tuple(member(start + i) for i in range(256))
             daemon.tick(told(messages.Gossip(page)))
         self.assertEqual(membership.MAX_MEMBERS, len(daemon.table.members))
+        for index in range(3):
+            gone = member(index, revision=1, state=STATE.LEFT)
+            new = member(20_000 + index)
+            daemon.tick(told(messages.Gossip((gone, new))))
+            self.assertIs(STATE.ALIVE, daemon.sees(new.vm))
+        self.assertEqual(membership.MAX_MEMBERS, len(daemon.table.members))
 
     def test_records_from_the_future_are_refused(self):
         fleet, daemon = table_of(0)
