--- a/tests/test_grpcpeers.py
+++ b/tests/test_grpcpeers.py
@@ -181,7 +181,9 @@
         async with closing(server, client):
             address = await server.serve(echo)
             before = await client.exchange(address, envelope('a'), 3.0)
+            channel = client._channels[address]
             # A new authority replaces the old one in the same files.
             certificates.Authority(folder).issue('vm-1')
             after = await client.exchange(address, envelope('a'), 3.0)
             self.assertTrue(before.is_ok() and after.is_ok())
+            self.assertIsNot(channel, client._channels[address])
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -223,6 +223,30 @@
                 self.assertIsNone(daemon.sees('vm-0000'))
 
 
+class TestSync(testtools.TestCase):
+    def test_one_neighbour_that_agrees_hides_none_that_differs(self):
+        fleet, daemon = table_of(4)
+        mine = daemon.table.digests.view
+        asked = []
+        for seconds, sender, view in (
+            (0, '10.1.0.1:1', mine + 1),
+            (1, '10.1.0.2:1', mine),
+            (3, '10.1.0.1:1', mine + 1),
+            (1, '10.1.0.1:1', mine + 1),
+        ):
+            fleet.clock.advance(seconds)
+            ack = messages.Ack(99, 5, view=view)
+            asked.append(
+                {
+                    effect.to
+                    for effect in daemon.tick(told(ack, sender))
+                    if isinstance(effect, effects.Send)
+                    and isinstance(effect.message, messages.Sync)
+                }
+            )
+        self.assertEqual([set(), set(), {'10.1.0.1:1'}, set()], asked)
+
+
 class TestGossipQueue(testtools.TestCase):
     def test_urgent_first_newest_only_and_bounded(self):
         queue = gossip.Queue()
