--- a/jujubefold/claimbatch.py
+++ b/jujubefold/claimbatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import hashlib
+import itertools
 import math
 
 import expression
@@ -59,6 +60,13 @@
         self._busy_keys = set()
         self._timer = None
         self._due = math.inf
+        self._fenced = False
+        self._numbers = itertools.count()
+
+    @property
+    def fenced(self):
+        """Whether the guard failed once."""
+        return self._fenced
 
     def submit(self, write, label, window):
         """Queue a write.
@@ -148,6 +156,7 @@
                 return _tell(batch, result)
             if self._guard is not None:
                 if failed[0] == 0:
+                    self._fenced = True
                     fenced = Fenced('another owner took over')
                     return _tell(batch, expression.Error(fenced))
                 failed = tuple(index - 1 for index in failed)
@@ -160,9 +169,20 @@
         writes = [pending.write for pending in batch]
         if self._guard is not None:
             writes.insert(0, self._guard())
+        return await self._rows.transact(writes, self._token(writes, batch))
+
+    def _token(self, writes, batch):
+        """Return a token that no other transaction has.
+
+        A repeat within the table client shares it. A later transaction of
+        the same writes must not: the rows may have moved on, and the store
+        would report the outcome of the first. Labels are unique to this
+        process, and for an owner its guard is.
+        """
+        guard = writes[0] if self._guard is not None else ''
         labels = '\n'.join(pending.label for pending in batch)
-        token = hashlib.sha256(labels.encode()).hexdigest()
-        return await self._rows.transact(writes, token)
+        name = f'{next(self._numbers)}\n{guard}\n{labels}'
+        return hashlib.sha256(name.encode()).hexdigest()
 
 
 def _earliest(queue):
--- a/jujubefold/claimstore.py
+++ b/jujubefold/claimstore.py
@@ -68,6 +68,11 @@
         self._numbers = itertools.count(1)
         self._cursor = f'{rng.getrandbits(256):064x}'
 
+    @property
+    def fenced(self):
+        """Whether a transaction's guard failed; nothing is written since."""
+        return self._batcher.fenced
+
     def attempt(self, request, id=''):
         """Return a new `Attempt`.
 
@@ -272,9 +277,10 @@
             await asyncio.sleep(storelimit.backoff(self._rng, tries))
 
     async def _resolve(self, attempt, found):
-        standing = found.values.get(claimrow.ID_FIELD, '') if found else ''
-        if standing not in (attempt.id, attempt.replaces):
-            # Another id stands, behind which no write of ours can land.
+        row = found and claimrow.from_row(found)
+        standing = row.id if row else ''
+        if row is not None and not _is_ours(row, attempt):
+            # Another claim stands, behind which no write of ours can land.
             return True
         # A fresh id stops a write of ours that is still under way.
         result = await self._release(attempt, standing)
@@ -334,5 +340,12 @@
         return int(self._clock.wall() * MS_PER_S)
 
 
+def _is_ours(row, attempt):
+    if row.state is claimrow.State.RELEASED:
+        return True
+    is_claimed = row.state is claimrow.State.CLAIMED
+    return is_claimed and row.id in (attempt.id, attempt.replaces)
+
+
 def _blob_prefix(id):
     return f'{id}\n'.encode()
--- a/jujubefold/messages.py
+++ b/jujubefold/messages.py
@@ -271,6 +271,7 @@
         key: The caller's idempotency key.
         fingerprint: Digest of method, path and body.
         holder: `vm/incarnation` that will run the request.
+        claim: Id that the holder gave the claim; equal in a resend.
     """
 
     sequence: int
@@ -278,20 +279,46 @@
     key: str
     fingerprint: str
     holder: str
+    claim: str = ''
+
+
+class ClaimEnd(Message):
+    """Tell a claim owner how a claim ended; answered by `ClaimAnswer`.
+
+    Args:
+        claim: Id of the claim, as in `Claim`.
+        since_ms: Wall milliseconds of the claim.
+        state: Name of the `claimrow` state that the key is in now.
+        answer: What later sendings of the key are given.
+    """
+
+    sequence: int
+    scope: str
+    key: str
+    fingerprint: str
+    holder: str
+    claim: str
+    since_ms: int
+    state: str
+    answer: bytes = b''
 
 
 class ClaimAnswer(Message):
-    """Answer to `Claim`.
+    """Answer to `Claim` and `ClaimEnd`.
 
     Args:
-        state: Name of the `claims` state that the key is in.
+        state: Name of the `claimowner` state of the key or the call.
         answer: Recorded answer, when there is one.
+        since_ms: Wall milliseconds of the claim that stands.
+        reason: One sentence, when the owner could not tell.
     """
 
     sequence: int
     state: str
     holder: str = ''
     answer: bytes = b''
+    since_ms: int = 0
+    reason: str = ''
 
 
 class CrashReport(Message):
@@ -332,6 +359,7 @@
     | Floor
     | Claim
     | ClaimAnswer
+    | ClaimEnd
     | CrashReport
 )
 
--- /dev/null
+++ b/tests/test_claimowner.py
@@ -0,0 +1,280 @@
+"""Owners of claims: fencing, lost messages and the codec of outcomes."""
+
+import asyncio
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+import testtools
+
+from jujubefold import claimoutcome
+from jujubefold import claimowner
+from jujubefold import claimrow
+from jujubefold import faults
+from jujubefold import messages
+from jujubefold import objects
+from jujubefold import table
+from tests import pausedloop
+from tests import test_claims
+
+SLOTS = 2
+TIMEOUT_S = 2.0
+ADDRESS = '127.0.0.1:1'
+
+
+class Fleet:
+    """Daemons that claim through owners, over a network that loses."""
+
+    def __init__(self, clock, rng, rate=0.0):
+        self.clock = clock
+        self.rng = rng
+        self.rate = rate
+        self.table = table.MemoryTable()
+        self.objects = objects.MemoryObjects(clock)
+        self.gone = set()
+        self.owners = [None] * SLOTS
+        self.number = 0
+
+    async def replace(self, slot):
+        """Let a new owner take a slot over; return both owners."""
+        self.number += 1
+        me = claimowner.Ownership(0, f'owner/{self.number}', ADDRESS)
+        owner = claimowner.ClaimOwner(
+            faults.FaultyTable(
+                self.table, test_claims.Random(self.rng, self.rate)
+            ),
+            self.objects,
+            self.clock,
+            self.rng,
+            claimoutcome.ClaimSettings(),
+            me,
+            slot,
+            self.gone.__contains__,
+        )
+        while True:
+            current = await claimowner.read_ownership(self.table, slot)
+            if (await owner.take_over(current.ok)).is_ok():
+                break
+        before, self.owners[slot] = self.owners[slot], owner
+        return before, owner
+
+    async def ask(self, slot, message, timeout):
+        """Carry a message to an owner, or lose it or its answer."""
+        owner = self.owners[slot]
+        if self.rng.random() < self.rate / 2:
+            return None
+        if self.rng.random() < self.rate / 2:
+            await asyncio.sleep(self.rng.uniform(0, 4))
+        decoded = carried(message)
+        if isinstance(decoded, messages.Claim):
+            answer = await owner.claim(decoded, timeout)
+        else:
+            answer = await owner.end(decoded, timeout)
+        if self.rng.random() < self.rate / 2:
+            return None
+        return carried(answer)
+
+    def daemon(self):
+        """Return the `claimowner.OwnedClaims` of a new daemon."""
+        return claimowner.OwnedClaims(self.ask, self.clock, self.rng, SLOTS)
+
+
+def carried(message):
+    """Return a message as it comes out of the codec."""
+    envelope = messages.Envelope('vm', 1, ADDRESS, 1, 0, (message,))
+    return messages.decode(messages.encode(envelope)).ok.messages[0]
+
+
+class OwnerCase(testtools.TestCase):
+    def play(self, main, seed=1, rate=0.0):
+        async def started(clock):
+            fleet = Fleet(clock, random.Random(seed), rate)
+            for slot in range(SLOTS):
+                await fleet.replace(slot)
+            await main(fleet)
+
+        pausedloop.run(started)
+
+
+class TestOwner(OwnerCase):
+    def test_outcomes_survive_the_codec(self):
+        request = test_claims.request('a')
+        outcomes = (
+            claimoutcome.Claimed(request, 'a#1', 1234, 9.0),
+            claimoutcome.Answered(b'\x00answer'),
+            claimoutcome.Running('b', 1.5),
+            claimoutcome.InDoubt('b'),
+            claimoutcome.Reused(),
+        )
+        for outcome in outcomes:
+            answer = carried(claimowner.answer_of(outcome, 7))
+            self.assertEqual(7, answer.sequence)
+            back = claimowner.outcome_of(answer, request, 'a#1', 9.0)
+            self.assertEqual(outcome, back)
+        for state in ('unavailable', 'a later release said this'):
+            answer = messages.ClaimAnswer(1, state)
+            back = claimowner.outcome_of(answer, request, 'a#1', 9.0)
+            self.assertIsInstance(back, claimoutcome.Unavailable)
+
+    def test_life_of_a_key(self):
+        async def main(fleet):
+            a, b = fleet.daemon(), fleet.daemon()
+            for end, kind in (
+                (lambda c: a.settle(c, b'x', 9.0), claimoutcome.Answered),
+                (lambda c: a.doubt(c, 9.0), claimoutcome.InDoubt),
+                (lambda c: a.release(c, 9.0), claimoutcome.Claimed),
+            ):
+                key = kind.__name__
+                claimed = await a.claim(test_claims.request('a', key), 9.0)
+                running = await b.claim(test_claims.request('b', key), 9.0)
+                self.assertIsInstance(running, claimoutcome.Running)
+                self.assertTrue((await end(claimed)).is_ok())
+                told = await b.claim(test_claims.request('b', key), 9.0)
+                self.assertIsInstance(told, kind)
+
+        self.play(main)
+
+    def test_paused_owner_writes_nothing_once_replaced(self):
+        async def main(fleet):
+            daemon = fleet.daemon()
+            slot = claimowner.slot_of(
+                claimrow.key_of(test_claims.SCOPE, 'k'), SLOTS
+            )
+            old, new = await fleet.replace(slot)
+            claimed = await daemon.claim(test_claims.request('a'), 9.0)
+            before = await fleet.table.scan(claimrow.TABLE)
+            late = messages.Claim(1, 'pickups', 'other', 'f', 'b', 'b#1')
+            ends = messages.ClaimEnd(
+                1, 'pickups', 'k', 'f', 'a', claimed.id, 0, 'doubt'
+            )
+            for call in (old.claim(late, 9.0), old.end(ends, 9.0)):
+                answer = await call
+                self.assertEqual('not-owner', answer.state)
+            self.assertFalse(old.is_owner)
+            self.assertTrue(new.is_owner)
+            self.assertEqual(before, await fleet.table.scan(claimrow.TABLE))
+
+        self.play(main)
+
+    def test_one_of_two_that_take_over_wins(self):
+        async def main(fleet):
+            current = (await claimowner.read_ownership(fleet.table, 0)).ok
+            rivals = [
+                claimowner.ClaimOwner(
+                    fleet.table,
+                    fleet.objects,
+                    fleet.clock,
+                    fleet.rng,
+                    claimoutcome.ClaimSettings(),
+                    claimowner.Ownership(0, name, ADDRESS),
+                    0,
+                    fleet.gone.__contains__,
+                )
+                for name in 'xy'
+            ]
+            won = [(await r.take_over(current)).is_ok() for r in rivals]
+            self.assertEqual([True, False], won)
+            self.assertEqual(won, [rival.is_owner for rival in rivals])
+
+        self.play(main)
+
+    def test_claim_that_arrives_behind_its_release(self):
+        async def main(fleet):
+            owner = fleet.owners[0]
+            end = messages.ClaimEnd(
+                1, 's', 'k', 'f', 'a', 'a#1', 0, 'released'
+            )
+            await owner.end(end, 9.0)
+            late = messages.Claim(2, 's', 'k', 'f', 'a', 'a#1')
+            answer = await owner.claim(late, 9.0)
+            self.assertEqual('unavailable', answer.state)
+            other = messages.Claim(3, 's', 'k', 'f', 'b', 'b#1')
+            self.assertEqual('claimed', (await owner.claim(other, 9.0)).state)
+
+        self.play(main)
+
+    def test_resent_claim_after_its_end_does_not_run_again(self):
+        async def main(fleet):
+            owner = fleet.owners[0]
+            claim = messages.Claim(1, 's', 'k', 'f', 'a', 'a#1')
+            for _ in range(2):
+                answer = await owner.claim(claim, 9.0)
+                self.assertEqual('claimed', answer.state)
+            end = messages.ClaimEnd(
+                2, 's', 'k', 'f', 'a', 'a#1', 0, 'answered', b'x'
+            )
+            await owner.end(end, 9.0)
+            stray = msgspec.structs.replace(end, state='released')
+            await owner.end(stray, 9.0)
+            _, fresh = await fleet.replace(0)
+            answer = await fresh.claim(claim, 9.0)
+            self.assertEqual(('answered', b'x'), (answer.state, answer.answer))
+
+        self.play(main)
+
+    def test_slots_are_even(self):
+        counts = collections.Counter(
+            claimowner.slot_of(claimrow.key_of('s', str(n)), 8)
+            for n in range(8000)
+        )
+        self.assertEqual(set(range(8)), set(counts))
+        self.assertLess(max(counts.values()), 1200)
+
+
+class TestAtMostOnce(OwnerCase):
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    @hypothesis.given(
+        seed=strategies.integers(0, 2**32),
+        rate=strategies.sampled_from((0.0, 0.1, 0.4, 0.7)),
+        calls=strategies.integers(2, 20),
+        takeovers=strategies.integers(0, 4),
+    )
+    def test_any_interleaving(self, seed, rate, calls, takeovers):
+        executions = collections.Counter()
+
+        async def call(fleet, number):
+            rng = fleet.rng
+            await asyncio.sleep(rng.uniform(0, 15))
+            daemon, key = fleet.daemon(), rng.choice('xyz')
+            told = await daemon.claim(
+                test_claims.request(f'vm/{number}', key), rng.uniform(0.1, 6)
+            )
+            if not isinstance(told, claimoutcome.Claimed):
+                return
+            await asyncio.sleep(rng.choice((0, 1, 15)))
+            if not told.may_start(fleet.clock.monotonic()):
+                await daemon.release(told, 1.0)
+                return
+            executions[key] += 1
+            await daemon.settle(told, key.encode(), 1.0)
+
+        async def take_over(fleet):
+            await asyncio.sleep(fleet.rng.uniform(0, 20))
+            await fleet.replace(fleet.rng.randrange(SLOTS))
+
+        async def main(fleet):
+            await asyncio.gather(
+                *(call(fleet, number) for number in range(calls)),
+                *(take_over(fleet) for _ in range(takeovers)),
+            )
+            await settled(fleet)
+
+        async def settled(fleet):
+            """When faults end, a key that never ran may run."""
+            fleet.rate = 0.0
+            for slot in range(SLOTS):
+                await fleet.replace(slot)
+            await asyncio.sleep(60.0)
+            for key in 'xyz':
+                told = await fleet.daemon().claim(
+                    test_claims.request('fresh', key), 9.0
+                )
+                expected = claimoutcome.Claimed
+                if executions[key]:
+                    expected = claimoutcome.Answered
+                self.assertIsInstance(told, expected)
+
+        self.play(main, seed, rate)
+        self.assertLessEqual(max(executions.values(), default=0), 1)
