Offer the outcomes of claims under the module that makes them

The call path matches on claims.Claimed and its kin, which had moved to a module of their own to break an import cycle. claims names them again, and takes the check for ended holders before its settings, as the daemon passes it.

--- a/jujubefold/claims.py
+++ b/jujubefold/claims.py
@@ -20,6 +20,16 @@
 from jujubefold import storelimit
 from jujubefold import table
 
+# What callers of this module ask with and are answered with.
+ClaimRequest = claimoutcome.ClaimRequest
+ClaimSettings = claimoutcome.ClaimSettings
+Claimed = claimoutcome.Claimed
+Answered = claimoutcome.Answered
+Running = claimoutcome.Running
+InDoubt = claimoutcome.InDoubt
+Reused = claimoutcome.Reused
+Unavailable = claimoutcome.Unavailable
+
 # Claims whose write is in doubt; above this no new ones are made.
 MAX_DOUBTFUL = 10_000
 
@@ -44,13 +54,13 @@
         blobs: An `objects.Objects` for large answers.
         clock: A `clock.Clock`.
         rng: A `random.Random` that spreads retries.
-        settings: A `claimoutcome.ClaimSettings`, or None for the defaults.
         is_holder_gone: Whether a `vm/incarnation` is known to have ended;
             None when that is never known.
+        settings: A `claimoutcome.ClaimSettings`, or None for the defaults.
     """
 
     def __init__(
-        self, rows, blobs, clock, rng, settings=None, is_holder_gone=None
+        self, rows, blobs, clock, rng, is_holder_gone=None, settings=None
     ):
         self._rng = rng
         self._settings = settings or claimoutcome.ClaimSettings()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -42,8 +42,8 @@
             faults.FaultyObjects(self.objects, fault),
             self.clock,
             random.Random(f'{self._seed} {holder}'),
-            self._settings,
             self.gone.__contains__,
+            self._settings,
         )
 
     async def row(self, key='k'):
