--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,334 @@
+"""Claims by each daemon against claims by a few owners.
+
+The modelled runs drive both designs with the in-memory table on a paused
+clock: a transaction takes a few milliseconds, and all of a fleet's clients
+together keep to the store's share of writes. The stand-in runs use the
+real clients and a process of its own.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import json
+import random
+import statistics
+import subprocess
+import sys
+
+import expression
+
+from bench import report
+from jujubefold import claimoutcome
+from jujubefold import claimowner
+from jujubefold import claims
+from jujubefold import clock
+from jujubefold import messages
+from jujubefold import objects
+from jujubefold import storelimit
+from jujubefold import table
+from jujubefold import tableservice
+from tests import pausedloop
+
+SLOTS = 8
+CALLS_PER_SECOND = 20.0
+OWNER_WRITES_PER_S = storelimit.FLEET_WRITES_PER_S / SLOTS
+STORE_MIN_S = 0.004
+STORE_MEAN_EXTRA_S = 0.002
+HOP_S = 0.002
+RUN_S = 0.05
+TIMEOUT_S = 5.0
+PATIENCE_S = 1.0
+WARM_UP_S = 2.0
+MODELLED = tuple(
+    itertools.product((20, 75, 200, 820), (50.0, 500.0, 3400.0, 6800.0))
+)
+MODELLED_QUICK = ((20, 50.0), (200, 50.0))
+STAND_IN = ((4, 20.0), (4, 200.0))
+STAND_IN_QUICK = ((4, 20.0),)
+COLUMNS = (
+    'case',
+    'daemons',
+    'keyed calls/s',
+    'transactions/s',
+    'rows/transaction',
+    'claim p50 ms',
+    'claim p99 ms',
+    'refused %',
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Counts:
+    """What reached the store, and what callers saw.
+
+    Args:
+        delays: Seconds of each claim that was granted.
+    """
+
+    transactions: int = 0
+    rows: int = 0
+    refused: int = 0
+    delays: list[float] = dataclasses.field(default_factory=list)
+
+
+class ModelTable(table.MemoryTable):
+    """A table whose transactions take the time of a network call."""
+
+    def __init__(self, rng):
+        super().__init__()
+        self._rng = rng
+
+    async def transact(self, writes, token=''):
+        await self._travel()
+        return await super().transact(writes, token)
+
+    async def read(self, keys):
+        await self._travel()
+        return await super().read(keys)
+
+    async def _travel(self):
+        extra = self._rng.expovariate(1.0 / STORE_MEAN_EXTRA_S)
+        await asyncio.sleep(STORE_MIN_S + extra)
+
+
+class CountedTable(table.Table):
+    """Counts transactions, and keeps to a limit when it has one."""
+
+    def __init__(self, inner, counts, limit=None):
+        self._inner = inner
+        self._counts = counts
+        self._limit = limit
+
+    async def transact(self, writes, token=''):
+        if self._limit is not None:
+            kind = storelimit.Kind.WRITE
+            refusal = await self._limit.enter(kind, PATIENCE_S)
+            if refusal is not None:
+                return expression.Error(refusal)
+        self._counts.transactions += 1
+        self._counts.rows += len(writes)
+        return await self._inner.transact(writes, token)
+
+    async def read(self, keys):
+        return await self._inner.read(keys)
+
+    async def scan(self, table, after='', limit=100):
+        return await self._inner.scan(table, after, limit)
+
+
+class Fleet:
+    """Daemons of one design over one store.
+
+    Args:
+        new_table: Takes a limit, returns the `table.Table` of one client.
+        clock: A `clock.Clock`.
+    """
+
+    def __init__(self, new_table, clock, rng):
+        self._new_table = new_table
+        self._clock = clock
+        self._rng = rng
+        self._owners = []
+
+    def limit(self, most, clients):
+        """Return the limit of one of `clients` that write."""
+        limit = storelimit.StoreLimit(self._clock, self._rng, most)
+        limit.share(clients)
+        return limit
+
+    def daemon_claims(self, daemons):
+        """Return the claims of each daemon, each writing for itself."""
+        return [
+            claims.Claims(
+                self._new_table(self.limit(CALLS_PER_SECOND, daemons)),
+                objects.MemoryObjects(self._clock),
+                self._clock,
+                self._rng,
+            )
+            for _ in range(daemons)
+        ]
+
+    async def owned_claims(self, daemons):
+        """Return the claims of each daemon, all through owners."""
+        for slot in range(SLOTS):
+            await self._start_owner(slot)
+        return [
+            claimowner.OwnedClaims(self._ask, self._clock, self._rng, SLOTS)
+            for _ in range(daemons)
+        ]
+
+    async def _start_owner(self, slot):
+        owner = claimowner.ClaimOwner(
+            self._new_table(self.limit(OWNER_WRITES_PER_S, SLOTS)),
+            objects.MemoryObjects(self._clock),
+            self._clock,
+            self._rng,
+            claimoutcome.ClaimSettings(),
+            claimowner.Ownership(0, f'owner/{slot}', '127.0.0.1:1'),
+            slot,
+            lambda holder: False,
+        )
+        while not owner.is_owner:
+            await owner.take_over(claimowner.Ownership())
+        self._owners.append(owner)
+
+    async def _ask(self, slot, message, timeout):
+        await asyncio.sleep(HOP_S)
+        owner = self._owners[slot]
+        if isinstance(message, messages.Claim):
+            answer = await owner.claim(message, timeout)
+        else:
+            answer = await owner.end(message, timeout)
+        await asyncio.sleep(HOP_S)
+        return answer
+
+
+async def _call(daemon, number, counts, time_source):
+    request = claimoutcome.ClaimRequest(
+        'pickups', str(number), 'f', f'vm-{number}/1'
+    )
+    start = time_source.monotonic()
+    told = await daemon.claim(request, TIMEOUT_S)
+    if not isinstance(told, claimoutcome.Claimed):
+        counts.refused += 1
+        return
+    counts.delays.append(time_source.monotonic() - start)
+    await asyncio.sleep(RUN_S)
+    await daemon.settle(told, b'x' * 200, 0.0)
+
+
+async def _load(daemons, rate, seconds, counts, time_source, rng):
+    """Offer calls at random times; return the measured `Counts`."""
+    calls = set()
+    end = time_source.monotonic() + WARM_UP_S + seconds
+    warm = time_source.monotonic() + WARM_UP_S
+    next_at = time_source.monotonic()
+    for number in itertools.count():
+        next_at += rng.expovariate(rate)
+        if next_at >= end:
+            break
+        if warm is not None and next_at >= warm:
+            counts.transactions = counts.rows = counts.refused = 0
+            counts.delays.clear()
+            warm = None
+        await asyncio.sleep(max(0.0, next_at - time_source.monotonic()))
+        daemon = daemons[number % len(daemons)]
+        task = asyncio.ensure_future(
+            _call(daemon, number, counts, time_source)
+        )
+        calls.add(task)
+        task.add_done_callback(calls.discard)
+    found = dataclasses.replace(counts, delays=list(counts.delays))
+    for task in calls:
+        task.cancel()
+    return found
+
+
+async def _measure(design, daemons, rate, seconds, fleet, counts, at, rng):
+    if design == 'daemon':
+        made = fleet.daemon_claims(daemons)
+    else:
+        made = await fleet.owned_claims(daemons)
+    return await _load(made, rate, seconds, counts, at, rng)
+
+
+def _modelled(design, daemons, rate, seconds, seed):
+    async def main(paused):
+        rng = random.Random(seed)
+        counts = Counts()
+        store = ModelTable(rng)
+
+        def new_table(limit):
+            return CountedTable(store, counts, limit)
+
+        fleet = Fleet(new_table, paused, rng)
+        return await _measure(
+            design, daemons, rate, seconds, fleet, counts, paused, rng
+        )
+
+    return pausedloop.run(main)
+
+
+def _on_stand_in(design, daemons, rate, seconds, seed):
+    async def main(url):
+        rng = random.Random(seed)
+        counts = Counts()
+        now = clock.SystemClock()
+
+        def new_table(limit):
+            service = tableservice.TableService(url, now, 2.0, limit)
+            return CountedTable(service, counts)
+
+        fleet = Fleet(new_table, now, rng)
+        return await _measure(
+            design, daemons, rate, seconds, fleet, counts, now, rng
+        )
+
+    with _stand_in() as url:
+        return asyncio.run(main(url))
+
+
+@contextlib.contextmanager
+def _stand_in():
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'jujubefold.platform'], stdout=subprocess.PIPE
+    )
+    try:
+        yield json.loads(process.stdout.readline())['table_url']
+    finally:
+        process.terminate()
+        process.wait()
+        process.stdout.close()
+
+
+def _row(case, daemons, rate, seconds, found):
+    claims_seen = len(found.delays) + found.refused
+    delays = sorted(found.delays) or [TIMEOUT_S]
+    last = min(len(delays) - 1, int(len(delays) * 0.99))
+    return (
+        case,
+        daemons,
+        rate,
+        found.transactions / seconds,
+        found.rows / max(1, found.transactions),
+        statistics.median(delays) * 1000,
+        delays[last] * 1000,
+        100.0 * found.refused / max(1, claims_seen),
+    )
+
+
+def _rows(quick, seed):
+    seconds = 3.0 if quick else 10.0
+    for where, run, points in (
+        ('', _modelled, MODELLED_QUICK if quick else MODELLED),
+        ('stand-in ', _on_stand_in, STAND_IN_QUICK if quick else STAND_IN),
+    ):
+        for design, (daemons, rate) in itertools.product(
+            ('daemon', 'owner'), points
+        ):
+            found = run(design, daemons, rate, seconds, seed)
+            case = f'{where}{design} {rate:g}/s'
+            yield _row(case, daemons, rate, seconds, found)
+
+
+def measure(quick=False, seed=1):
+    """Measure both designs over fleet sizes and rates of keyed calls."""
+    flag = ' --quick' if quick else ''
+    return report.Report(
+        name='claims',
+        command=f'python -m bench claims{flag} --seed {seed}',
+        columns=COLUMNS,
+        rows=tuple(_rows(quick, seed)),
+        notes=(
+            f'All writers keep to {storelimit.FLEET_WRITES_PER_S:g} '
+            f'transactions a second; {SLOTS} owners.',
+            'Modelled runs: in-memory table, paused clock, '
+            f'{STORE_MIN_S * 1000:g} ms and more a store call, '
+            f'{HOP_S * 1000:g} ms a hop to an owner.',
+            'Each call that is granted is settled 50 ms later.',
+        ),
+        x='daemons',
+        ys=('claim p99 ms', 'transactions/s', 'refused %'),
+        group='case',
+    )
