Begin another refusal term only after new blame

Halving the blame at the end of a term changed nothing that a test could see: a late report still began the next term at once. Blame that arrives within a term now belongs to it, and half a crash of new blame is needed for the next.

--- a/jujubefold/crashes.py
+++ b/jujubefold/crashes.py
@@ -19,6 +19,8 @@
 
 # Blame, in thousandths of a crash, at which a request is refused.
 CONDEMNED_MILLI = 1000
+# New blame after a term, at which the next term begins.
+CONDEMNED_AGAIN_MILLI = 500
 # Blame of a request not suspected yet, when shares are worked out.
 FRESH_MILLI = 5
 MIN_UPSTREAMS = 2
@@ -64,14 +66,14 @@
         at: Monotonic seconds of the last news.
         until: Monotonic seconds until which it is refused.
         terms: How often it has been condemned.
-        forgiven: Blame set aside when its last term ended.
+        settled: Blame that it had when its last term ended.
     """
 
     at: float
     evidence: dict[str, Evidence] = dataclasses.field(default_factory=dict)
     until: float = 0.0
     terms: int = 0
-    forgiven: int = 0
+    settled: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -232,8 +234,7 @@
 
 
 def _blame(suspect):
-    whole = sum(evidence.blame for evidence in suspect.evidence.values())
-    return max(0, whole - suspect.forgiven)
+    return sum(evidence.blame for evidence in suspect.evidence.values())
 
 
 def _suspect(table, fingerprint, now):
@@ -274,12 +275,15 @@
         table,
         messages.CrashReport(fingerprint, upstream, new.count, new.blame),
     )
-    if suspect.until <= now and _is_condemned(suspect):
+    if now < suspect.until:
+        suspect.settled = _blame(suspect)
+    elif _is_condemned(suspect):
         yield from _condemn(suspect, fingerprint, now)
 
 
 def _is_condemned(suspect):
-    if _blame(suspect) < CONDEMNED_MILLI:
+    needed = CONDEMNED_AGAIN_MILLI if suspect.terms else CONDEMNED_MILLI
+    if _blame(suspect) - suspect.settled < needed:
         return False
     if len(suspect.evidence) >= MIN_UPSTREAMS:
         return True
@@ -291,7 +295,7 @@
     release = min(MAX_RELEASE_S, RELEASE_S * 2**suspect.terms)
     suspect.until = now + release
     suspect.terms += 1
-    suspect.forgiven += _blame(suspect) // 2
+    suspect.settled = _blame(suspect)
     yield effects.Record(
         events.Event(
             'request.condemned',
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -244,6 +244,16 @@
         self.report(fleet, upstream='', count=0)
         self.assertIsNotNone(fleet.refuses(0, POISON))
 
+    def test_a_late_report_does_not_begin_another_term(self):
+        fleet = Fleet()
+        for upstream in ('vm-1/1', 'vm-2/1'):
+            self.report(fleet, upstream=upstream)
+        fleet.now = crashes.RELEASE_S
+        self.report(fleet, upstream='vm-3/1', blame_milli=100)
+        self.assertIsNone(fleet.refuses(0, POISON))
+        self.report(fleet, upstream='vm-4/1', blame_milli=900)
+        self.assertIsNotNone(fleet.refuses(0, POISON))
+
     def test_floods_are_bounded(self):
         fleet = Fleet()
         for number in range(1000):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -245,6 +245,14 @@
         self.assertTrue(0 < shares[0] < 0.05 < shares[1] < 0.15, shares)
         self.assertTrue(shares[2] > 0.15, shares)
 
+    def test_a_returning_upstream_gets_one_at_a_time_at_first(self):
+        ready = int(WALL * 1000)
+        members = (calling.member('a1', ready_at_ms=ready), MEMBERS[1])
+        table = routing.new_routing()
+        self.assertEqual({'a1', 'a2'}, set(tally(table, members)))
+        routing.sent(table, 'a1', 100.0)
+        self.assertEqual({'a2'}, set(tally(table, members)))
+
     def test_daemons_that_see_the_same_do_not_herd(self):
         members = tuple(calling.member(f'm{n}', 'z') for n in range(7))
         load = gate.Load(0, 0, 12, State.SERVING)
