Bound the idle connections that an instance holds

Even one connection of every sender is too many for 5 instances in a fleet of 820. Each daemon now sends to a subset worked out from a hash, and where even two instances a daemon are too many, only some daemons keep an idle connection and the rest open one a call. Subsets and service times are modules of their own now.

--- a/jujubefold/gate.py
+++ b/jujubefold/gate.py
@@ -18,21 +18,16 @@
 from jujubefold import errors
 from jujubefold import fairness
 from jujubefold import messages
+from jujubefold import servicetime
 
 DEFAULT_QUEUE_LIMIT = 32
 # Slots given back each second after the upstream shed load or fell silent.
 SHED_RECOVERY_SLOTS_PER_S = 1.0
-# Seconds after which an estimate without new answers counts half.
-ESTIMATE_HALF_LIFE_S = 5.0
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 30.0
 DRAINING_RETRY_AFTER_S = 0.1
 ABSENT_RETRY_AFTER_S = 1.0
 
-_MEAN_GAIN = 0.1
-_FAST_DOWN_GAIN = 0.3
-_FAST_UP_GAIN = 0.02
-_MAX_ROUTES = 1024
 _NEVER = float('-inf')
 
 _State = messages.UpstreamState
@@ -98,21 +93,6 @@
     refusal: calls.Refusal
 
 
-@dataclasses.dataclass(slots=True)
-class Estimate:
-    """Service time of one route at this upstream, in seconds.
-
-    Args:
-        mean: Moving average.
-        fast: What quick answers take; follows down fast and up slowly.
-        at: Monotonic seconds of the last answer.
-    """
-
-    mean: float
-    fast: float
-    at: float
-
-
 @dataclasses.dataclass(slots=True)
 class Waiting:
     """A queued attempt.
@@ -154,7 +134,7 @@
         shares: What callers hold and lately got.
         evicted: Left the queue, to be told by `expire`.
         memory: Attempts that ended.
-        estimates: Service times by route name; '' for all routes.
+        times: How long requests run.
         arrivals: Numbers the attempts that wait.
         suspects_running: Running attempts that are suspects.
         warmup: Seconds over which slots are ramped up.
@@ -181,7 +161,9 @@
     memory: attempts.AttemptTable = dataclasses.field(
         default_factory=attempts.AttemptTable
     )
-    estimates: dict[str, Estimate] = dataclasses.field(default_factory=dict)
+    times: servicetime.ServiceTimeTable = dataclasses.field(
+        default_factory=servicetime.ServiceTimeTable
+    )
     arrivals: itertools.count = dataclasses.field(
         default_factory=itertools.count
     )
@@ -384,20 +366,6 @@
     return Load(len(gate.running), len(gate.queue), gate.limit, gate.state)
 
 
-def service_time(gate, route, now):
-    """Return the expected seconds that a request of a route runs.
-
-    Args:
-        gate: A `GateTable`.
-        route: Route name; '' for all routes.
-        now: Monotonic seconds.
-    """
-    estimate = gate.estimates.get(route) or gate.estimates.get('')
-    if estimate is None:
-        return 0.0
-    return estimate.mean * _fade(estimate, now)
-
-
 def _count(text):
     if not (text.isascii() and text.isdigit() and len(text) < 7):
         raise ValueError(text)
@@ -467,7 +435,7 @@
     """
     if len(gate.queue) > gate.queue_limit:
         return gate.queue
-    step = service_time(gate, '', now) / max(1, gate.limit)
+    step = servicetime.mean(gate.times, now) / max(1, gate.limit)
     start = now
     for index, entry in enumerate(gate.queue):
         start += step
@@ -563,8 +531,8 @@
 def _learn(gate, entry, ending, now):
     if ending is calls.Ending.ANSWERED:
         seconds = now - entry.started
-        _observe(gate, entry.attempt.call.route.name, seconds, now)
-        _observe(gate, '', seconds, now)
+        route = entry.attempt.call.route.name
+        servicetime.observe(gate.times, route, seconds, now)
     elif ending is calls.Ending.SHED:
         _narrow(gate, len(gate.running), now)
     elif ending is calls.Ending.SILENT:
@@ -577,34 +545,12 @@
     gate.shed_at = now
 
 
-def _observe(gate, route, seconds, now):
-    estimate = gate.estimates.get(route)
-    if estimate is None:
-        if len(gate.estimates) >= _MAX_ROUTES:
-            gate.estimates.clear()
-        gate.estimates[route] = Estimate(seconds, seconds, now)
-        return
-    estimate.mean += _MEAN_GAIN * (seconds - estimate.mean)
-    down = seconds < estimate.fast
-    gain = _FAST_DOWN_GAIN if down else _FAST_UP_GAIN
-    estimate.fast += gain * (seconds - estimate.fast)
-    estimate.at = now
-
-
 def _least_time(gate, attempt, now):
-    """Return the seconds that even a quick answer to this takes."""
-    estimate = gate.estimates.get(attempt.call.route.name)
-    if estimate is None:
-        return 0.0
-    return estimate.fast * _fade(estimate, now)
-
-
-def _fade(estimate, now):
-    return 0.5 ** ((now - estimate.at) / ESTIMATE_HALF_LIFE_S)
+    return servicetime.least(gate.times, attempt.call.route.name, now)
 
 
 def _drain_time(gate, places, now):
-    step = service_time(gate, '', now) / max(1, gate.limit)
+    step = servicetime.mean(gate.times, now) / max(1, gate.limit)
     seconds = places * step
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds))
 
--- a/jujubefold/routing.py
+++ b/jujubefold/routing.py
@@ -9,17 +9,14 @@
 
 import collections.abc
 import dataclasses
-import hashlib
 import random
 
 from jujubefold import calls
 from jujubefold import errors
 from jujubefold import gate
 from jujubefold import messages
+from jujubefold import subset
 
-# Senders that one instance expects at most; spread keeps it under 110.
-SENDERS_PER_INSTANCE = 72
-MIN_SUBSET = 2
 LOAD_HALF_LIFE_S = 0.5
 NEGLIGIBLE_ATTEMPTS = 0.1
 LATENCY_GAIN = 0.2
@@ -99,6 +96,7 @@
         ejected_until: Monotonic seconds of the end of its ejection.
         leaving_until: Monotonic seconds until which its word that it
             drains counts; membership says so by then.
+        keeps_connection: Whether an idle connection to it stays open.
     """
 
     in_flight: int = 0
@@ -113,6 +111,7 @@
     paused_until: float = 0.0
     ejected_until: float = 0.0
     leaving_until: float = 0.0
+    keeps_connection: bool = True
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -221,16 +220,19 @@
         _note_failure(routing, view, observation.lost, now)
 
 
-def subset_size(senders, instances, bound=SENDERS_PER_INSTANCE):
-    """Return how many instances of a service one daemon uses.
+def keeps_connection(routing, vm):
+    """Return whether to keep a connection to a daemon open when idle.
+
+    In a large fleet an instance cannot hold a connection of every sender.
+    Those that may not keep one open a connection for each call; they keep
+    one at most in any case.
 
     Args:
-        senders: Daemons that may send.
-        instances: Instances they choose from.
-        bound: Senders that an instance expects.
+        routing: A `RoutingTable`.
+        vm: VM name of a daemon that was chosen.
     """
-    fitting = bound * instances // max(1, senders)
-    return min(instances, max(MIN_SUBSET, fitting))
+    view = routing.peers.get(vm)
+    return view is not None and view.keeps_connection
 
 
 def _refresh(routing, members, me):
@@ -440,8 +442,13 @@
         and _in_group(member, group)
     ]
     tiers = ([], [], [], [])
-    for member in _subset(serving, routing.members, me):
+    chosen = subset.choose(me, serving, routing.members)
+    senders = subset.expected_senders(chosen, serving, routing.members)
+    for member in chosen:
         candidate = Candidate(member, _view(routing, member.vm))
+        candidate.view.keeps_connection = subset.is_keeper(
+            me.vm, member.vm, senders
+        )
         tiers[_distance(member, me)].append(candidate)
     return tuple(tuple(tier) for tier in tiers)
 
@@ -458,40 +465,6 @@
     return _SAME_DOMAIN
 
 
-def _subset(serving, members, me):
-    """Return the instances this daemon uses: some near, the rest any."""
-    senders = len(members) + 1
-    size = subset_size(senders, len(serving))
-    if size >= len(serving):
-        return serving
-    ranked = sorted(serving, key=lambda member: _affinity(me.vm, member.vm))
-    near = [
-        member
-        for member in ranked
-        if member.failure_domain == me.failure_domain
-    ]
-    chosen = near[: _near_size(size, near, members, me)]
-    for member in ranked:
-        if len(chosen) >= size:
-            break
-        if member not in chosen:
-            chosen.append(member)
-    return chosen
-
-
-def _near_size(size, near, members, me):
-    neighbours = 1 + sum(
-        1 for member in members if member.failure_domain == me.failure_domain
-    )
-    bound = SENDERS_PER_INSTANCE // 2 * len(near) // neighbours
-    return min((size + 1) // 2, bound)
-
-
-def _affinity(sender, vm):
-    data = f'{sender}/{vm}'.encode()
-    return hashlib.blake2b(data, digest_size=8).digest()
-
-
 def _view(routing, vm):
     view = routing.peers.get(vm)
     if view is None:
