--- a/jujubefold/effects.py
+++ b/jujubefold/effects.py
@@ -46,10 +46,12 @@
     Args:
         after: Version number held now; 0 for none.
         upto: Highest version number wanted.
+        whole: Fetch only `upto`, with its document.
     """
 
     after: int
     upto: int
+    whole: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,3 +75,14 @@
     """Write this daemon's row in the contact table (rare)."""
 
     slot: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop(Effect):
+    """Stop this daemon: another one has taken its name or address.
+
+    Args:
+        reason: One sentence for the log.
+    """
+
+    reason: str
