--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -259,6 +259,32 @@
             self.assertIs(held, lone.table.held)
             swaps = [e for e in found if isinstance(e, effects.PutInForce)]
             self.assertEqual([], swaps)
+        table = lone.table
+        self.assertEqual(({}, 0), (table.held_back, table.damaged))
+        self.assertEqual((3, 3), (table.wanted, table.number))
+        self.assertEqual(1, table.floors.head)
+
+    def test_one_that_is_behind_is_told(self):
+        lone = Lone()
+        pushes = lone.grow(3)
+        answer = messages.Announce(3, pushes[2].digest)
+        self.assertEqual(
+            [answer], lone.hear(messages.Announce(2, pushes[1].digest))
+        )
+        self.assertEqual([], lone.hear(answer))
+
+    def test_gap_is_filled_by_a_chain(self):
+        lone = Lone()
+        pushes = lone.grow(3)
+        behind = Lone()
+        behind.fleet.clock.advance(5.0)
+        behind.hear(pushes[0])
+        pull = messages.Pull(1, pushes[0].digest)
+        self.assertEqual([pull], behind.hear(pushes[2]))
+        (chain,) = lone.hear(pull)
+        behind.hear(chain)
+        self.assertEqual(3, behind.table.in_force)
+        self.assertEqual({}, behind.table.held_back)
 
     def test_one_number_with_two_documents_is_recorded(self):
         lone = Lone()
@@ -491,6 +517,24 @@
                 most = rate / (1 - dissemination.JITTER)
                 self.assertLessEqual(made, most)
 
+    def test_store_that_is_down_is_asked_less(self):
+        fleet = self.fleet()
+        fleet.accept(0)
+        herd_without_store(fleet)
+        fleet.run(30.0)
+        before = fleet.store_reads
+        fleet.run(100.0)
+        # Readers and those that wait for a floor, once in the longest wait.
+        least_wait = dissemination.MAX_BACKOFF_S * (1 - dissemination.JITTER)
+        self.assertLessEqual(
+            fleet.store_reads - before, FLEET * (100.0 / least_wait + 1)
+        )
+        fleet.store_up = True
+        longest = dissemination.MAX_BACKOFF_S * (1 + dissemination.JITTER)
+        self.assertIsNotNone(
+            fleet.run_until(fleet.converged, longest + CONVERGED_S)
+        )
+
     def test_healed_cut_is_no_flood(self):
         fleet = self.fleet()
         fleet.cut = domain_cut(fleet, 1, FLEET)
--- a/tests/test_floor.py
+++ b/tests/test_floor.py
@@ -93,6 +93,7 @@
         fleet.run(30.0)
         table = fleet.core(0).dissemination
         self.assertEqual((2, 0), (table.floors.known, table.in_force))
+        self.assertEqual(2, table.wanted)
         fleet.drop = lambda *given: False
         fleet.store_up = True
         self.assertTrue(fleet.run_until(fleet.converged, 30.0))
@@ -112,6 +113,20 @@
             known = fleet.core(0).dissemination.floors.known
         self.assertIsNotNone(known)
 
+    def test_witness_that_lost_its_notes_knows_the_head(self):
+        fleet = fleet_of(3)
+        accept_alone(fleet)
+        found = witnesses_of(fleet, 0)
+        fleet.kill(0)
+        fleet.store_up = True
+        for index in found:
+            restart(fleet, index)
+        fleet.run(3.0)
+        fleet.store_up = False
+        fleet.start(0)
+        fleet.run(10.0)
+        self.assertEqual(2, fleet.core(0).dissemination.floors.known)
+
     def test_without_a_quorum_a_version_is_not_in_force(self):
         fleet = fleet_of(3)
         lost = [cores.member(n).peer_address for n in witnesses_of(fleet, 0)]
