--- a/jujubefold/floor.py
+++ b/jujubefold/floor.py
@@ -188,7 +188,7 @@
 
 def _ask_floor(tables, options, context):
     table = tables.dissemination.floors
-    if table.known is not None:
+    if table.known is not None or not tables.joining.joined:
         return
     if table.ask_at is None:
         table.ask_at = context.now + options.settle
--- a/jujubefold/settings.py
+++ b/jujubefold/settings.py
@@ -95,8 +95,7 @@
         pull_timeout: Seconds after which a pull counts as lost.
         start_jitter: Seconds over which starting daemons spread their
             first read and pull.
-        settle: Seconds a starting daemon learns members before it asks
-            witnesses.
+        settle: Seconds between joining the fleet and asking witnesses.
         serve_bytes_per_second: Most bytes sent as answers to pulls.
         chain_max: Most patches in one answer; more go as a snapshot.
         history_versions: Most patches held for others.
--- a/tests/cores.py
+++ b/tests/cores.py
@@ -79,10 +79,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Core:
-    """One daemon's tables and its randomness."""
+    """One daemon's tables, its randomness and what leaves at a tick."""
 
     tables: core.Tables
     rng: random.Random
+    outbox: dict[str, list] = dataclasses.field(default_factory=dict)
 
 
 class Fleet:
@@ -114,7 +115,12 @@
         self.paused = set()
         self.cores = {}
         self.records = {}
+        self._told = {}
+        self._told_cut = None
+        self._met = set()
         self.torn = []
+        self.checked = True
+        self.swaps = []
         self.served = {}
         self.events = []
         self.sent_bytes = 0
@@ -154,6 +160,7 @@
             held,
         )
         seed = self.rng.getrandbits(32)
+        self._met.discard(me.peer_address)
         self.cores[me.peer_address] = Core(tables, random.Random(seed))
         self.served.setdefault(me.peer_address, [])
 
@@ -169,21 +176,38 @@
         return self.cores[member(index).peer_address].tables
 
     def gossip(self):
-        """Let every daemon know all records, the dead ones included."""
-        for each in self.cores.values():
-            me = each.tables.membership.me
-            self.records[me.peer_address] = me
+        """Let every daemon know all records, the dead ones included.
+
+        Membership has its own tests; here its news just arrives.
+        """
+        if self._told_cut is not self.cut:
+            self._told_cut = self.cut
+            self._told.clear()
+        for address, each in self.cores.items():
+            self.records[address] = each.tables.membership.me
+        news = [
+            (address, record)
+            for address, record in self.records.items()
+            if self._told.get(address) != (record, address in self.cores)
+        ]
         for address, each in self.cores.items():
-            known = each.tables.membership
-            for other, record in self.records.items():
+            fresh = address not in self._met
+            self._met.add(address)
+            for other, record in self.records.items() if fresh else news:
                 if other != address:
-                    known.members[record.vm] = self._seen(address, record)
+                    self._tell(address, each.tables, record)
+        for address, record in news:
+            self._told[address] = (record, address in self.cores)
 
-    def _seen(self, address, record):
+    def _tell(self, address, tables, record):
         other = record.peer_address
-        if other in self.cores and not self.cut(address, other):
-            return record
-        return msgspec.structs.replace(record, state=messages.MemberState.DEAD)
+        if other not in self.cores or self.cut(address, other):
+            record = msgspec.structs.replace(
+                record, state=messages.MemberState.DEAD
+            )
+        tables.joining.joined = True
+        tables.membership.members[record.vm] = record
+        tables.membership.moved.append(record.vm)
 
     def run(self, seconds):
         """Advance in ticks, delivering what falls due."""
@@ -195,6 +219,7 @@
             self._deliver()
             for address in sorted(set(self.cores) - self.paused):
                 self.feed(address, ())
+                self._flush(address)
             self.clock.advance(TICK_S)
 
     def run_until(self, condition, bound=120.0):
@@ -210,22 +235,25 @@
         """Tick one core with inputs and carry out its effects."""
         each = self.cores[address]
         context = dispatch.Context(self.now, self.clock.wall(), each.rng)
-        self.carry(address, list(core.tick(each.tables, context, inputs)))
+        found = []
+        for item in inputs:
+            found += dispatch.handle(item, each.tables, context)
+        found += dissemination.run(each.tables, context)
+        self.carry(address, found)
 
     def hear(self, index, sender, message):
         """Give one core a message as if it came from `sender`."""
         item = dispatch.Received(sender, 1, message)
         self.feed(member(index).peer_address, [item])
 
-    def accept(self, index, base=None, padding=0):
+    def accept(self, index, base=None, padding=0, patch=None):
         """Have an operator's next patch accepted at a VM's daemon."""
         head = self.wait(self.acceptance.head()).ok.number
         base = head if base is None else base
+        patch = patch or step(base + 1, padding)
         found = asyncio.run(
             self.acceptance.submit(
-                acceptance.Submission(
-                    base, f'p-{base + 1}', step(base + 1, padding), 'op'
-                ),
+                acceptance.Submission(base, f'p-{base + 1}', patch, 'op'),
                 1.0,
             )
         )
@@ -263,35 +291,42 @@
 
     def carry(self, address, found):
         """Carry out effects of the core at an address."""
-        outgoing = {}
+        outbox = self.cores[address].outbox
+        urgent = {}
         for effect in found:
             match effect:
                 case effects.Send():
-                    outgoing.setdefault(effect.to, []).append(effect.message)
+                    box = urgent if effect.urgent else outbox
+                    if not self.drop(address, effect.to, effect.message):
+                        box.setdefault(effect.to, []).append(effect.message)
                 case effects.ReadHead():
                     self._store(address, self._head)
                 case effects.FetchVersions():
                     self._store(address, self._fetch, effect)
                 case effects.PutInForce():
-                    self.served[address].append(effect.version.version.number)
+                    self._put_in_force(address, effect.version)
                 case effects.Record():
                     self.events.append((address, effect.event))
-        for to, items in outgoing.items():
-            passed = [
-                item for item in items if not self.drop(address, to, item)
-            ]
-            if passed:
-                self._send(address, to, passed)
+        for to, items in urgent.items():
+            self._send(address, to, items)
+
+    def _flush(self, address):
+        outbox = self.cores[address].outbox
+        for to, items in outbox.items():
+            self._send(address, to, items)
+        outbox.clear()
 
     def _put_in_force(self, address, held):
         self.served[address].append(held.version.number)
-        if not is_whole(held):
+        self.swaps.append((self.now, address, held.version.number))
+        if self.checked and not is_whole(held):
             self.torn.append((address, held.version.number))
 
     def _send(self, source, target, items):
+        me = self.cores[source].tables.membership.me
         envelope = messages.Envelope(
-            vm=source,
-            incarnation=1,
+            vm=me.vm,
+            incarnation=me.incarnation,
             address=source,
             wall_ns=int(self.clock.wall() * 1e9),
             counter=0,
