Prove the promises on whole processes under kills, pauses and outages

Cause: cores were tested by hand; nothing showed that processes keep the promises together. The example upstream says that it leaves before it refuses. Ruled out: a fault of the daemon in 'address already in use' after a kill; the first socket had been bound to port 0, which leaves it without SO_REUSEADDR. Each VM of the harness now has an IP number of its own.

--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -12,6 +12,29 @@
 
 STOP_TIMEOUT_S = 40.0
 WAIT_S = 60.0
+LOG_TAIL = 2000
+
+
+PORTS = {
+    'caller_address': 7400,
+    'call_address': 7401,
+    'peer_address': 7402,
+    'admin_address': 7403,
+}
+
+
+def addresses(number):
+    """Return a VM's addresses: an IP number of its own on loopback.
+
+    Ports stay the same over a restart, and no connection of another
+    process can be in the way.
+
+    Args:
+        number: Number of the VM, from 1.
+    """
+    pid = os.getpid()
+    host = f'127.{1 + pid // 250 % 250}.{1 + pid % 250}.{number}'
+    return {name: f'{host}:{port}' for name, port in PORTS.items()}
 
 
 def wait_for(condition, what, timeout=WAIT_S):
@@ -39,7 +62,8 @@
         )
         line = self.popen.stdout.readline()
         if not line:
-            raise AssertionError(f'{module} ended with {self.popen.wait()}')
+            status = self.popen.wait()
+            raise AssertionError(f'{module} ended with {status}{_tail(log)}')
         self.addresses = json.loads(line)
 
     def send(self, number):
@@ -83,10 +107,11 @@
         """Peer addresses of the first daemons."""
         return [d.addresses['peer_address'] for d in self.daemons[:3]]
 
-    def add_daemon(self, vm=None, domain=None, **addresses):
+    def add_daemon(self, vm=None, domain=None):
         """Start a daemon and return its `Process`."""
         number = len(self.daemons) + 1
         vm = vm or f'vm-{number}'
+        own = addresses(number)
         domain = domain or self._domains[number % len(self._domains)]
         lines = [
             '[daemon]',
@@ -94,7 +119,7 @@
             f'region = "{self._region}"',
             f'failure_domain = "{domain}"',
             f'contacts = {json.dumps(self.contacts)}',
-            *(f'{key} = "{value}"' for key, value in addresses.items()),
+            *(f'{key} = "{value}"' for key, value in own.items()),
             '[platform]',
             f'table_url = "{self.platform.addresses["table_url"]}"',
             f'objects_url = "{self.platform.addresses["objects_url"]}"',
@@ -106,6 +131,15 @@
         self.daemons.append(daemon)
         return daemon
 
+    def restart_daemon(self, daemon):
+        """Start a stopped daemon again, at the addresses it had."""
+        vm = daemon.addresses['vm']
+        path = self.folder / f'{vm}.toml'
+        again = self._start('daemon', str(path), name=vm)
+        if daemon in self.daemons:
+            self.daemons[self.daemons.index(daemon)] = again
+        return again
+
     def add_upstream(self, daemon, service, *arguments):
         """Start an upstream that announces itself to a daemon."""
         admin = daemon.addresses['admin_address']
@@ -130,6 +164,12 @@
         return process
 
 
+def _tail(log):
+    if log is None:
+        return ''
+    return ': ' + pathlib.Path(log.name).read_text()[-LOG_TAIL:]
+
+
 def _end(process):
     if process.popen.poll() is None:
         process.popen.kill()
--- a/jujubefold/example.py
+++ b/jujubefold/example.py
@@ -31,6 +31,7 @@
 CRASH_STATUS = 70
 ANNOUNCE_TTL_S = 6.0
 ANNOUNCE_TIMEOUT_S = 2.0
+ANNOUNCE_POLL_S = 0.05
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 MEMORY_BYTES = 128 * 1024 * 1024
 MEGABYTE = 1024 * 1024
@@ -100,6 +101,7 @@
         self.most_running = 0
         self.running = 0
         self.draining = False
+        self.leaving = False
         self._behaviour = behaviour
         self._crash = crash or (lambda: os._exit(CRASH_STATUS))
         self._clock = clock.SystemClock()
@@ -115,6 +117,10 @@
         """Listen on `ip:port` and return the bound address."""
         return await self._server.start(bind)
 
+    def drain(self):
+        """Say that it is leaving; what is sent all the same still runs."""
+        self.leaving = True
+
     async def stop(self, grace=DRAIN_GRACE_S):
         """Finish what runs, for at most `grace` seconds, and close."""
         self.draining = True
@@ -130,7 +136,7 @@
 
     def current_state(self):
         """Return the state to announce."""
-        if self.draining:
+        if self.leaving:
             return messages.UpstreamState.DRAINING
         if self._is_cold():
             return messages.UpstreamState.WARMING
@@ -274,6 +280,7 @@
         self._upstream = upstream
         self._behaviour = behaviour
         self._address = address
+        self._clock = clock.SystemClock()
         self._http = urllib3.PoolManager(
             retries=False, timeout=ANNOUNCE_TIMEOUT_S
         )
@@ -282,7 +289,14 @@
         """Announce until cancelled; a daemon that is away is retried."""
         while True:
             await self.announce()
-            await asyncio.sleep(ANNOUNCE_TTL_S / 3)
+            told = self._upstream.current_state()
+            until = self._clock.monotonic() + ANNOUNCE_TTL_S / 3
+            while self._holds(told, until):
+                await asyncio.sleep(ANNOUNCE_POLL_S)
+
+    def _holds(self, told, until):
+        changed = self._upstream.current_state() is not told
+        return not changed and self._clock.monotonic() < until
 
     async def announce(self):
         """Announce once; returns whether the daemon took it."""
@@ -308,6 +322,12 @@
         return answer.status < 300
 
 
+async def _until_stopped(loop, upstream, stopping):
+    loop.add_signal_handler(signal.SIGUSR1, upstream.drain)
+    await stopping.wait()
+    upstream.drain()
+
+
 async def _run(listen, behaviour, admin):
     upstream = Upstream(behaviour)
     address = await upstream.start(listen)
@@ -322,8 +342,7 @@
     if admin:
         announcer = Announcer(admin, upstream, behaviour, address)
         announcing = loop.create_task(announcer.run())
-    await stopping.wait()
-    upstream.draining = True
+    await _until_stopped(loop, upstream, stopping)
     if admin:
         announcing.cancel()
         await announcer.announce()
