--- /dev/null
+++ b/bench/store.py
@@ -0,0 +1,209 @@
+"""The stand-in's speed, the limit on store calls, and an outage.
+
+One daemon's clients talk to a stand-in in a process of its own.
+"""
+
+import asyncio
+import contextlib
+import json
+import random
+import statistics
+import subprocess
+import sys
+import time
+
+import urllib3
+
+from bench import report
+from jujubefold import clock
+from jujubefold import objectservice
+from jujubefold import storelimit
+from jujubefold import table
+from jujubefold import tableservice
+
+UNLIMITED_PER_S = 100_000.0
+SETTINGS_PER_S = 20.0
+TIMEOUT_S = 2.0
+OFFERED_PER_S = 200.0
+BLOB_BYTES = 64 * 1024
+COLUMNS = (
+    'case',
+    'clients',
+    'asked/s',
+    'done/s',
+    'store requests/s',
+    'p50 ms',
+    'p99 ms',
+)
+
+
+class Run:
+    """One timed run against a fresh stand-in.
+
+    Args:
+        bound: What the stand-in printed.
+        rate: Calls a second that the daemon's limits allow.
+    """
+
+    def __init__(self, bound, rate, seed):
+        self._base = f'http://{bound["address"]}'
+        now = clock.SystemClock()
+        rng = random.Random(seed)
+        self.rows = tableservice.TableService(
+            bound['table_url'],
+            now,
+            TIMEOUT_S,
+            storelimit.StoreLimit(now, rng, rate),
+        )
+        self.blobs = objectservice.ObjectService(
+            bound['objects_url'],
+            now,
+            TIMEOUT_S,
+            storelimit.StoreLimit(now, rng, rate),
+        )
+        self.asked = 0
+        self.delays = []
+
+    def requests(self):
+        """Return the requests that the stand-in counted or turned away."""
+        counts = urllib3.request('GET', f'{self._base}/_counts').json()
+        return sum(seen['arrived'] for seen in counts.values())
+
+    def fault(self, mode):
+        """Set a fault of the table service."""
+        body = json.dumps({'service': 'table', 'mode': mode})
+        urllib3.request('PUT', f'{self._base}/_faults', body=body)
+
+    async def repeat(self, call, until, pause=0.0):
+        """Make calls one after the other until a time."""
+        while time.monotonic() < until:
+            start = time.monotonic()
+            self.asked += 1
+            result = await call()
+            if result.is_ok():
+                self.delays.append(time.monotonic() - start)
+            await asyncio.sleep(pause)
+
+    async def many(self, call, clients, seconds, pause=0.0):
+        """Run several callers for some seconds."""
+        until = time.monotonic() + seconds
+        await asyncio.gather(
+            *(self.repeat(call, until, pause) for _ in range(clients))
+        )
+
+    def close(self):
+        """Close both clients."""
+        self.rows.close()
+        self.blobs.close()
+
+
+@contextlib.contextmanager
+def _stand_in():
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'jujubefold.platform'], stdout=subprocess.PIPE
+    )
+    try:
+        yield json.loads(process.stdout.readline())
+    finally:
+        process.terminate()
+        process.wait()
+        process.stdout.close()
+
+
+def _writer(run, rows):
+    numbers = iter(range(10**9))
+
+    async def write():
+        number = next(numbers)
+        return await run.rows.transact(
+            [
+                table.Put(table.Key('bench', f'{number}-{row}'), {'n': 1})
+                for row in range(rows)
+            ],
+            str(number),
+        )
+
+    return write
+
+
+def _reader(run):
+    keys = [table.Key('bench', '0-0')]
+    return lambda: run.rows.read(keys)
+
+
+def _blob_writer(run):
+    numbers = iter(range(10**9))
+    filling = bytes(BLOB_BYTES)
+    return lambda: run.blobs.put(b'%d' % next(numbers) + filling)
+
+
+def _measure(
+    case, make_call, clients, seconds, seed, rate, pause=0.0, mode=''
+):
+    with _stand_in() as bound:
+        run = Run(bound, rate, seed)
+        if mode:
+            run.fault(mode)
+        asyncio.run(run.many(make_call(run), clients, seconds, pause))
+        delays = sorted(run.delays) or [0.0]
+        last = min(len(delays) - 1, int(len(delays) * 0.99))
+        row = (
+            case,
+            clients,
+            run.asked / seconds,
+            len(run.delays) / seconds,
+            run.requests() / seconds,
+            statistics.median(delays) * 1000,
+            delays[last] * 1000,
+        )
+        run.close()
+        return row
+
+
+def _rows(quick, seed):
+    seconds = 1.0 if quick else 5.0
+    speeds = (
+        ('transaction of 1 row', lambda run: _writer(run, 1)),
+        ('transaction of 50 rows', lambda run: _writer(run, 50)),
+        ('read of 1 row', _reader),
+        ('put of 64 KB', _blob_writer),
+    )
+    for case, make_call in speeds:
+        for clients in (1, 4):
+            yield _measure(
+                case, make_call, clients, seconds, seed, UNLIMITED_PER_S
+            )
+    clients = 10
+    pause = clients / OFFERED_PER_S
+    outage = 2.0 if quick else 20.0
+    for case, mode in (
+        ('limited to 20/s', ''),
+        ('limited, store down', 'down'),
+        ('limited, connections cut', 'closed'),
+    ):
+        yield _measure(
+            case,
+            lambda run: _writer(run, 1),
+            clients,
+            outage,
+            seed,
+            SETTINGS_PER_S,
+            pause,
+            mode,
+        )
+
+
+def measure(quick=False, seed=1):
+    """Measure the stand-in, the limit and what an outage costs."""
+    flag = ' --quick' if quick else ''
+    return report.Report(
+        name='store',
+        command=f'python -m bench store{flag} --seed {seed}',
+        columns=COLUMNS,
+        rows=tuple(_rows(quick, seed)),
+        notes=(
+            'Clients are callers in one daemon process, which has '
+            'four threads for each service.',
+            f'The limited cases ask up to {OFFERED_PER_S:g} times a second.',
+        ),
+    )
--- a/jujubefold/platform.py
+++ b/jujubefold/platform.py
@@ -75,10 +75,12 @@
     """Traffic of one service since the start.
 
     Args:
+        arrived: All requests, also those that a fault turned away.
         rows_written: Items in transactions that took effect.
         operations: Calls by protocol operation.
     """
 
+    arrived: int = 0
     reads: int = 0
     writes: int = 0
     rows_written: int = 0
@@ -233,6 +235,7 @@
 
     def _take_fault(self, service, operation):
         with self._lock:
+            self._counts[service].arrived += 1
             fault = self._faults.get(service)
             if fault is None or fault.operation not in ('', operation):
                 return Fault(service, Mode.NONE)
