Read the rows of many refused claims in one call

A storm of resends, as after an outage, read one row a key, and a daemon's share of the store is 20 reads a second at most. Reads of one batch window go together now: sixty resends cost at most three store calls where they cost sixty-one. Claims over HTTP are tested against lost answers, cut connections and outages of both services.

--- a/jujubefold/claimbatch.py
+++ b/jujubefold/claimbatch.py
@@ -1,4 +1,4 @@
-"""Group commit: writes of many claims in one transaction."""
+"""Group commit: many claims in one transaction, many reads in one."""
 
 import asyncio
 import dataclasses
@@ -185,6 +185,42 @@
         return hashlib.sha256(name.encode()).hexdigest()
 
 
+class ReadBatcher:
+    """Collects reads of rows for a short while and makes them together.
+
+    Args:
+        rows: The `table.Table`.
+        window: Seconds that a read waits for company.
+    """
+
+    def __init__(self, rows, window):
+        self._rows = rows
+        self._window = window
+        self._keys = {}
+        self._collecting = None
+
+    async def read(self, key):
+        """Read one row, as it is after this was called.
+
+        Returns:
+            `Ok(table.Row | None)` or `Error(errors.StoreNotRun)`.
+        """
+        if self._collecting is None:
+            self._collecting = asyncio.ensure_future(self._collect())
+        self._keys[key] = None
+        # A reader that gives up must not end the others' read.
+        result = await asyncio.shield(self._collecting)
+        return result.map(lambda found: found[key])
+
+    async def _collect(self):
+        await asyncio.sleep(self._window)
+        keys = tuple(self._keys)
+        self._keys = {}
+        self._collecting = None
+        result = await self._rows.read(keys)
+        return result.map(lambda rows: dict(zip(keys, rows)))
+
+
 def _earliest(queue):
     return min((pending.due for pending in queue), default=math.inf)
 
--- a/jujubefold/claimoutcome.py
+++ b/jujubefold/claimoutcome.py
@@ -12,7 +12,8 @@
     """How claims are made and kept; all times in seconds.
 
     Args:
-        batch_window: How long a claim waits for company.
+        batch_window: How long a claim, or a read of its row, waits for
+            company.
         settle_window: How long an answer waits for company.
         in_flight: Transactions under way at once.
         max_batch: Writes in a transaction.
--- a/jujubefold/claimstore.py
+++ b/jujubefold/claimstore.py
@@ -65,6 +65,7 @@
         self._batcher = claimbatch.Batcher(
             rows, settings.in_flight, settings.max_batch, guard
         )
+        self._reader = claimbatch.ReadBatcher(rows, settings.batch_window)
         self._numbers = itertools.count(1)
         self._cursor = f'{rng.getrandbits(256):064x}'
 
@@ -212,13 +213,13 @@
 
     async def _look(self, attempt, never_ran):
         """Read the row; return an outcome, or None to try again."""
-        result = await self._rows.read([attempt.key])
+        result = await self._reader.read(attempt.key)
         if result.is_error():
             return None
-        if result.ok[0] is None:
+        if result.ok is None:
             attempt.replaces = ''
             return None
-        row = claimrow.from_row(result.ok[0])
+        row = claimrow.from_row(result.ok)
         if row.id == attempt.id and row.state is claimrow.State.CLAIMED:
             return self._acknowledged(attempt)
         if row.id != attempt.replaces:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -11,11 +11,16 @@
 from jujubefold import claimoutcome
 from jujubefold import claimrow
 from jujubefold import claims
+from jujubefold import clock
 from jujubefold import errors
 from jujubefold import faults
 from jujubefold import objects
+from jujubefold import objectservice
+from jujubefold import platform
 from jujubefold import table
+from jujubefold import tableservice
 from tests import pausedloop
+from tests import test_table
 
 SCOPE = 'pickups'
 TIMEOUT_S = 2.0
@@ -60,7 +65,7 @@
 
 class ClaimsCase(testtools.TestCase):
     def play(self, main, **fleet):
-        return pausedloop.run(lambda clock: main(Fleet(clock, **fleet)))
+        return pausedloop.run(lambda paused: main(Fleet(paused, **fleet)))
 
     async def told(self, daemon, holder, key='k', fingerprint='f'):
         outcome = await daemon.claim(
@@ -267,6 +272,21 @@
 
         self.play(main)
 
+    def test_storm_of_resends_costs_few_store_calls(self):
+        async def main(fleet):
+            a, b = fleet.daemon('a'), fleet.daemon('b')
+            keys = [str(number) for number in range(60)]
+            for key in keys:
+                claimed = await self.told(a, 'a', key)
+                await a.settle(claimed, key.encode(), TIMEOUT_S)
+            fleet.faults['b'].set(faults.Mode.NONE, count=1000)
+            told = await asyncio.gather(*(self.told(b, 'b', k) for k in keys))
+            answers = [outcome.answer.decode() for outcome in told]
+            self.assertEqual(keys, answers)
+            self.assertGreaterEqual(fleet.faults['b'].count, 997)
+
+        self.play(main)
+
     def test_holder_paused_past_start_by(self):
         async def main(fleet):
             a, b = fleet.daemon('a'), fleet.daemon('b')
@@ -379,6 +399,67 @@
         self.play(main)
 
 
+class TestOverHttp(testtools.TestCase):
+    """Claims of three daemons at the stand-in, whose answers get lost."""
+
+    FAULTS = (
+        ('table', 'answer-lost', 'TransactWriteItems'),
+        ('table', 'closed', 'TransactWriteItems'),
+        ('table', 'down', ''),
+        ('objects', 'answer-lost', 'PutObject'),
+        ('objects', 'down', ''),
+    )
+
+    def setUp(self):
+        super().setUp()
+        self.platform = platform.Platform()
+        self.platform.start()
+        self.addCleanup(self.platform.stop)
+        self.executions = collections.Counter()
+
+    def daemon(self, seed):
+        made = []
+        for make, url in (
+            (tableservice.TableService, self.platform.table_url),
+            (objectservice.ObjectService, self.platform.objects_url),
+        ):
+            made.append(
+                make(url, clock.SystemClock(), 5.0, test_table.unlimited())
+            )
+            self.addCleanup(made[-1].close)
+        return claims.Claims(*made, clock.SystemClock(), random.Random(seed))
+
+    def test_each_key_runs_once(self):
+        for service, mode, operation in self.FAULTS:
+            answers = asyncio.run(self.round(service, mode, operation))
+            self.assertEqual({mode}, set(answers), mode)
+        self.assertEqual({1}, set(self.executions.values()))
+
+    async def round(self, service, mode, operation):
+        daemons = [self.daemon(seed) for seed in range(3)]
+        keys = [f'{service} {mode} {number}' for number in range(5)]
+        self.platform.fault(service, mode, 0.0, 3, operation)
+        return await asyncio.gather(
+            *(
+                self.send(daemon, f'vm/{number}', key, mode)
+                for key in keys
+                for number, daemon in enumerate(daemons)
+            )
+        )
+
+    async def send(self, daemon, holder, key, mode):
+        """Send a key until it is answered; return what the answer names."""
+        while True:
+            told = await daemon.claim(request(holder, key), 30.0)
+            if isinstance(told, claimoutcome.Answered):
+                return told.answer.decode().rstrip('.')
+            if isinstance(told, claimoutcome.Claimed):
+                self.executions[key] += 1
+                answer = mode + '.' * (SETTINGS.inline_answer_bytes + 1)
+                await daemon.settle(told, answer.encode(), 30.0)
+            await asyncio.sleep(0.05)
+
+
 class Random(faults.Faults):
     """Faults that change from call to call."""
 
