--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -244,12 +244,36 @@
         self.assertIn(b'"rows_written"', self.request('GET', '/_counts').data)
         self.assertEqual(404, self.request('GET', '/_other').status)
 
-    def test_answer_of_something_between(self):
-        # A 503 without the protocol's error proves nothing about effects.
-        for body in (b'<html>busy</html>', b'', b'{"a": 1}'):
-            answer = storeclient.Answer(503, {}, body)
+    def test_what_error_answers_prove(self):
+        cancelled = {
+            '__type': 'x#TransactionCanceledException',
+            'CancellationReasons': [
+                {'Code': 'None'},
+                {'Code': 'TransactionConflict'},
+            ],
+        }
+        refused = dict(cancelled)
+        refused['CancellationReasons'] = [
+            {'Code': 'TransactionConflict'},
+            {'Code': 'ConditionalCheckFailed', 'Message': 'no'},
+        ]
+        cases = (
+            # Something between us and the service answered in its place.
+            (503, '<html>busy</html>', UNKNOWN),
+            (503, '', UNKNOWN),
+            (502, '{"a": 1}', UNKNOWN),
+            (500, '{"__type": "x#InternalServerError"}', UNKNOWN),
+            (400, '{"__type": "x#TransactionInProgressException"}', UNKNOWN),
+            (400, '{"__type": "x#ThrottlingException"}', NOT_RUN),
+            (503, '{"__type": "x#ServiceUnavailable"}', NOT_RUN),
+            (400, json.dumps(cancelled), NOT_RUN),
+            (400, json.dumps(refused), errors.ConditionFailed),
+        )
+        for status, body, expected in cases:
+            answer = storeclient.Answer(status, {}, body.encode())
             found = tableservice._transacted(answer)
-            self.assertEqual(UNKNOWN, told(found), body)
+            self.assertEqual(expected, told(found), body)
+        self.assertEqual((1,), found.error.failed)
 
 
 class TestProgram(testtools.TestCase):
