--- a/tests/cores.py
+++ b/tests/cores.py
@@ -86,6 +86,25 @@
     outbox: dict[str, list] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Delivery:
+    """Something under way to a daemon.
+
+    Args:
+        due: Monotonic seconds at which it arrives.
+        content: An envelope's bytes, or an answer of the store.
+        source: Sender's peer address, None for the store.
+        incarnation: The receiver's when it was sent.
+    """
+
+    due: float
+    order: int
+    to: str = dataclasses.field(compare=False)
+    content: object = dataclasses.field(compare=False)
+    source: str | None = dataclasses.field(compare=False)
+    incarnation: int = dataclasses.field(compare=False)
+
+
 class Fleet:
     """Several cores, the store and the network between them.
 
@@ -126,6 +145,7 @@
         self.sent_bytes = 0
         self.sent = collections.Counter()
         self.store_reads = 0
+        self.store_bytes = 0
         self._agenda = []
         self._gossip_at = 0.0
         self._order = itertools.count()
@@ -216,11 +236,10 @@
             if self.now >= self._gossip_at:
                 self._gossip_at = self.now + GOSSIP_S
                 self.gossip()
-            self._deliver()
             for address in sorted(set(self.cores) - self.paused):
                 self.feed(address, ())
                 self._flush(address)
-            self.clock.advance(TICK_S)
+            self._deliver(self.now + TICK_S)
 
     def run_until(self, condition, bound=120.0):
         """Advance until a condition holds; return the seconds it took."""
@@ -345,6 +364,7 @@
     def _store(self, address, call, *given):
         self.store_reads += 1
         answer = call(*given)
+        self.store_bytes += len(msgspec.msgpack.encode(answer))
         self._later(STORE_DELAY_S, address, answer, None)
 
     def _head(self):
@@ -359,31 +379,36 @@
             self.acceptance.fetch(effect.after, effect.upto, effect.whole)
         )
 
-    def _later(self, seconds, address, item, source):
+    def _later(self, seconds, address, content, source):
         if address not in self.cores:
             return
         incarnation = self.cores[address].tables.identity.incarnation
         due = self.now + seconds
-        entry = (due, next(self._order), address, item, source, incarnation)
+        order = next(self._order)
+        entry = Delivery(due, order, address, content, source, incarnation)
         heapq.heappush(self._agenda, entry)
 
-    def _deliver(self):
-        while self._agenda and self._agenda[0][0] <= self.now:
-            _, _, address, item, source, born = heapq.heappop(self._agenda)
-            if address not in self.cores:
-                continue
-            if address in self.paused:
-                late = self.now + TICK_S
-                entry = (late, next(self._order), address, item, source, born)
-                heapq.heappush(self._agenda, entry)
-                continue
-            if source is None:
-                incarnation = self.cores[address].tables.identity.incarnation
-                # An answer of the store dies with the asking process.
-                if incarnation == born:
-                    self.feed(address, [item])
-            elif not self.cut(source, address):
-                self.feed(address, list(self._received(item)))
+    def _deliver(self, until):
+        """Deliver in order what falls due, then advance to `until`."""
+        while self._agenda and self._agenda[0].due < until:
+            item = heapq.heappop(self._agenda)
+            self.clock.advance(max(0.0, item.due - self.now))
+            self._arrive(item)
+        self.clock.advance(until - self.now)
+
+    def _arrive(self, item):
+        if item.to not in self.cores:
+            return
+        if item.to in self.paused:
+            late = dataclasses.replace(item, due=self.now + TICK_S)
+            heapq.heappush(self._agenda, late)
+        elif item.source is None:
+            incarnation = self.cores[item.to].tables.identity.incarnation
+            # An answer of the store dies with the asking process.
+            if incarnation == item.incarnation:
+                self.feed(item.to, [item.content])
+        elif not self.cut(item.source, item.to):
+            self.feed(item.to, list(self._received(item.content)))
 
     def _received(self, data):
         envelope = messages.decode(data).ok
