Remember refusals given before the gate, and prove memory truthful

A request refused for crashing upstreams never reached the gate, so a late copy of the same attempt would have been new to it. A property test with memory for two attempts a sender checks that nothing runs twice, or after a proof that it did not, whatever was forgotten.

--- a/jujubefold/gate.py
+++ b/jujubefold/gate.py
@@ -215,6 +215,23 @@
     return _enqueue(gate, attempt, suspect, now)
 
 
+def forbid(gate, attempt_id, refusal, now):
+    """Remember an attempt that was refused before it was offered.
+
+    A late copy of it gets the same refusal and never runs. An attempt that
+    is here already stays as it is.
+
+    Args:
+        gate: A `GateTable`.
+        attempt_id: A `calls.AttemptId`.
+        refusal: The `calls.Refusal` that its sender got.
+        now: Monotonic seconds.
+    """
+    if _known(gate, attempt_id) is None:
+        attempts.meet(gate.memory, attempt_id)
+        _forbid(gate, attempt_id, refusal, now)
+
+
 def finish(gate, attempt_id, ending, now):
     """Free the slot of an attempt; calling it again changes nothing.
 
@@ -259,9 +276,8 @@
     if attempt_id in gate.queued:
         _leave(gate, attempt_id)
         _forbid(gate, attempt_id, _CANCELLED, now)
-    elif _known(gate, attempt_id) is None:
-        attempts.meet(gate.memory, attempt_id)
-        _forbid(gate, attempt_id, _CANCELLED, now)
+    else:
+        forbid(gate, attempt_id, _CANCELLED, now)
     return _admit(gate, now)
 
 
@@ -313,8 +329,7 @@
             return BarState.BARRED
         case attempts.Memory.FORGOTTEN:
             return BarState.UNKNOWN
-    attempts.meet(gate.memory, attempt_id)
-    _forbid(gate, attempt_id, _BARRED, now)
+    forbid(gate, attempt_id, _BARRED, now)
     return BarState.BARRED
 
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -2,14 +2,19 @@
 
 import random
 
+import hypothesis
+from hypothesis import strategies
 import testtools
 
 from jujubefold import attempts
 from jujubefold import calls
+from jujubefold import errors
 from jujubefold import gate
 from tests import calling
 
 ANSWERED = calls.Ending.ANSWERED
+BARRED = gate.BarState.BARRED
+REFUSAL = calls.Refusal(errors.Ran.DID_NOT_RUN, calls.Reason.SUSPECT_REQUEST)
 NEW = attempts.Memory.NEW
 FORGOTTEN = attempts.Memory.FORGOTTEN
 
@@ -80,6 +85,55 @@
         self.assertEqual(0, table.ended)
 
 
+class TestTruth(testtools.TestCase):
+    """Memory far too small: doubt is allowed, a second run is not."""
+
+    OPERATIONS = strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(['offer', 'bar', 'cancel', 'forbid']),
+            strategies.sampled_from(['vm-1', 'vm-2', 'vm-3']),
+            strategies.integers(1, 2),
+            strategies.integers(1, 6),
+            strategies.integers(0, 40),
+        ),
+        max_size=60,
+    )
+
+    @hypothesis.given(OPERATIONS)
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+    def test_no_attempt_runs_twice_or_after_a_proof(self, operations):
+        self.patch(attempts, 'MAX_PER_SENDER', 2)
+        self.patch(attempts, 'MAX_ENDED', 3)
+        self.patch(attempts, 'MAX_SENDERS', 2)
+        table = calling.serving(6)
+        now = 0.0
+        ran = set()
+        proved = set()
+        for operation, vm, incarnation, sequence, wait in operations:
+            now += wait
+            item = calling.attempt(sequence, vm, incarnation, deadline=1e9)
+            match operation:
+                case 'offer':
+                    found = gate.offer(table, item, now)
+                    if found == calls.Run():
+                        self.assertNotIn(item.id, ran | proved)
+                        ran.add(item.id)
+                        gate.finish(table, item.id, ANSWERED, now)
+                    elif isinstance(found, calls.Refused):
+                        if found.refusal.ran is errors.Ran.DID_NOT_RUN:
+                            self.assertNotIn(item.id, ran)
+                case 'bar':
+                    if gate.bar(table, item.id, now) is BARRED:
+                        self.assertNotIn(item.id, ran)
+                        proved.add(item.id)
+                case 'cancel':
+                    gate.cancel(table, item.id, now)
+                    proved.add(item.id)
+                case 'forbid':
+                    gate.forbid(table, item.id, REFUSAL, now)
+                    proved.add(item.id)
+
+
 class TestResends(testtools.TestCase):
     """Executions at the upstream when connections fall silent."""
 
