Honour a route's own queue limit at the gate

limit.queue of a route was read from the configuration and not used: a route could fill the whole queue. Its waiting attempts now displace each other before they displace those of other routes.

--- a/jujubefold/gate.py
+++ b/jujubefold/gate.py
@@ -432,7 +432,7 @@
     bisect.insort(gate.queue, entry, key=_QUEUE_KEY)
     gate.queued[attempt.id] = entry
     fairness.hold(gate.shares, attempt.call.caller)
-    while (excess := _excess(gate, now)) is not None:
+    while (excess := _excess(gate, entry, now)) is not None:
         victim = _victim(gate, excess, now)
         refusal = _full_refusal(gate, len(excess), now)
         if victim is entry:
@@ -442,14 +442,20 @@
     return _QUEUED
 
 
-def _excess(gate, now):
+def _excess(gate, newcomer, now):
     """Return the waiting attempts that one must leave, or None.
 
-    That is the whole queue when it is too long, and all up to the first
-    that would start too late at the observed drain rate.
+    That is the whole queue when it is too long, those of the newcomer's
+    route when they are too many, and all up to the first that would start
+    too late at the observed drain rate.
     """
     if len(gate.queue) > gate.queue_limit:
         return gate.queue
+    route = newcomer.attempt.call.route
+    if route.limit.queue < len(gate.queue):
+        same = _of_route(gate, route)
+        if len(same) > route.limit.queue:
+            return same
     step = servicetime.mean(gate.times, now) / max(1, gate.limit)
     start = now
     for index, entry in enumerate(gate.queue):
@@ -459,6 +465,14 @@
     return None
 
 
+def _of_route(gate, route):
+    return [
+        entry
+        for entry in gate.queue
+        if entry.attempt.call.route.name == route.name
+    ]
+
+
 def _victim(gate, entries, now):
     """Return who leaves: lowest priority, then who holds or got most."""
     lowest = min(entry.attempt.call.route.priority for entry in entries)
--- a/tests/calling.py
+++ b/tests/calling.py
@@ -8,7 +8,14 @@
 SERVING = messages.UpstreamState.SERVING
 
 
-def route(name='r', priority=5, percent=20, attempts=3, targets=None):
+def route(
+    name='r',
+    priority=5,
+    percent=20,
+    attempts=3,
+    targets=None,
+    queue=32,
+):
     """Return a route to every instance of the service `routes`."""
     group = mesh.EndpointGroup('all', 'routes')
     return mesh.Route(
@@ -18,7 +25,7 @@
         methods=(),
         targets=targets or (mesh.Target(group),),
         retry=mesh.RetryPolicy(attempts, percent),
-        limit=mesh.LimitPolicy(),
+        limit=mesh.LimitPolicy(queue),
         timeout=mesh.TimeoutPolicy(),
         headers=mesh.HeaderRule(),
         priority=priority,
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -192,6 +192,22 @@
                 out = {12: found.refusal.reason}
             self.assertEqual({leaves: calls.Reason.QUEUE_FULL}, out, name)
 
+    def test_a_route_bounds_its_own_part_of_the_queue(self):
+        narrow = calling.route('narrow', queue=1)
+        table = calling.serving(1, queue_limit=9)
+        offer(table, 0.0, 1)
+        found = [
+            offer(table, 0.0, 2),
+            offer(table, 0.0, 3, to=narrow),
+            offer(table, 0.0, 4, to=narrow),
+            offer(table, 0.0, 5),
+        ]
+        refused = [isinstance(item, calls.Refused) for item in found]
+        self.assertEqual([False, False, True, False], refused)
+        none = calling.route('none', queue=0)
+        found = offer(table, 0.0, 6, to=none)
+        self.assertEqual(calls.Reason.QUEUE_FULL, found.refusal.reason)
+
     def test_one_caller_cannot_occupy_the_queue(self):
         table = calling.serving(1, queue_limit=8)
         for sequence in range(1, 30):
