--- a/jujubefold/gate.py
+++ b/jujubefold/gate.py
@@ -215,6 +215,23 @@
     return _enqueue(gate, attempt, suspect, now)
 
 
+def forbid(gate, attempt_id, refusal, now):
+    """Remember an attempt that was refused before it was offered.
+
+    A late copy of it gets the same refusal and never runs. An attempt that
+    is here already stays as it is.
+
+    Args:
+        gate: A `GateTable`.
+        attempt_id: A `calls.AttemptId`.
+        refusal: The `calls.Refusal` that its sender got.
+        now: Monotonic seconds.
+    """
+    if _known(gate, attempt_id) is None:
+        attempts.meet(gate.memory, attempt_id)
+        _forbid(gate, attempt_id, refusal, now)
+
+
 def finish(gate, attempt_id, ending, now):
     """Free the slot of an attempt; calling it again changes nothing.
 
@@ -259,9 +276,8 @@
     if attempt_id in gate.queued:
         _leave(gate, attempt_id)
         _forbid(gate, attempt_id, _CANCELLED, now)
-    elif _known(gate, attempt_id) is None:
-        attempts.meet(gate.memory, attempt_id)
-        _forbid(gate, attempt_id, _CANCELLED, now)
+    else:
+        forbid(gate, attempt_id, _CANCELLED, now)
     return _admit(gate, now)
 
 
@@ -313,8 +329,7 @@
             return BarState.BARRED
         case attempts.Memory.FORGOTTEN:
             return BarState.UNKNOWN
-    attempts.meet(gate.memory, attempt_id)
-    _forbid(gate, attempt_id, _BARRED, now)
+    forbid(gate, attempt_id, _BARRED, now)
     return BarState.BARRED
 
 
@@ -417,7 +432,7 @@
     bisect.insort(gate.queue, entry, key=_QUEUE_KEY)
     gate.queued[attempt.id] = entry
     fairness.hold(gate.shares, attempt.call.caller)
-    while (excess := _excess(gate, now)) is not None:
+    while (excess := _excess(gate, entry, now)) is not None:
         victim = _victim(gate, excess, now)
         refusal = _full_refusal(gate, len(excess), now)
         if victim is entry:
@@ -427,14 +442,20 @@
     return _QUEUED
 
 
-def _excess(gate, now):
+def _excess(gate, newcomer, now):
     """Return the waiting attempts that one must leave, or None.
 
-    That is the whole queue when it is too long, and all up to the first
-    that would start too late at the observed drain rate.
+    That is the whole queue when it is too long, those of the newcomer's
+    route when they are too many, and all up to the first that would start
+    too late at the observed drain rate.
     """
     if len(gate.queue) > gate.queue_limit:
         return gate.queue
+    route = newcomer.attempt.call.route
+    if route.limit.queue < len(gate.queue):
+        same = _of_route(gate, route)
+        if len(same) > route.limit.queue:
+            return same
     step = servicetime.mean(gate.times, now) / max(1, gate.limit)
     start = now
     for index, entry in enumerate(gate.queue):
@@ -444,6 +465,14 @@
     return None
 
 
+def _of_route(gate, route):
+    return [
+        entry
+        for entry in gate.queue
+        if entry.attempt.call.route.name == route.name
+    ]
+
+
 def _victim(gate, entries, now):
     """Return who leaves: lowest priority, then who holds or got most."""
     lowest = min(entry.attempt.call.route.priority for entry in entries)
