Measure convergence and control cost of whole daemon processes

Cause: targets are stated for processes; cores alone do not show them. Change: bench convergence starts real daemons at several sizes, both presets and a polling baseline.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,7 +9,14 @@
 import bench
 from bench import report
 
-_HELPERS = {'__main__', 'report', 'callnode', 'fleets', 'plainhop'}
+_HELPERS = {
+    '__main__',
+    'report',
+    'callnode',
+    'fleets',
+    'processes',
+    'plainhop',
+}
 
 
 def _names():
--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -1,5 +1,6 @@
 """Real processes on loopback: platform, daemons and upstreams."""
 
+import concurrent.futures
 import contextlib
 import json
 import os
@@ -13,6 +14,7 @@
 STOP_TIMEOUT_S = 40.0
 WAIT_S = 60.0
 LOG_TAIL = 2000
+STARTS_AT_ONCE = 8
 
 
 PORTS = {
@@ -110,16 +112,39 @@
     def add_daemon(self, vm=None, domain=None):
         """Start a daemon and return its `Process`."""
         number = len(self.daemons) + 1
+        path = self._settings_file(number, vm, domain, self.contacts)
+        daemon = self._start('daemon', str(path), name=path.stem)
+        self.daemons.append(daemon)
+        return daemon
+
+    def add_daemons(self, count):
+        """Start many daemons side by side."""
+        first = len(self.daemons) + 1
+        numbers = range(first, first + count)
+        contacts = self.contacts or [
+            addresses(number)['peer_address'] for number in numbers[:3]
+        ]
+        paths = [
+            self._settings_file(number, None, None, contacts)
+            for number in numbers
+        ]
+        with concurrent.futures.ThreadPoolExecutor(STARTS_AT_ONCE) as pool:
+            started = pool.map(
+                lambda path: self._start('daemon', str(path), name=path.stem),
+                paths,
+            )
+            self.daemons.extend(started)
+
+    def _settings_file(self, number, vm, domain, contacts):
         vm = vm or f'vm-{number}'
-        own = addresses(number)
         domain = domain or self._domains[number % len(self._domains)]
         lines = [
             '[daemon]',
             f'vm = "{vm}"',
             f'region = "{self._region}"',
             f'failure_domain = "{domain}"',
-            f'contacts = {json.dumps(self.contacts)}',
-            *(f'{key} = "{value}"' for key, value in own.items()),
+            f'contacts = {json.dumps(contacts)}',
+            *(f'{k} = "{v}"' for k, v in addresses(number).items()),
             '[platform]',
             f'table_url = "{self.platform.addresses["table_url"]}"',
             f'objects_url = "{self.platform.addresses["objects_url"]}"',
@@ -127,9 +152,7 @@
         ]
         path = self.folder / f'{vm}.toml'
         path.write_text('\n'.join(lines) + '\n')
-        daemon = self._start('daemon', str(path), name=vm)
-        self.daemons.append(daemon)
-        return daemon
+        return path
 
     def restart_daemon(self, daemon):
         """Start a stopped daemon again, at the addresses it had."""
--- a/jujubefold/porcelain.py
+++ b/jujubefold/porcelain.py
@@ -290,7 +290,7 @@
     lines = []
     silent = []
     for member in _live(fleet.ok):
-        page = _events(open_client(member.admin_address), wanted)
+        page = own_timeline(open_client(member.admin_address), wanted)
         if page.is_error():
             silent.append(member.vm)
             continue
@@ -299,6 +299,33 @@
     return expression.Ok(MergedTimeline(merged, tuple(silent)))
 
 
+def own_timeline(client, wanted):
+    """Return one daemon's own events.
+
+    Args:
+        client: An `adminclient.AdminClient`.
+        wanted: A `timeline.Filter`.
+
+    Returns:
+        `Ok(list of events.Stamped)`, or `Error` as the client gives.
+    """
+    query = {
+        'request': wanted.request,
+        'patch': wanted.patch,
+        'version': wanted.version,
+        'vm': wanted.vm,
+        'name': wanted.name,
+        'since_ns': wanted.since_ns,
+        'until_ns': wanted.until_ns,
+    }
+    page = client.get('/v1/timeline', adminmodels.TimelinePage, **query)
+    return page.map(
+        lambda found: [
+            adminmodels.stamped_event(event) for event in found.events
+        ]
+    )
+
+
 def drain(client):
     """Ask a daemon to drain its upstream and leave, as a result."""
     return client.send('POST', '/v1/drain', adminmodels.Status)
@@ -328,21 +355,3 @@
     wanted = newest if number is None else number
     behind = tuple(member.vm for member in live if member.in_force < wanted)
     return Convergence(wanted, behind, len(live))
-
-
-def _events(client, wanted):
-    query = {
-        'request': wanted.request,
-        'patch': wanted.patch,
-        'version': wanted.version,
-        'vm': wanted.vm,
-        'name': wanted.name,
-        'since_ns': wanted.since_ns,
-        'until_ns': wanted.until_ns,
-    }
-    page = client.get('/v1/timeline', adminmodels.TimelinePage, **query)
-    return page.map(
-        lambda found: [
-            adminmodels.stamped_event(event) for event in found.events
-        ]
-    )
