Take gauges when they are read, and follow the fleet when it changes

Cause: an idle daemon spent 1.8% of a core; the profile put a fifth of the loop's own work into gauges and neighbour lists renewed on each tick. Change: gauges are set on a scrape; store shares and kept channels follow the membership digest. Figures: function calls in 30 s of an idle daemon 635,211 to 574,162, start-up included; _sync_fleet 77 ms to below the 28 costliest.

--- a/jujubefold/adminapi.py
+++ b/jujubefold/adminapi.py
@@ -57,7 +57,7 @@
     def _metrics(self, request):
         return adminserver.Answer(
             http.HTTPStatus.OK,
-            self._call(self._runtime.metrics.render),
+            self._call(self._runtime.render_metrics),
             'text/plain; version=0.0.4; charset=utf-8',
         )
 
--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -78,6 +78,8 @@
         self._mesh = NOTHING
         self._live = (None, ())
         self._lease = None
+        self._synced = None
+        self._lag = 0.0
         self._tables = None
         self._loop_task = None
         self._began = clock.monotonic()
@@ -141,11 +143,6 @@
         """This daemon's `timeline.Timeline`."""
         return self._timeline
 
-    @property
-    def metrics(self):
-        """This daemon's `metrics.Metrics`."""
-        return self._metrics
-
     @property
     def uptime(self):
         """Seconds since the start."""
@@ -161,6 +158,18 @@
         """Event that is set when this daemon has to stop."""
         return self._stop_wanted
 
+    def render_metrics(self):
+        """Return all metrics in the Prometheus text format, as bytes."""
+        size = membership.fleet_size(self._tables.membership)
+        load = gate.load(self._gate)
+        held_back = self._tables.dissemination.held_back
+        self._metrics.members.set({'state': 'live'}, size)
+        self._metrics.running.set({}, load.running)
+        self._metrics.queued.set({}, load.queued)
+        self._metrics.held_back.set({}, len(held_back))
+        self._metrics.loop_lag.set({}, self._lag)
+        return self._metrics.render()
+
     async def start(self, admin_address=''):
         """Bind the ports, then join the fleet.
 
@@ -365,11 +374,9 @@
 
     async def _run(self):
         while True:
-            late = self._clock.monotonic()
+            began = self._clock.monotonic()
             await self._next_tick()
-            self._metrics.loop_lag.set(
-                {}, max(0.0, self._clock.monotonic() - late - TICK_S)
-            )
+            self._lag = max(0.0, self._clock.monotonic() - began - TICK_S)
             self._wake.clear()
             inputs, self._inbox = self._inbox, []
             self._perform(self._tick(inputs))
@@ -499,18 +506,15 @@
 
     def _sync_fleet(self):
         table = self._tables.membership
+        if self._synced == table.digests.view:
+            return
+        self._synced = table.digests.view
         size = membership.fleet_size(table)
         for limit in self._limits:
             limit.share(size)
         self._peers.keep(
             member.peer_address for member in overlay.neighbours(table)
         )
-        load = gate.load(self._gate)
-        self._metrics.members.set({'state': 'live'}, size)
-        self._metrics.running.set({}, load.running)
-        self._metrics.queued.set({}, load.queued)
-        held_back = self._tables.dissemination.held_back
-        self._metrics.held_back.set({}, len(held_back))
 
     def _holder_gone(self, holder):
         vm, _, incarnation = holder.rpartition('/')
