--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,7 +9,7 @@
 import bench
 from bench import report
 
-_HELPERS = {'__main__', 'report', 'callnode', 'plainhop'}
+_HELPERS = {'__main__', 'report', 'callnode', 'plainhop', 'standin'}
 
 
 def _names():
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -7,18 +7,15 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
 import itertools
-import json
 import random
 import statistics
-import subprocess
-import sys
 
 import expression
 
 from bench import report
+from bench import standin
 from jujubefold import claimoutcome
 from jujubefold import claimowner
 from jujubefold import claims
@@ -265,21 +262,8 @@
             design, daemons, rate, seconds, fleet, counts, now, rng
         )
 
-    with _stand_in() as url:
-        return asyncio.run(main(url))
-
-
-@contextlib.contextmanager
-def _stand_in():
-    process = subprocess.Popen(
-        [sys.executable, '-m', 'jujubefold.platform'], stdout=subprocess.PIPE
-    )
-    try:
-        yield json.loads(process.stdout.readline())['table_url']
-    finally:
-        process.terminate()
-        process.wait()
-        process.stdout.close()
+    with standin.run() as bound:
+        return asyncio.run(main(bound['table_url']))
 
 
 def _row(case, daemons, rate, seconds, found):
--- a/bench/store.py
+++ b/bench/store.py
@@ -4,17 +4,15 @@
 """
 
 import asyncio
-import contextlib
 import json
 import random
 import statistics
-import subprocess
-import sys
 import time
 
 import urllib3
 
 from bench import report
+from bench import standin
 from jujubefold import clock
 from jujubefold import objectservice
 from jujubefold import storelimit
@@ -97,19 +95,6 @@
         self.blobs.close()
 
 
-@contextlib.contextmanager
-def _stand_in():
-    process = subprocess.Popen(
-        [sys.executable, '-m', 'jujubefold.platform'], stdout=subprocess.PIPE
-    )
-    try:
-        yield json.loads(process.stdout.readline())
-    finally:
-        process.terminate()
-        process.wait()
-        process.stdout.close()
-
-
 def _writer(run, rows):
     numbers = iter(range(10**9))
 
@@ -140,7 +125,7 @@
 def _measure(
     case, make_call, clients, seconds, seed, rate, pause=0.0, mode=''
 ):
-    with _stand_in() as bound:
+    with standin.run() as bound:
         run = Run(bound, rate, seed)
         if mode:
             run.fault(mode)
