Drop idle store connections when one of them goes silent

A connection that something in between lost track of costs its call the whole timeout, and each idle one beside it would cost another. A read timeout now empties the pool. Without that the new test's fourth or fifth call times out.

--- a/jujubefold/storeclient.py
+++ b/jujubefold/storeclient.py
@@ -152,6 +152,10 @@
             urllib3.exceptions.ConnectTimeoutError,
         ) as error:
             return _not_run(f'no connection: {error}')
+        except urllib3.exceptions.ReadTimeoutError as error:
+            # What made this connection silent may have hit the idle ones.
+            self._http.clear()
+            return _unknown(f'no answer: {error}')
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return _unknown(f'no whole answer: {error}')
         return expression.Ok(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -167,6 +167,44 @@
         self.assertEqual(3, after.rows_written - before.rows_written)
 
 
+class TestSilentConnections(testtools.TestCase):
+    ABSENT = b'<Error><Code>NoSuchKey</Code></Error>'
+
+    async def answer_once(self, reader, writer):
+        """Answer the first request of a connection and no other."""
+        await reader.readuntil(b'\r\n\r\n')
+        # Answered in pairs, so that two calls need two connections.
+        await self.both.wait()
+        head = b'HTTP/1.1 404 Not Found\r\nContent-Length: %d\r\n\r\n'
+        writer.write(head % len(self.ABSENT) + self.ABSENT)
+        await reader.read()
+        writer.close()
+
+    def test_one_silent_connection_empties_the_pool(self):
+        async def main():
+            self.both = asyncio.Barrier(2)
+            server = await asyncio.start_server(
+                self.answer_once, '127.0.0.1', 0
+            )
+            port = server.sockets[0].getsockname()[1]
+            blobs = objectservice.ObjectService(
+                f'http://127.0.0.1:{port}/objects',
+                clock.SystemClock(),
+                TIMEOUT_S,
+                test_table.unlimited(),
+            )
+            self.addCleanup(blobs.close)
+            found = []
+            for clients in (2, 1, 2):
+                calls = [blobs.get('0' * 64) for _ in range(clients)]
+                found += await asyncio.gather(*calls)
+            server.close()
+            return [told(result) for result in found]
+
+        expected = [DONE, DONE, NOT_RUN, DONE, DONE]
+        self.assertEqual(expected, asyncio.run(main()))
+
+
 class TestProtocol(PlatformCase):
     def setUp(self):
         super().setUp()
