--- a/bench/overload.py
+++ b/bench/overload.py
@@ -158,17 +158,34 @@
     )
 
 
-def _row(policy, slots, offered, seconds, seed):
+def simulate(policy, slots, offered, seconds, seed):
+    """Return the `Tally` of one run.
+
+    Args:
+        policy: A fresh `Gated` or `Fifo`.
+        slots: Slots of the upstream.
+        offered: Arrival rate over the upstream's capacity.
+        seconds: Simulated time.
+        seed: Seed of all chance.
+    """
     rng = random.Random(f'{seed}/{slots}/{offered}')
+    return _run(policy, _arrivals(rng, slots, offered, seconds))
+
+
+def capacity(slots, seconds):
+    """Return how many requests an upstream can run in some time."""
+    return slots / MEAN_SERVICE_S * seconds
+
+
+def _row(policy, slots, offered, seconds, seed):
     fresh = {item.name: item for item in _policies(slots)}[policy.name]
-    tally = _simulate(fresh, _arrivals(rng, slots, offered, seconds))
-    capacity = slots / MEAN_SERVICE_S * seconds
+    tally = simulate(fresh, slots, offered, seconds, seed)
     started = tally.good + tally.late
     waits = sorted(tally.waits)
     return (
         f'{policy.name}, {slots} slots',
         offered,
-        tally.good / capacity,
+        tally.good / capacity(slots, seconds),
         tally.late / max(1, started),
         tally.refused / (tally.offered['light'] + tally.offered['greedy']),
         waits[int(0.99 * len(waits))] * 1000,
@@ -217,7 +234,7 @@
     return calls.Attempt(calls.AttemptId('vm', 1, sequence), call)
 
 
-def _simulate(policy, arrivals):
+def _run(policy, arrivals):
     tally = Tally()
     pending = {}
     ends = []
--- a/jujubefold/budget.py
+++ b/jujubefold/budget.py
@@ -98,10 +98,10 @@
 
 
 def allow(budgets, allowance, call, now):
-    """Return whether a call that ran nowhere may be tried again.
+    """Return whether a call may be tried again, and pay for it.
 
-    Whoever asks has proof that no upstream ran the call: a gate's refusal,
-    an attempt never sent, or a bar that held.
+    Whoever asks has proof that no upstream ran the call, or may run it
+    twice.
 
     Args:
         budgets: A `Budgets`, paid when the answer is yes.
