Judge a peer only by what is about the peer

A refusal for a deadline or a suspect request made a daemon with free slots rest like a full one, and callers that went away counted as failures and could get a healthy daemon ejected. A daemon or upstream that starts anew is now seen afresh instead of resting for what its last start did. The list of forgotten attempts is gone: nobody read it, and `ending` tells the same.

--- a/jujubefold/attempts.py
+++ b/jujubefold/attempts.py
@@ -55,16 +55,12 @@
         senders: By VM name.
         ended: Outcomes held in all.
         oldest: Incarnations up to this may belong to a dropped sender.
-        dropped: Attempts forgotten since `take_dropped`.
         sweep: Senders still to be looked at for old outcomes.
     """
 
     senders: dict[str, Sender] = dataclasses.field(default_factory=dict)
     ended: int = 0
     oldest: int = -1
-    dropped: collections.deque[calls.AttemptId] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=MAX_ENDED)
-    )
     sweep: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -105,7 +101,7 @@
         _make_room(table)
         table.senders[attempt_id.vm] = Sender(attempt_id.incarnation)
     elif attempt_id.incarnation > sender.incarnation:
-        _drop_all(table, attempt_id.vm, sender)
+        _drop_all(table, sender)
         table.senders[attempt_id.vm] = Sender(attempt_id.incarnation)
 
 
@@ -120,12 +116,11 @@
     """
     sender = table.senders.get(attempt_id.vm)
     if sender is None or sender.incarnation != attempt_id.incarnation:
-        table.dropped.append(attempt_id)
         return
     sender.outcomes[attempt_id.sequence] = outcome
     sender.order.append((now, attempt_id.sequence))
     table.ended += 1
-    _forget_old(table, attempt_id.vm, sender, now)
+    _forget_old(table, sender, now)
     if table.ended > MAX_ENDED:
         _shrink_largest(table)
 
@@ -140,50 +135,35 @@
     if not table.sweep:
         table.sweep.extend(table.senders)
     if table.sweep:
-        vm = table.sweep.pop()
-        sender = table.senders.get(vm)
+        sender = table.senders.get(table.sweep.pop())
         if sender is not None:
-            _forget_old(table, vm, sender, now)
-
+            _forget_old(table, sender, now)
 
-def take_dropped(table):
-    """Return attempts forgotten since the last call.
 
-    Returns:
-        Tuple of `calls.AttemptId`; whatever is kept for them may go too.
-    """
-    dropped = tuple(table.dropped)
-    table.dropped.clear()
-    return dropped
-
-
-def _forget_old(table, vm, sender, now):
+def _forget_old(table, sender, now):
     order = sender.order
     while order and (
         len(order) > MAX_PER_SENDER or order[0][0] < now - MEMORY_S
     ):
-        _forget_first(table, vm, sender)
+        _forget_first(table, sender)
 
 
-def _forget_first(table, vm, sender):
+def _forget_first(table, sender):
     _, sequence = sender.order.popleft()
     del sender.outcomes[sequence]
     sender.floor = max(sender.floor, sequence)
     table.ended -= 1
-    table.dropped.append(calls.AttemptId(vm, sender.incarnation, sequence))
 
 
-def _drop_all(table, vm, sender):
+def _drop_all(table, sender):
     while sender.order:
-        _forget_first(table, vm, sender)
+        _forget_first(table, sender)
 
 
 def _shrink_largest(table):
-    vm, sender = max(
-        table.senders.items(), key=lambda item: len(item[1].order)
-    )
+    sender = max(table.senders.values(), key=lambda item: len(item.order))
     for _ in range(max(1, len(sender.order) // 8)):
-        _forget_first(table, vm, sender)
+        _forget_first(table, sender)
 
 
 def _make_room(table):
@@ -192,6 +172,6 @@
     vm, sender = min(
         table.senders.items(), key=lambda item: item[1].incarnation
     )
-    _drop_all(table, vm, sender)
+    _drop_all(table, sender)
     table.oldest = max(table.oldest, sender.incarnation)
     del table.senders[vm]
--- a/jujubefold/routing.py
+++ b/jujubefold/routing.py
@@ -61,6 +61,10 @@
 class Observation:
     """How an attempt at another daemon ended, as this daemon saw it.
 
+    One that neither ran well nor was refused or lost failed at its upstream
+    if a load came with it; without one the caller went away, which says
+    nothing about the other daemon.
+
     Args:
         vm: The other daemon's VM.
         ran_ok: An upstream's whole answer came back.
@@ -97,6 +101,7 @@
         leaving_until: Monotonic seconds until which its word that it
             drains counts; membership says so by then.
         keeps_connection: Whether an idle connection to it stays open.
+        start: Incarnation and time of readiness that all this is about.
     """
 
     in_flight: int = 0
@@ -112,6 +117,7 @@
     ejected_until: float = 0.0
     leaving_until: float = 0.0
     keeps_connection: bool = True
+    start: tuple[int, int] | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -179,7 +185,7 @@
     _refresh(routing, members, own.member)
     for target in _targets(call.route.targets, context.rng):
         own_here = _own_serves(own, target.group, tried)
-        if own_here and _own_is_free(own):
+        if own_here and _has_room(own.load):
             return calls.Own()
         choice = _choose_peer(
             routing, target.group, own, own_here, tried, context
@@ -215,8 +221,9 @@
     if observation.ran_ok:
         _note_success(view, observation.seconds)
     elif observation.refused:
-        _note_refusal(routing, view, now)
-    else:
+        if not _has_room(observation.load):
+            _note_refusal(routing, view, now)
+    elif observation.lost or observation.load is not None:
         _note_failure(routing, view, observation.lost, now)
 
 
@@ -275,13 +282,6 @@
     )
 
 
-def _own_is_free(own):
-    load = own.load
-    return load.state is _State.SERVING and (
-        not load.queued and load.running < load.slots
-    )
-
-
 def _in_group(member, group):
     if member.service != group.service:
         return False
@@ -445,7 +445,7 @@
     chosen = subset.choose(me, serving, routing.members)
     senders = subset.expected_senders(chosen, serving, routing.members)
     for member in chosen:
-        candidate = Candidate(member, _view(routing, member.vm))
+        candidate = Candidate(member, _view_of(routing, member))
         candidate.view.keeps_connection = subset.is_keeper(
             me.vm, member.vm, senders
         )
@@ -472,6 +472,26 @@
     return view
 
 
+def _view_of(routing, member):
+    """Return the view of a member; a new start is seen afresh."""
+    view = _view(routing, member.vm)
+    start = (member.incarnation, member.ready_at_ms)
+    if view.start not in (None, start):
+        view = routing.peers[member.vm] = PeerView(in_flight=view.in_flight)
+    view.start = start
+    return view
+
+
+def _has_room(load):
+    """Return whether a refusal was about the request, not the upstream."""
+    return (
+        load is not None
+        and load.state is _State.SERVING
+        and not load.queued
+        and load.running < load.slots
+    )
+
+
 def _note_load(view, load, now):
     view.others = max(0, load.running + load.queued - view.in_flight)
     view.slots = load.slots
