Work candidates out faster, and before a call if asked

After a change of members the next call paid for it: 0.62 ms in a trial with 400 instances among 820 daemons, above the whole budget of a call.

--- a/jujubefold/routing.py
+++ b/jujubefold/routing.py
@@ -14,6 +14,7 @@
 from jujubefold import calls
 from jujubefold import errors
 from jujubefold import gate
+from jujubefold import mesh
 from jujubefold import messages
 from jujubefold import subset
 
@@ -33,7 +34,7 @@
 MAX_EJECTED_FRACTION = 0.5
 NOBODY_RETRY_AFTER_S = 1.0
 LEAVING_S = 5.0
-MAX_INDEXES = 256
+MAX_GROUPS = 256
 
 _MILLISECONDS = 1000
 
@@ -146,7 +147,9 @@
         members: The members that `tiers` were worked out from.
         me: This daemon's record that `tiers` were worked out for.
         ejected_until: Monotonic seconds of the end of the last ejection.
-        tiers: Candidates by distance, by service and filters of a group.
+        tiers: Groups used, and their candidates by distance, by service
+            and filters.
+        used: Keys of `tiers` used since the last change of members.
     """
 
     rng: random.Random
@@ -154,7 +157,10 @@
     members: collections.abc.Iterable[messages.Member] = ()
     me: messages.Member | None = None
     ejected_until: float = 0.0
-    tiers: dict[tuple, Tiers] = dataclasses.field(default_factory=dict)
+    tiers: dict[tuple, tuple[mesh.EndpointGroup, Tiers]] = dataclasses.field(
+        default_factory=dict
+    )
+    used: set[tuple] = dataclasses.field(default_factory=set)
 
 
 def new_routing(rng=None):
@@ -166,6 +172,33 @@
     return RoutingTable(rng or random.Random())
 
 
+def refresh(routing, members, me):
+    """Take a change of members.
+
+    `choose` does this where needed; called before, it spares the next call
+    working out the candidates.
+
+    Args:
+        routing: A `RoutingTable`.
+        members: As for `choose`.
+        me: This daemon's own `messages.Member`.
+    """
+    if members is routing.members and me is routing.me:
+        return
+    routing.members = tuple(members)
+    routing.me = me
+    known = {member.vm for member in routing.members}
+    for vm in routing.peers.keys() - known:
+        if not routing.peers[vm].in_flight:
+            del routing.peers[vm]
+    groups = [routing.tiers[key][0] for key in routing.used]
+    routing.used.clear()
+    routing.tiers.clear()
+    for group in groups:
+        _tiers(routing, group, me)
+    routing.used.clear()
+
+
 def choose(routing, call, members, own, tried, context):
     """Return where to send a call.
 
@@ -182,7 +215,7 @@
     Returns:
         `calls.Own`, `calls.Peer` or `calls.Nobody`.
     """
-    _refresh(routing, members, own.member)
+    refresh(routing, members, own.member)
     for target in _targets(call.route.targets, context.rng):
         own_here = _own_serves(own, target.group, tried)
         if own_here and _has_room(own.load):
@@ -242,22 +275,6 @@
     return view is not None and view.keeps_connection
 
 
-def _refresh(routing, members, me):
-    if members is routing.members and me is routing.me:
-        return
-    routing.members = tuple(members)
-    routing.me = me
-    routing.tiers.clear()
-    known = {member.vm for member in routing.members}
-    gone = [
-        vm
-        for vm, view in routing.peers.items()
-        if vm not in known and not view.in_flight
-    ]
-    for vm in gone:
-        del routing.peers[vm]
-
-
 def _targets(targets, rng):
     """Yield targets, the first by weight, then the rest in order."""
     if len(targets) == 1:
@@ -427,17 +444,21 @@
     key = (group.service, group.regions, group.failure_domains)
     found = routing.tiers.get(key)
     if found is None:
-        if len(routing.tiers) >= MAX_INDEXES:
+        if len(routing.tiers) >= MAX_GROUPS:
             routing.tiers.clear()
-        found = routing.tiers[key] = _build_tiers(routing, group, me)
-    return found
+            routing.used.clear()
+        found = (group, _build_tiers(routing, group, me))
+        routing.tiers[key] = found
+    routing.used.add(key)
+    return found[1]
 
 
 def _build_tiers(routing, group, me):
     serving = [
         member
         for member in routing.members
-        if member.state in _LIVE
+        if member.service == group.service
+        and member.state in _LIVE
         and member.upstream_state in _POSSIBLE
         and _in_group(member, group)
     ]
--- a/jujubefold/subset.py
+++ b/jujubefold/subset.py
@@ -4,6 +4,7 @@
 with the same view spread evenly and a change of one moves few.
 """
 
+import functools
 import hashlib
 import itertools
 
@@ -13,6 +14,7 @@
 MIN_SIZE = 2
 
 _HASH_BITS = 64
+_CACHED_POINTS = 16_384
 
 
 def size(senders, instances):
@@ -70,7 +72,10 @@
 
 
 def _near_size(count, near, me, members):
-    neighbours = 1 + sum(1 for member in members if _is_near(member, me))
+    domain = me.failure_domain
+    neighbours = 1 + sum(
+        [member.failure_domain == domain for member in members]
+    )
     bound = SENDERS_PER_INSTANCE // 2 * near // neighbours
     return min((count + 1) // 2, bound)
 
@@ -79,6 +84,7 @@
     return member.failure_domain == me.failure_domain
 
 
+@functools.lru_cache(maxsize=_CACHED_POINTS)
 def _point(sender, vm):
     data = f'{sender}/{vm}'.encode()
     digest = hashlib.blake2b(data, digest_size=_HASH_BITS // 8).digest()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -122,6 +122,19 @@
         drained = (MEMBERS[1], *MEMBERS[2:])
         self.assertEqual({'a2'}, set(tally(table, drained)))
 
+    def test_refresh_works_candidates_out_before_a_call(self):
+        table = routing.new_routing()
+        tally(table, MEMBERS)
+        routing.refresh(table, MEMBERS[1:], AWAY.member)
+        ((_, before),) = table.tiers.values()
+        self.assertEqual({'a2'}, set(tally(table, table.members)))
+        ((_, after),) = table.tiers.values()
+        self.assertIs(before, after)
+        routing.refresh(table, MEMBERS, AWAY.member)
+        self.assertEqual(1, len(table.tiers))
+        routing.refresh(table, MEMBERS[1:], AWAY.member)
+        self.assertEqual({}, table.tiers)
+
     def test_tried_ones_are_left_out(self):
         table = routing.new_routing()
         tried = frozenset({'a1', 'a2', 'own'})
@@ -311,7 +324,7 @@
 
 def _tiers_of(table, members):
     routing.choose(table, calling.call(), members, AWAY, NOWHERE, context())
-    return table.tiers.values()
+    return [tiers for _, tiers in table.tiers.values()]
 
 
 class TestConnections(testtools.TestCase):
@@ -334,7 +347,7 @@
             routing.choose(
                 table, calling.call(), others, here, NOWHERE, context()
             )
-            (tiers,) = table.tiers.values()
+            ((_, tiers),) = table.tiers.values()
             chosen = [item.member.vm for tier in tiers for item in tier]
             self.assertGreaterEqual(len(chosen), 2)
             found.update(
