Let a call work out only the candidates that it needs

Preparing all groups in use at the first call after a change would cost it more with each group. Only refresh, called from the tick, prepares all.

--- a/jujubefold/routing.py
+++ b/jujubefold/routing.py
@@ -35,6 +35,8 @@
 NOBODY_RETRY_AFTER_S = 1.0
 LEAVING_S = 5.0
 MAX_GROUPS = 256
+# Changes of members after which a group that no call used is dropped.
+KEPT_CHANGES = 50
 
 _MILLISECONDS = 1000
 
@@ -134,6 +136,14 @@
     view: PeerView
 
 
+@dataclasses.dataclass(slots=True)
+class UsedGroup:
+    """A group of a route, and the change of members it was last used at."""
+
+    group: mesh.EndpointGroup
+    change: int
+
+
 Tiers = tuple[tuple[Candidate, ...], ...]
 
 
@@ -147,9 +157,9 @@
         members: The members that `tiers` were worked out from.
         me: This daemon's record that `tiers` were worked out for.
         ejected_until: Monotonic seconds of the end of the last ejection.
-        tiers: Groups used, and their candidates by distance, by service
-            and filters.
-        used: Keys of `tiers` used since the last change of members.
+        tiers: Candidates by distance, by service and filters of a group.
+        groups: Groups that calls used lately, by the same.
+        changes: Changes of members seen.
     """
 
     rng: random.Random
@@ -157,10 +167,9 @@
     members: collections.abc.Iterable[messages.Member] = ()
     me: messages.Member | None = None
     ejected_until: float = 0.0
-    tiers: dict[tuple, tuple[mesh.EndpointGroup, Tiers]] = dataclasses.field(
-        default_factory=dict
-    )
-    used: set[tuple] = dataclasses.field(default_factory=set)
+    tiers: dict[tuple, Tiers] = dataclasses.field(default_factory=dict)
+    groups: dict[tuple, UsedGroup] = dataclasses.field(default_factory=dict)
+    changes: int = 0
 
 
 def new_routing(rng=None):
@@ -183,20 +192,10 @@
         members: As for `choose`.
         me: This daemon's own `messages.Member`.
     """
-    if members is routing.members and me is routing.me:
+    if not _adopt(routing, members, me):
         return
-    routing.members = tuple(members)
-    routing.me = me
-    known = {member.vm for member in routing.members}
-    for vm in routing.peers.keys() - known:
-        if not routing.peers[vm].in_flight:
-            del routing.peers[vm]
-    groups = [routing.tiers[key][0] for key in routing.used]
-    routing.used.clear()
-    routing.tiers.clear()
-    for group in groups:
-        _tiers(routing, group, me)
-    routing.used.clear()
+    for used in routing.groups.values():
+        _tiers(routing, used.group, me)
 
 
 def choose(routing, call, members, own, tried, context):
@@ -215,7 +214,7 @@
     Returns:
         `calls.Own`, `calls.Peer` or `calls.Nobody`.
     """
-    refresh(routing, members, own.member)
+    _adopt(routing, members, own.member)
     for target in _targets(call.route.targets, context.rng):
         own_here = _own_serves(own, target.group, tried)
         if own_here and _has_room(own.load):
@@ -275,6 +274,27 @@
     return view is not None and view.keeps_connection
 
 
+def _adopt(routing, members, me):
+    """Drop what other members were the ground of; return whether they were."""
+    if members is routing.members and me is routing.me:
+        return False
+    routing.members = tuple(members)
+    routing.me = me
+    known = {member.vm for member in routing.members}
+    for vm in routing.peers.keys() - known:
+        if not routing.peers[vm].in_flight:
+            del routing.peers[vm]
+    routing.changes += 1
+    routing.tiers.clear()
+    oldest = routing.changes - KEPT_CHANGES
+    routing.groups = {
+        key: used
+        for key, used in routing.groups.items()
+        if used.change > oldest
+    }
+    return True
+
+
 def _targets(targets, rng):
     """Yield targets, the first by weight, then the rest in order."""
     if len(targets) == 1:
@@ -309,7 +329,7 @@
 
 
 def _choose_peer(routing, group, own, own_here, tried, context):
-    tiers = _tiers(routing, group, own.member)
+    tiers = _tiers_of_call(routing, group, own.member)
     best = _best(routing, tiers, tried, context)
     if best is None and not own_here:
         best = _any(tiers, tried, context)
@@ -440,17 +460,29 @@
     return max(SLOW_START_FLOOR, age / SLOW_START_S)
 
 
+def _tiers_of_call(routing, group, me):
+    """Return a group's tiers, and note that a call used them."""
+    key = _key(group)
+    used = routing.groups.get(key)
+    if used is not None:
+        used.change = routing.changes
+    elif len(routing.groups) < MAX_GROUPS:
+        routing.groups[key] = UsedGroup(group, routing.changes)
+    return _tiers(routing, group, me)
+
+
 def _tiers(routing, group, me):
-    key = (group.service, group.regions, group.failure_domains)
+    key = _key(group)
     found = routing.tiers.get(key)
     if found is None:
         if len(routing.tiers) >= MAX_GROUPS:
             routing.tiers.clear()
-            routing.used.clear()
-        found = (group, _build_tiers(routing, group, me))
-        routing.tiers[key] = found
-    routing.used.add(key)
-    return found[1]
+        found = routing.tiers[key] = _build_tiers(routing, group, me)
+    return found
+
+
+def _key(group):
+    return (group.service, group.regions, group.failure_domains)
 
 
 def _build_tiers(routing, group, me):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -126,13 +126,13 @@
         table = routing.new_routing()
         tally(table, MEMBERS)
         routing.refresh(table, MEMBERS[1:], AWAY.member)
-        ((_, before),) = table.tiers.values()
+        (before,) = table.tiers.values()
         self.assertEqual({'a2'}, set(tally(table, table.members)))
-        ((_, after),) = table.tiers.values()
+        (after,) = table.tiers.values()
         self.assertIs(before, after)
-        routing.refresh(table, MEMBERS, AWAY.member)
-        self.assertEqual(1, len(table.tiers))
-        routing.refresh(table, MEMBERS[1:], AWAY.member)
+        for change in range(1, routing.KEPT_CHANGES + 1):
+            self.assertEqual(1, len(table.tiers), change)
+            routing.refresh(table, MEMBERS[change % 2 :], AWAY.member)
         self.assertEqual({}, table.tiers)
 
     def test_tried_ones_are_left_out(self):
@@ -324,7 +324,7 @@
 
 def _tiers_of(table, members):
     routing.choose(table, calling.call(), members, AWAY, NOWHERE, context())
-    return [tiers for _, tiers in table.tiers.values()]
+    return table.tiers.values()
 
 
 class TestConnections(testtools.TestCase):
@@ -347,7 +347,7 @@
             routing.choose(
                 table, calling.call(), others, here, NOWHERE, context()
             )
-            ((_, tiers),) = table.tiers.values()
+            (tiers,) = table.tiers.values()
             chosen = [item.member.vm for tier in tiers for item in tier]
             self.assertGreaterEqual(len(chosen), 2)
             found.update(
