--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,11 +8,13 @@
 import testtools
 
 from jujubefold import calls
+from jujubefold import candidates
 from jujubefold import dispatch
 from jujubefold import errors
 from jujubefold import gate
 from jujubefold import mesh
 from jujubefold import messages
+from jujubefold import peerview
 from jujubefold import routing
 from jujubefold import subset
 from tests import calling
@@ -126,14 +128,14 @@
         table = routing.new_routing()
         tally(table, MEMBERS)
         routing.refresh(table, MEMBERS[1:], AWAY.member)
-        (before,) = table.tiers.values()
-        self.assertEqual({'a2'}, set(tally(table, table.members)))
-        (after,) = table.tiers.values()
+        (before,) = table.index.tiers.values()
+        self.assertEqual({'a2'}, set(tally(table, table.index.members)))
+        (after,) = table.index.tiers.values()
         self.assertIs(before, after)
-        for change in range(1, routing.KEPT_CHANGES + 1):
-            self.assertEqual(1, len(table.tiers), change)
+        for change in range(1, candidates.KEPT_CHANGES + 1):
+            self.assertEqual(1, len(table.index.tiers), change)
             routing.refresh(table, MEMBERS[change % 2 :], AWAY.member)
-        self.assertEqual({}, table.tiers)
+        self.assertEqual({}, table.index.tiers)
 
     def test_tried_ones_are_left_out(self):
         table = routing.new_routing()
@@ -207,7 +209,7 @@
             table = routing.new_routing(random.Random(1))
             see(table, 'a1', kind, times=3)
             self.assertEqual({'a2'}, set(tally(table, MEMBERS)), kind)
-            view = table.peers['a1']
+            view = table.index.peers['a1']
             self.assertTrue(0 < view.paused_until - 100.0 <= rest)
             later = context(now=100.0 + rest)
             found = tally(table, MEMBERS, at=later)
@@ -225,7 +227,7 @@
             later = context(now=110.0)
             found = tally(table, MEMBERS, at=later)
             self.assertEqual({'a1', 'a2'}, set(found), name)
-            self.assertEqual(0, table.peers['a1'].paused_until, name)
+            self.assertEqual(0, table.index.peers['a1'].paused_until, name)
 
     def test_a_new_start_is_seen_afresh(self):
         ready = int(WALL * 1000) - 60_000
@@ -240,16 +242,16 @@
             members = (calling.member('a1', **fields), *MEMBERS[1:])
             found = tally(table, members)
             self.assertIn('a2', found, fields)
-            self.assertEqual(1, table.peers['a1'].in_flight)
-            self.assertEqual(0, table.peers['a1'].losses)
-            self.assertEqual(0, table.peers['a1'].leaving_until)
+            self.assertEqual(1, table.index.peers['a1'].in_flight)
+            self.assertEqual(0, table.index.peers['a1'].losses)
+            self.assertEqual(0, table.index.peers['a1'].leaving_until)
 
     def test_back_off_is_spread(self):
         ends = set()
         for seed in range(20):
             table = routing.new_routing(random.Random(seed))
             see(table, 'a1', 'lost')
-            ends.add(table.peers['a1'].paused_until)
+            ends.add(table.index.peers['a1'].paused_until)
         self.assertEqual(20, len(ends))
 
     def test_an_outlier_is_ejected(self):
@@ -258,11 +260,11 @@
             table,
             'a1',
             'failed',
-            times=routing.EJECT_AFTER_FAILURES,
+            times=peerview.EJECT_AFTER_FAILURES,
             load=IDLE,
         )
         self.assertEqual({'a2'}, set(tally(table, MEMBERS)))
-        later = context(now=100.0 + routing.EJECT_S)
+        later = context(now=100.0 + peerview.EJECT_S)
         found = tally(table, MEMBERS, at=later)
         self.assertEqual({'a1', 'a2'}, set(found))
 
@@ -324,7 +326,7 @@
 
 def _tiers_of(table, members):
     routing.choose(table, calling.call(), members, AWAY, NOWHERE, context())
-    return table.tiers.values()
+    return table.index.tiers.values()
 
 
 class TestConnections(testtools.TestCase):
@@ -347,7 +349,7 @@
             routing.choose(
                 table, calling.call(), others, here, NOWHERE, context()
             )
-            (tiers,) = table.tiers.values()
+            (tiers,) = table.index.tiers.values()
             chosen = [item.member.vm for tier in tiers for item in tier]
             self.assertGreaterEqual(len(chosen), 2)
             found.update(
@@ -417,5 +419,5 @@
             found = tally(table, members, rounds=1, at=context(now))
             self.assertTrue(set(found) <= serving, found)
             self.assertTrue(
-                all(view.in_flight == 0 for view in table.peers.values())
+                all(view.in_flight == 0 for view in table.index.peers.values())
             )
