--- a/jujubefold/claimstore.py
+++ b/jujubefold/claimstore.py
@@ -65,9 +65,15 @@
         self._batcher = claimbatch.Batcher(
             rows, settings.in_flight, settings.max_batch, guard
         )
+        self._reader = claimbatch.ReadBatcher(rows, settings.batch_window)
         self._numbers = itertools.count(1)
         self._cursor = f'{rng.getrandbits(256):064x}'
 
+    @property
+    def fenced(self):
+        """Whether a transaction's guard failed; nothing is written since."""
+        return self._batcher.fenced
+
     def attempt(self, request, id=''):
         """Return a new `Attempt`.
 
@@ -207,13 +213,13 @@
 
     async def _look(self, attempt, never_ran):
         """Read the row; return an outcome, or None to try again."""
-        result = await self._rows.read([attempt.key])
+        result = await self._reader.read(attempt.key)
         if result.is_error():
             return None
-        if result.ok[0] is None:
+        if result.ok is None:
             attempt.replaces = ''
             return None
-        row = claimrow.from_row(result.ok[0])
+        row = claimrow.from_row(result.ok)
         if row.id == attempt.id and row.state is claimrow.State.CLAIMED:
             return self._acknowledged(attempt)
         if row.id != attempt.replaces:
@@ -272,9 +278,10 @@
             await asyncio.sleep(storelimit.backoff(self._rng, tries))
 
     async def _resolve(self, attempt, found):
-        standing = found.values.get(claimrow.ID_FIELD, '') if found else ''
-        if standing not in (attempt.id, attempt.replaces):
-            # Another id stands, behind which no write of ours can land.
+        row = found and claimrow.from_row(found)
+        standing = row.id if row else ''
+        if row is not None and not _is_ours(row, attempt):
+            # Another claim stands, behind which no write of ours can land.
             return True
         # A fresh id stops a write of ours that is still under way.
         result = await self._release(attempt, standing)
@@ -334,5 +341,12 @@
         return int(self._clock.wall() * MS_PER_S)
 
 
+def _is_ours(row, attempt):
+    if row.state is claimrow.State.RELEASED:
+        return True
+    is_claimed = row.state is claimrow.State.CLAIMED
+    return is_claimed and row.id in (attempt.id, attempt.replaces)
+
+
 def _blob_prefix(id):
     return f'{id}\n'.encode()
