--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -332,11 +332,11 @@
 class TestConnections(testtools.TestCase):
     """Idle connections that one instance holds, at fleet sizes."""
 
-    def idle(self, fleet, instances, domains):
+    def idle(self, fleet, instances, domains, crowded):
         members = tuple(
             calling.member(
                 f'vm-{n}',
-                f'd{n % domains}',
+                'd0' if crowded and n >= instances else f'd{n % domains}',
                 service='routes' if n < instances else 'other',
             )
             for n in range(fleet)
@@ -369,10 +369,11 @@
             (1500, 3, 3, 6, 110),
         )
         for fleet, instances, domains, slots, bound in cases:
-            found = self.idle(fleet, instances, domains)
-            in_use = slots + gate.DEFAULT_QUEUE_LIMIT
-            self.assertLessEqual(max(found.values()) + in_use, bound, fleet)
-            self.assertEqual(instances, len(found), fleet)
+            for crowded in (False, True):
+                found = self.idle(fleet, instances, domains, crowded)
+                used = max(found.values()) + slots + gate.DEFAULT_QUEUE_LIMIT
+                self.assertLessEqual(used, bound, (fleet, crowded))
+                self.assertEqual(instances, len(found), (fleet, crowded))
 
     def test_subset_size(self):
         cases = (
