--- a/jujubefold/declarations.py
+++ b/jujubefold/declarations.py
@@ -172,12 +172,12 @@
     plain = [
         f'{_key(name)} = {_value(value)}\n'
         for name, value in document.items()
-        if not isinstance(value, dict)
+        if not _is_section(value)
     ]
     tables = [
         _table(f'{_key(section)}.{_key(name)}', entry)
         for section, entries in document.items()
-        if isinstance(entries, dict)
+        if _is_section(entries)
         for name, entry in entries.items()
     ]
     return '\n'.join([''.join(plain), *tables])
@@ -383,6 +383,12 @@
     return (route.host == '*', -length, not route.methods, route.name)
 
 
+def _is_section(value):
+    return isinstance(value, dict) and all(
+        isinstance(entry, dict) for entry in value.values()
+    )
+
+
 def _table(title, entry):
     lines = [
         f'{_key(name)} = {_value(value)}\n' for name, value in entry.items()
@@ -403,4 +409,5 @@
             return '[' + ', '.join(map(_value, value)) + ']'
         case _:
             # A JSON scalar is a TOML scalar, but for the bare DEL.
-            return json.dumps(value).replace('\x7f', '\\u007f')
+            text = json.dumps(value, ensure_ascii=False)
+            return text.replace('\x7f', '\\u007f')
