--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -1,5 +1,6 @@
 """Real processes on loopback: platform, daemons and upstreams."""
 
+import concurrent.futures
 import contextlib
 import json
 import os
@@ -12,6 +13,30 @@
 
 STOP_TIMEOUT_S = 40.0
 WAIT_S = 60.0
+LOG_TAIL = 2000
+STARTS_AT_ONCE = 8
+
+
+PORTS = {
+    'caller_address': 7400,
+    'call_address': 7401,
+    'peer_address': 7402,
+    'admin_address': 7403,
+}
+
+
+def addresses(number):
+    """Return a VM's addresses: an IP number of its own on loopback.
+
+    Ports stay the same over a restart, and no connection of another
+    process can be in the way.
+
+    Args:
+        number: Number of the VM, from 1.
+    """
+    pid = os.getpid()
+    host = f'127.{1 + pid // 250 % 250}.{1 + pid % 250}.{number}'
+    return {name: f'{host}:{port}' for name, port in PORTS.items()}
 
 
 def wait_for(condition, what, timeout=WAIT_S):
@@ -39,7 +64,8 @@
         )
         line = self.popen.stdout.readline()
         if not line:
-            raise AssertionError(f'{module} ended with {self.popen.wait()}')
+            status = self.popen.wait()
+            raise AssertionError(f'{module} ended with {status}{_tail(log)}')
         self.addresses = json.loads(line)
 
     def send(self, number):
@@ -83,9 +109,33 @@
         """Peer addresses of the first daemons."""
         return [d.addresses['peer_address'] for d in self.daemons[:3]]
 
-    def add_daemon(self, vm=None, domain=None, **addresses):
+    def add_daemon(self, vm=None, domain=None):
         """Start a daemon and return its `Process`."""
         number = len(self.daemons) + 1
+        path = self._settings_file(number, vm, domain, self.contacts)
+        daemon = self._start('daemon', str(path), name=path.stem)
+        self.daemons.append(daemon)
+        return daemon
+
+    def add_daemons(self, count):
+        """Start many daemons side by side."""
+        first = len(self.daemons) + 1
+        numbers = range(first, first + count)
+        contacts = self.contacts or [
+            addresses(number)['peer_address'] for number in numbers[:3]
+        ]
+        paths = [
+            self._settings_file(number, None, None, contacts)
+            for number in numbers
+        ]
+        with concurrent.futures.ThreadPoolExecutor(STARTS_AT_ONCE) as pool:
+            started = pool.map(
+                lambda path: self._start('daemon', str(path), name=path.stem),
+                paths,
+            )
+            self.daemons.extend(started)
+
+    def _settings_file(self, number, vm, domain, contacts):
         vm = vm or f'vm-{number}'
         domain = domain or self._domains[number % len(self._domains)]
         lines = [
@@ -93,8 +143,8 @@
             f'vm = "{vm}"',
             f'region = "{self._region}"',
             f'failure_domain = "{domain}"',
-            f'contacts = {json.dumps(self.contacts)}',
-            *(f'{key} = "{value}"' for key, value in addresses.items()),
+            f'contacts = {json.dumps(contacts)}',
+            *(f'{k} = "{v}"' for k, v in addresses(number).items()),
             '[platform]',
             f'table_url = "{self.platform.addresses["table_url"]}"',
             f'objects_url = "{self.platform.addresses["objects_url"]}"',
@@ -102,9 +152,16 @@
         ]
         path = self.folder / f'{vm}.toml'
         path.write_text('\n'.join(lines) + '\n')
-        daemon = self._start('daemon', str(path), name=vm)
-        self.daemons.append(daemon)
-        return daemon
+        return path
+
+    def restart_daemon(self, daemon):
+        """Start a stopped daemon again, at the addresses it had."""
+        vm = daemon.addresses['vm']
+        path = self.folder / f'{vm}.toml'
+        again = self._start('daemon', str(path), name=vm)
+        if daemon in self.daemons:
+            self.daemons[self.daemons.index(daemon)] = again
+        return again
 
     def add_upstream(self, daemon, service, *arguments):
         """Start an upstream that announces itself to a daemon."""
@@ -130,6 +187,12 @@
         return process
 
 
+def _tail(log):
+    if log is None:
+        return ''
+    return ': ' + pathlib.Path(log.name).read_text()[-LOG_TAIL:]
+
+
 def _end(process):
     if process.popen.poll() is None:
         process.popen.kill()
--- a/jujubefold/routing.py
+++ b/jujubefold/routing.py
@@ -7,44 +7,25 @@
 only an upstream that is leaving is never chosen.
 """
 
-import collections.abc
 import dataclasses
-import hashlib
 import random
 
 from jujubefold import calls
+from jujubefold import candidates
 from jujubefold import errors
 from jujubefold import gate
 from jujubefold import messages
+from jujubefold import peerview
 
-# Senders that one instance expects at most; spread keeps it under 110.
-SENDERS_PER_INSTANCE = 72
-MIN_SUBSET = 2
-LOAD_HALF_LIFE_S = 0.5
-NEGLIGIBLE_ATTEMPTS = 0.1
-LATENCY_GAIN = 0.2
 MIN_LATENCY_S = 0.001
 SLOW_START_S = 10.0
 SLOW_START_FLOOR = 0.1
-REFUSED_PAUSE_S = 0.05
-MAX_REFUSED_PAUSE_S = 1.0
-LOST_PAUSE_S = 0.25
-MAX_LOST_PAUSE_S = 15.0
-EJECT_AFTER_FAILURES = 5
-EJECT_S = 5.0
-MAX_EJECT_S = 60.0
 MAX_EJECTED_FRACTION = 0.5
 NOBODY_RETRY_AFTER_S = 1.0
-LEAVING_S = 5.0
-MAX_INDEXES = 256
 
 _MILLISECONDS = 1000
-
 _State = messages.UpstreamState
-_LEAVING = frozenset({_State.DRAINING, _State.GONE})
 _POSSIBLE = frozenset({_State.SERVING, _State.WARMING})
-_LIVE = frozenset({messages.MemberState.ALIVE, messages.MemberState.SUSPECT})
-_SAME_DOMAIN, _SAME_REGION, _ELSEWHERE, _DOUBTFUL = range(4)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +45,10 @@
 class Observation:
     """How an attempt at another daemon ended, as this daemon saw it.
 
+    One that neither ran well nor was refused or lost failed at its upstream
+    if a load came with it; without one the caller went away, which says
+    nothing about the other daemon.
+
     Args:
         vm: The other daemon's VM.
         ran_ok: An upstream's whole answer came back.
@@ -81,75 +66,21 @@
     load: gate.Load | None
 
 
-@dataclasses.dataclass(slots=True)
-class PeerView:
-    """What this daemon saw of another.
-
-    Args:
-        in_flight: Attempts sent and not ended.
-        latency: Moving average in seconds; 0 before the first answer.
-        others: Attempts of other senders there, by its last load.
-        slots: Usable slots by its last load; 0 for not told.
-        load_at: Monotonic seconds of that load.
-        refusals: Refusals in a row.
-        losses: Attempts lost in a row.
-        failures: Attempts in a row that ended neither well nor refused.
-        ejections: Ejections since the last good answer.
-        paused_until: Monotonic seconds of the end of its back-off.
-        ejected_until: Monotonic seconds of the end of its ejection.
-        leaving_until: Monotonic seconds until which its word that it
-            drains counts; membership says so by then.
-    """
-
-    in_flight: int = 0
-    latency: float = 0.0
-    others: int = 0
-    slots: int = 0
-    load_at: float = 0.0
-    refusals: int = 0
-    losses: int = 0
-    failures: int = 0
-    ejections: int = 0
-    paused_until: float = 0.0
-    ejected_until: float = 0.0
-    leaving_until: float = 0.0
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Candidate:
-    """An upstream that a group may use.
-
-    Args:
-        member: Its daemon's record.
-        view: What was seen of it.
-    """
-
-    member: messages.Member
-    view: PeerView
-
-
-Tiers = tuple[tuple[Candidate, ...], ...]
-
-
 @dataclasses.dataclass(slots=True)
 class RoutingTable:
-    """What this daemon observed, and candidates worked out from it.
+    """What routing knows.
 
     Args:
         rng: Spreads back-off.
-        peers: By VM name.
-        members: The members that `tiers` were worked out from.
-        me: This daemon's record that `tiers` were worked out for.
+        index: Members, what was seen of them, and candidates.
         ejected_until: Monotonic seconds of the end of the last ejection.
-        tiers: Candidates by distance, by service and filters of a group.
     """
 
     rng: random.Random
-    peers: dict[str, PeerView] = dataclasses.field(default_factory=dict)
-    members: collections.abc.Iterable[messages.Member] = ()
-    me: messages.Member | None = None
+    index: candidates.CandidateTable = dataclasses.field(
+        default_factory=candidates.CandidateTable
+    )
     ejected_until: float = 0.0
-    tiers: dict[tuple, Tiers] = dataclasses.field(default_factory=dict)
 
 
 def new_routing(rng=None):
@@ -161,6 +92,21 @@
     return RoutingTable(rng or random.Random())
 
 
+def refresh(routing, members, me):
+    """Take a change of members.
+
+    `choose` does this where needed; called before, it spares the next call
+    working out the candidates.
+
+    Args:
+        routing: A `RoutingTable`.
+        members: As for `choose`.
+        me: This daemon's own `messages.Member`.
+    """
+    if candidates.adopt(routing.index, members, me):
+        candidates.prepare(routing.index)
+
+
 def choose(routing, call, members, own, tried, context):
     """Return where to send a call.
 
@@ -177,10 +123,10 @@
     Returns:
         `calls.Own`, `calls.Peer` or `calls.Nobody`.
     """
-    _refresh(routing, members, own.member)
+    candidates.adopt(routing.index, members, own.member)
     for target in _targets(call.route.targets, context.rng):
         own_here = _own_serves(own, target.group, tried)
-        if own_here and _own_is_free(own):
+        if own_here and peerview.has_room(own.load):
             return calls.Own()
         choice = _choose_peer(
             routing, target.group, own, own_here, tried, context
@@ -198,7 +144,7 @@
         vm: Its VM name.
         now: Monotonic seconds.
     """
-    _view(routing, vm).in_flight += 1
+    candidates.view(routing.index, vm).in_flight += 1
 
 
 def observe(routing, observation, now):
@@ -209,44 +155,32 @@
         observation: An `Observation`, one for each `sent`.
         now: Monotonic seconds.
     """
-    view = _view(routing, observation.vm)
+    view = candidates.view(routing.index, observation.vm)
     view.in_flight = max(0, view.in_flight - 1)
     if observation.load is not None:
-        _note_load(view, observation.load, now)
+        peerview.note_load(view, observation.load, now)
     if observation.ran_ok:
-        _note_success(view, observation.seconds)
+        peerview.note_success(view, observation.seconds)
     elif observation.refused:
-        _note_refusal(routing, view, now)
-    else:
+        if not peerview.has_room(observation.load):
+            peerview.note_refusal(view, now, routing.rng)
+    elif observation.lost or observation.load is not None:
         _note_failure(routing, view, observation.lost, now)
 
 
-def subset_size(senders, instances, bound=SENDERS_PER_INSTANCE):
-    """Return how many instances of a service one daemon uses.
+def keeps_connection(routing, vm):
+    """Return whether to keep a connection to a daemon open when idle.
+
+    In a large fleet an instance cannot hold a connection of every sender.
+    Those that may not keep one open a connection for each call; they keep
+    one at most in any case.
 
     Args:
-        senders: Daemons that may send.
-        instances: Instances they choose from.
-        bound: Senders that an instance expects.
+        routing: A `RoutingTable`.
+        vm: VM name of a daemon that was chosen.
     """
-    fitting = bound * instances // max(1, senders)
-    return min(instances, max(MIN_SUBSET, fitting))
-
-
-def _refresh(routing, members, me):
-    if members is routing.members and me is routing.me:
-        return
-    routing.members = tuple(members)
-    routing.me = me
-    routing.tiers.clear()
-    known = {member.vm for member in routing.members}
-    gone = [
-        vm
-        for vm, view in routing.peers.items()
-        if vm not in known and not view.in_flight
-    ]
-    for vm in gone:
-        del routing.peers[vm]
+    view = routing.index.peers.get(vm)
+    return view is not None and view.keeps_connection
 
 
 def _targets(targets, rng):
@@ -269,28 +203,12 @@
     return (
         own.load.state in _POSSIBLE
         and member.vm not in tried
-        and _in_group(member, group)
-    )
-
-
-def _own_is_free(own):
-    load = own.load
-    return load.state is _State.SERVING and (
-        not load.queued and load.running < load.slots
+        and candidates.in_group(member, group)
     )
 
 
-def _in_group(member, group):
-    if member.service != group.service:
-        return False
-    if group.regions and member.region not in group.regions:
-        return False
-    domains = group.failure_domains
-    return not domains or member.failure_domain in domains
-
-
 def _choose_peer(routing, group, own, own_here, tried, context):
-    tiers = _tiers(routing, group, own.member)
+    tiers = candidates.of_call(routing.index, group)
     best = _best(routing, tiers, tried, context)
     if best is None and not own_here:
         best = _any(tiers, tried, context)
@@ -315,7 +233,7 @@
     best = None
     ejected = _ejected(routing, tiers, context.now)
     for distance, tier in enumerate(tiers):
-        if best is not None and distance == _DOUBTFUL:
+        if best is not None and distance == candidates.DOUBTFUL:
             break
         usable = [
             candidate
@@ -365,16 +283,16 @@
     return out[:most]
 
 
-def _draw(candidates, rng):
+def _draw(usable, rng):
     """Return two candidates in random order, so that ties are spread."""
-    count = len(candidates)
+    count = len(usable)
     if count < 2:
-        return candidates
+        return usable
     first = int(rng.random() * count)
     second = int(rng.random() * (count - 1))
     if second >= first:
         second += 1
-    return (candidates[first], candidates[second])
+    return (usable[first], usable[second])
 
 
 def _is_held_back(candidate, context):
@@ -402,12 +320,8 @@
 
 def _fullness(candidate, context):
     """Return the part of the slots in use with one more attempt."""
-    view = candidate.view
-    age = context.now - view.load_at
-    others = view.others * 0.5 ** (age / LOAD_HALF_LIFE_S)
-    if others < NEGLIGIBLE_ATTEMPTS:
-        others = 0.0
-    return (view.in_flight + others + 1) / _slots(candidate)
+    running = peerview.running(candidate.view, context.now)
+    return (running + 1) / _slots(candidate)
 
 
 def _slots(candidate):
@@ -421,125 +335,11 @@
     return max(SLOW_START_FLOOR, age / SLOW_START_S)
 
 
-def _tiers(routing, group, me):
-    key = (group.service, group.regions, group.failure_domains)
-    found = routing.tiers.get(key)
-    if found is None:
-        if len(routing.tiers) >= MAX_INDEXES:
-            routing.tiers.clear()
-        found = routing.tiers[key] = _build_tiers(routing, group, me)
-    return found
-
-
-def _build_tiers(routing, group, me):
-    serving = [
-        member
-        for member in routing.members
-        if member.state in _LIVE
-        and member.upstream_state in _POSSIBLE
-        and _in_group(member, group)
-    ]
-    tiers = ([], [], [], [])
-    for member in _subset(serving, routing.members, me):
-        candidate = Candidate(member, _view(routing, member.vm))
-        tiers[_distance(member, me)].append(candidate)
-    return tuple(tuple(tier) for tier in tiers)
-
-
-def _distance(member, me):
-    if member.state is messages.MemberState.SUSPECT:
-        return _DOUBTFUL
-    if member.upstream_state is not _State.SERVING:
-        return _DOUBTFUL
-    if member.region != me.region:
-        return _ELSEWHERE
-    if member.failure_domain != me.failure_domain:
-        return _SAME_REGION
-    return _SAME_DOMAIN
-
-
-def _subset(serving, members, me):
-    """Return the instances this daemon uses: some near, the rest any."""
-    senders = len(members) + 1
-    size = subset_size(senders, len(serving))
-    if size >= len(serving):
-        return serving
-    ranked = sorted(serving, key=lambda member: _affinity(me.vm, member.vm))
-    near = [
-        member
-        for member in ranked
-        if member.failure_domain == me.failure_domain
-    ]
-    chosen = near[: _near_size(size, near, members, me)]
-    for member in ranked:
-        if len(chosen) >= size:
-            break
-        if member not in chosen:
-            chosen.append(member)
-    return chosen
-
-
-def _near_size(size, near, members, me):
-    neighbours = 1 + sum(
-        1 for member in members if member.failure_domain == me.failure_domain
-    )
-    bound = SENDERS_PER_INSTANCE // 2 * len(near) // neighbours
-    return min((size + 1) // 2, bound)
-
-
-def _affinity(sender, vm):
-    data = f'{sender}/{vm}'.encode()
-    return hashlib.blake2b(data, digest_size=8).digest()
-
-
-def _view(routing, vm):
-    view = routing.peers.get(vm)
-    if view is None:
-        view = routing.peers[vm] = PeerView()
-    return view
-
-
-def _note_load(view, load, now):
-    view.others = max(0, load.running + load.queued - view.in_flight)
-    view.slots = load.slots
-    view.load_at = now
-    if load.state in _LEAVING:
-        view.leaving_until = now + LEAVING_S
-
-
-def _note_success(view, seconds):
-    view.refusals = view.losses = view.failures = view.ejections = 0
-    view.paused_until = view.ejected_until = 0.0
-    if view.latency:
-        view.latency += LATENCY_GAIN * (seconds - view.latency)
-    else:
-        view.latency = seconds
-
-
-def _note_refusal(routing, view, now):
-    view.refusals += 1
-    pause = min(
-        MAX_REFUSED_PAUSE_S, REFUSED_PAUSE_S * 2 ** min(view.refusals, 10)
-    )
-    view.paused_until = now + _jittered(routing, pause)
-
-
 def _note_failure(routing, view, lost, now):
-    view.failures += 1
     if lost:
-        view.losses += 1
-        pause = min(MAX_LOST_PAUSE_S, LOST_PAUSE_S * 2 ** min(view.losses, 10))
-        view.paused_until = now + _jittered(routing, pause)
-    if view.failures >= EJECT_AFTER_FAILURES:
-        view.failures = 0
-        view.ejections += 1
-        length = min(MAX_EJECT_S, EJECT_S * view.ejections)
-        view.ejected_until = now + _jittered(routing, length)
-        routing.ejected_until = max(routing.ejected_until, view.ejected_until)
-
-
-def _jittered(routing, seconds):
-    return seconds * (0.5 + routing.rng.random() / 2)
+        peerview.note_loss(view, now, routing.rng)
+    peerview.note_failure(view, now, routing.rng)
+    routing.ejected_until = max(routing.ejected_until, view.ejected_until)
 
 
 def _nobody(tried):
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -10,6 +10,7 @@
 from jujubefold import errors
 from jujubefold import gate
 from jujubefold import messages
+from jujubefold import servicetime
 from tests import calling
 
 State = messages.UpstreamState
@@ -163,7 +164,7 @@
 
     def test_old_estimates_fade_so_that_nothing_is_locked_out(self):
         table = self.learned(seconds=50.0)
-        self.assertEqual(50.0, gate.service_time(table, 'r', 50.0))
+        self.assertEqual(50.0, servicetime.mean(table.times, 50.0))
         found = offer(table, 50.0, 2, deadline=51.0)
         self.assertEqual(calls.Reason.DEADLINE, found.refusal.reason)
         self.assertEqual(RUN, offer(table, 100.0, 3, deadline=101.0))
@@ -191,6 +192,22 @@
                 out = {12: found.refusal.reason}
             self.assertEqual({leaves: calls.Reason.QUEUE_FULL}, out, name)
 
+    def test_a_route_bounds_its_own_part_of_the_queue(self):
+        narrow = calling.route('narrow', queue=1)
+        table = calling.serving(1, queue_limit=9)
+        offer(table, 0.0, 1)
+        found = [
+            offer(table, 0.0, 2),
+            offer(table, 0.0, 3, to=narrow),
+            offer(table, 0.0, 4, to=narrow),
+            offer(table, 0.0, 5),
+        ]
+        refused = [isinstance(item, calls.Refused) for item in found]
+        self.assertEqual([False, False, True, False], refused)
+        none = calling.route('none', queue=0)
+        found = offer(table, 0.0, 6, to=none)
+        self.assertEqual(calls.Reason.QUEUE_FULL, found.refusal.reason)
+
     def test_one_caller_cannot_occupy_the_queue(self):
         table = calling.serving(1, queue_limit=8)
         for sequence in range(1, 30):
@@ -268,8 +285,8 @@
         offer(table, 0.0, 7)
         gate.finish(table, identify(7), Ending.ANSWERED, 0.0)
         gate.expire(table, attempts.MEMORY_S + 1)
-        dropped = attempts.take_dropped(table.memory)
-        self.assertEqual((identify(7),), dropped)
+        self.assertIsNone(gate.ending(table, identify(7)))
+        self.assertEqual(0, table.memory.ended)
         for sequence in (7, 6):
             refusal = offer(table, 200.0, sequence, deadline=300).refusal
             self.assertEqual(errors.Ran.UNKNOWN, refusal.ran)
