Put the operators' API under mutual TLS and reload its keys

Cause: only the peers' port knew the keys in the settings. Change: cheroot adapter over the context that follows changed files; the client checks the daemons' shared name; a bad new key pair is refused and recorded while the old one stays in use.

--- a/jujubefold/adminclient.py
+++ b/jujubefold/adminclient.py
@@ -5,6 +5,7 @@
 
 from jujubefold import adminmodels
 from jujubefold import errors
+from jujubefold import trust
 
 CONNECT_TIMEOUT_S = 2.0
 
@@ -22,6 +23,9 @@
     def __init__(self, address, timeout=10.0, **tls):
         scheme = 'https' if tls else 'http'
         self._base = f'{scheme}://{address}'
+        if tls:
+            # Daemons share one name, because their addresses come and go.
+            tls['server_hostname'] = trust.DAEMON_NAME
         self._pool = urllib3.PoolManager(retries=False, **tls)
         self._timeout = timeout
 
--- a/jujubefold/adminserver.py
+++ b/jujubefold/adminserver.py
@@ -7,6 +7,7 @@
 import typing
 import urllib.parse
 
+from cheroot.ssl import builtin
 from cheroot import wsgi
 
 from jujubefold import adminmodels
@@ -58,6 +59,19 @@
     answer: typing.Callable[[Request], Answer]
 
 
+class TlsAdapter(builtin.BuiltinSSLAdapter):
+    """Puts cheroot's connections under TLS with client certificates.
+
+    Args:
+        tls: A `settings.Tls`.
+        server: A `trust.ServerContext`, which follows changed files.
+    """
+
+    def __init__(self, tls, server):
+        super().__init__(str(tls.certificate), str(tls.key))
+        self.context = server.context
+
+
 def endpoint(method, path, answer):
     """Return an `Endpoint` for a path with `{}` where a segment is taken."""
     pattern = re.escape(path).replace(r'\{\}', '([^/]+)')
--- a/jujubefold/daemon.py
+++ b/jujubefold/daemon.py
@@ -36,7 +36,7 @@
     )
     api = adminapi.AdminApi(daemon, loop)
     server = adminserver.AdminServer(
-        options.daemon.admin_address, api.endpoints()
+        options.daemon.admin_address, api.endpoints(), _adapter(daemon)
     )
     await daemon.start(server.bind())
     server.start()
@@ -48,6 +48,12 @@
     return stopped
 
 
+def _adapter(daemon):
+    if daemon.server_tls is None:
+        return None
+    return adminserver.TlsAdapter(daemon.options.tls, daemon.server_tls)
+
+
 def _handle_signals(loop, daemon):
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.drain)
--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -85,8 +85,10 @@
         self._began = clock.monotonic()
         self._caller_address = ''
         self._credentials = None
+        self._server_tls = None
         if options.tls is not None:
             self._credentials = trust.PeerCredentials(options.tls)
+            self._server_tls = trust.ServerContext(options.tls)
         self._peers = grpcpeers.GrpcPeers(
             options.daemon.peer_address, self._credentials
         )
@@ -123,6 +125,11 @@
         """The `settings.Settings` in use."""
         return self._options
 
+    @property
+    def server_tls(self):
+        """The `trust.ServerContext` of the HTTP ports; None without TLS."""
+        return self._server_tls
+
     @property
     def tables(self):
         """The core's tables; to be read in the loop's thread only."""
@@ -270,7 +277,17 @@
 
     def reload_keys(self):
         """Use changed TLS files for new connections."""
-        if self._options.tls is None:
+        if self._server_tls is None:
+            return
+        result = self._server_tls.reload()
+        if result.is_error():
+            failure = result.error
+            self.record(
+                events.Event(
+                    'daemon.keys_refused',
+                    detail=f'{failure.where}: {failure.reason}',
+                )
+            )
             return
         self._peers.reload()
         self.record(events.Event('daemon.keys_reloaded'))
@@ -364,7 +381,6 @@
     def _call_tls(self):
         if self._options.tls is None:
             return ()
-        self._server_tls = trust.ServerContext(self._options.tls)
         return (
             self._server_tls.context,
             trust.client_context(self._options.tls),
