--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -15,6 +15,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 60.0
+SPARE_IDLE_S = 0.25
 MAX_HEAD_BYTES = 64 * 1024
 WRITE_BUFFER_BYTES = 256 * 1024
 JOINED_WRITE_BYTES = 64 * 1024
@@ -158,6 +159,8 @@
         self._writing_paused = False
         self._reused = False
         self._sent = False
+        self._whole = False
+        self._fault = None
         self._poisoned = False
         self._closed = False
         self.moved_at = 0.0
@@ -173,19 +176,21 @@
         """Whether an exchange is under way."""
         return self._done is not None
 
-    def start(self, message, head, bounds):
+    def start(self, message, head, bounds, done=None):
         """Send a request.
 
         Args:
             message: A `Message`.
             head: Its head as `encode_head` gave it.
             bounds: `Bounds` on the exchange.
+            done: Where the result is set; None for a new future.
 
         Returns:
-            Future of a `callserver.Answer` or a `Failure`.
+            `done`, of a `callserver.Answer` or a `Failure`.
         """
-        self._done = self._pool.loop.create_future()
-        done = self._done
+        if done is None:
+            done = self._pool.loop.create_future()
+        self._done = done
         self._method = message.method
         self.bounds = bounds
         self._sent = False
@@ -204,8 +209,8 @@
 
     def abort(self, how=Failed.CANCELLED, detail=''):
         """Close at once, ending the exchange under way."""
-        self._fail(how, detail)
         self._transport.abort()
+        self._fail(how, detail)
 
     # asyncio.Protocol
 
@@ -223,13 +228,14 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
-            self._poisoned = True
-            self._fail(Failed.CUT, f'answer malformed: {e}')
+            self._fault = self._fault or (Failed.CUT, f'malformed: {e}')
         if self._answer is None and self._raw_bytes > MAX_HEAD_BYTES:
-            self._poisoned = True
-            self._fail(Failed.CUT, 'answer headers too large')
-        if self._poisoned:
-            self._transport.abort()
+            self._fault = (Failed.CUT, 'answer headers too large')
+        # Only now: what runs next may use this connection and its parser.
+        if self._whole:
+            self._finish()
+        elif self._fault is not None:
+            self.abort(*self._fault)
 
     def eof_received(self):
         return False
@@ -251,7 +257,8 @@
 
     def on_message_begin(self):
         self._headers = []
-        if self._done is None:
+        if self._whole:
+            # A second answer to one request.
             self._poisoned = True
 
     def on_header(self, name, value):
@@ -260,7 +267,7 @@
 
     def on_headers_complete(self):
         status = self._parser.get_status_code()
-        if status in _INTERIM or self._poisoned:
+        if status in _INTERIM or self._whole:
             return
         length = int(dict(self._headers).get(b'content-length', 0))
         headers = end_to_end(self._headers)
@@ -268,14 +275,13 @@
         self._answer = answer
         if self._method == 'HEAD':
             answer.size = length
-            self._parser = httptools.HttpResponseParser(self)
-            self._finish()
+            self._whole = True
         elif length:
             self._reserve(length)
 
     def on_body(self, piece):
         answer = self._answer
-        if answer is None:
+        if answer is None or self._whole:
             self._poisoned = True
             return
         answer.pieces.append(piece)
@@ -285,10 +291,8 @@
             self._reserve(over)
 
     def on_message_complete(self):
-        if self._answer is not None and self._done is not None:
-            self._finish()
-        elif self._parser.get_status_code() not in _INTERIM:
-            self._poisoned = True
+        if self._answer is not None:
+            self._whole = True
 
     def _reserve(self, more):
         answer = self._answer
@@ -296,8 +300,7 @@
         if answer.memory.size + answer.memory.wanted + more > min(
             self._pool.answer_limit, budget.limit
         ):
-            self._poisoned = True
-            self._fail(Failed.TOO_LARGE, 'answer too large to buffer')
+            self._fault = (Failed.TOO_LARGE, 'answer too large to buffer')
         elif answer.memory.wanted:
             answer.memory.wanted += more
         elif not budget.reserve(answer.memory, more, self._granted):
@@ -312,7 +315,12 @@
     def _finish(self):
         done, self._done = self._done, None
         answer, self._answer = self._answer, None
-        if not self._parser.should_keep_alive():
+        self._whole = False
+        if self._method == 'HEAD':
+            # The parser waits for a body that never comes.
+            self._poisoned |= not self._parser.should_keep_alive()
+            self._parser = httptools.HttpResponseParser(self)
+        elif not self._parser.should_keep_alive():
             self._poisoned = True
         if self._out:
             # Answered before it read the whole request.
@@ -320,11 +328,11 @@
             self._poisoned = True
         self._raw_bytes = 0
         self._reused = True
+        if self._poisoned:
+            self._transport.close()
         self._pool.released(self)
         if not done.done():
             done.set_result(answer)
-        if self._poisoned:
-            self._transport.close()
 
     def _fail(self, how, detail):
         done, self._done = self._done, None
@@ -354,9 +362,13 @@
         answers: `bodies.Budget` that answers are buffered in.
         answer_limit: Largest answer body in bytes.
         tls: `ssl.SSLContext` or None.
+
+    Attributes:
+        spare: Most connections kept open while idle; None for all.
     """
 
     def __init__(self, address, bound, clock, answers, answer_limit, tls=None):
+        self.spare = None
         self.address = address
         self.answers = answers
         self.answer_limit = answer_limit
@@ -453,6 +465,7 @@
         """
         self.now = self._clock.monotonic()
         silent = 0
+        self._close_spare()
         for connection in tuple(self._open):
             waited = self.now - connection.moved_at
             if not connection.busy:
@@ -472,6 +485,14 @@
         self._retired = True
         self.purge()
 
+    def _close_spare(self):
+        if self.spare is None:
+            return
+        # The first in the list were used longest ago.
+        for connection in self._idle[: len(self._idle) - self.spare]:
+            if self.now - connection.moved_at > SPARE_IDLE_S:
+                connection.abort()
+
     def close(self):
         """Close every connection."""
         for connection in tuple(self._open):
--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -16,6 +16,7 @@
 from jujubefold import callserver
 from jujubefold import crashes
 from jujubefold import dispatch
+from jujubefold import eagertask
 from jujubefold import errors
 from jujubefold import events
 from jujubefold import gate
@@ -208,6 +209,7 @@
             new_pool=self._new_upstream_pool,
             record=self._record,
             emit=emit or (lambda effect: None),
+            fail=_fail,
         )
 
     @property
@@ -342,15 +344,15 @@
         self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def _spawn(self, coroutine, request):
-        task = asyncio.get_running_loop().create_task(coroutine)
+        task = eagertask.EagerTask(coroutine, self._served)
         self._tasks[task] = request
-        task.add_done_callback(self._served)
         return task
 
     def _served(self, task):
         del self._tasks[task]
-        if not task.cancelled() and task.exception() is not None:
-            raise task.exception()
+        error = task.error
+        if error is not None and not isinstance(error, asyncio.CancelledError):
+            _fail(error)
 
     # Callers
 
@@ -381,6 +383,7 @@
                 task.cancel()
 
         exchange.gone = gone
+        task.start()
 
     def _refuse_unread(self, exchange, refusal, mesh):
         name = callentry.request_id(exchange.request, self._rng)
@@ -489,11 +492,15 @@
         tour.own = isinstance(choice, calls.Own)
         if tour.own:
             tour.tried.add(self._identity.vm)
-            return await self._gate.run(
+            outcome = await self._gate.run(
                 attempt, tour.message, part, tour.trace
             )
-        tour.tried.add(choice.vm)
-        return await self._forward(choice, attempt, tour.message, part)
+        else:
+            tour.tried.add(choice.vm)
+            outcome = await self._forward(choice, attempt, tour.message, part)
+        if _is_refused(outcome):
+            tour.allowance.give_back(part)
+        return outcome
 
     def _may_go_on(self, tour, refusal):
         """Return whether another try is safe, in time and paid for."""
@@ -507,9 +514,7 @@
         now = self._clock.monotonic()
         if now >= tour.call.deadline:
             return False
-        if not budget.allow(self._budgets, tour.call, now):
-            return False
-        return tour.allowance.spend()
+        return budget.allow(self._budgets, tour.allowance, tour.call, now)
 
     # Forwarding to another daemon
 
@@ -571,7 +576,7 @@
 
     def _cancel_hop(self, peer, name):
         message = self._control(peer, hops.CANCEL_PATH, name)
-        self._spawn(self._send_cancel(peer, message), str(name))
+        self._spawn(self._send_cancel(peer, message), str(name)).start()
 
     async def _send_cancel(self, peer, message):
         pool = self._pool_of(peer.call_address)
@@ -581,7 +586,9 @@
         deadline = self._clock.monotonic() + callclient.CONNECT_TIMEOUT_S
         bounds = callclient.Bounds(deadline, self._limits.peer_silence)
         head = callclient.encode_head(message)
-        result = await connection.start(message, head, bounds)
+        waiter = eagertask.Waiter()
+        connection.start(message, head, bounds, waiter)
+        result = await waiter
         if isinstance(result, callserver.Answer):
             self._answers.release(result.memory)
 
@@ -596,6 +603,8 @@
 
     async def _exchange(self, peer, call, message, extra=()):
         pool = self._pool_of(peer.call_address)
+        keeps = routing.keeps_connection(self._routing, peer.vm)
+        pool.spare = 1 if keeps else 0
         connection = pool.take()
         if connection is None:
             left = call.deadline - self._clock.monotonic()
@@ -606,9 +615,10 @@
             call.deadline + PEER_DEADLINE_SLACK_S, self._limits.peer_silence
         )
         head = callclient.encode_head(message, extra)
-        done = connection.start(message, head, bounds)
+        waiter = eagertask.Waiter()
+        connection.start(message, head, bounds, waiter)
         try:
-            return await done
+            return await waiter
         except asyncio.CancelledError:
             connection.abort()
             raise
@@ -652,8 +662,14 @@
         if request.late:
             self._reply_hop(exchange, _DRAINING)
             return
+        # On one connection a new request means that the answer before it
+        # arrived, so nobody will ask for that attempt again.
+        session = request.session
+        if session.last is not None:
+            self._gate.forget(session.last)
         now = self._clock.monotonic()
         attempt = hops.attempt_of(hop.ok, request, self._routes, now)
+        session.last = attempt.id
         message = callclient.Message(
             request.method,
             request.target,
@@ -696,7 +712,10 @@
 
     def _answer_hop(self, exchange, name, outcome, request):
         """Reply with an awaited outcome; notice if the sender leaves."""
-        task = self._spawn(self._reply_when_known(exchange, outcome), request)
+        self._listeners[name] = self._listeners.get(name, 0) + 1
+        task = self._spawn(
+            self._reply_when_known(exchange, name, outcome), request
+        )
 
         def gone():
             task.cancel()
@@ -704,8 +723,7 @@
             loop.call_later(REJOIN_GRACE_S, self._give_up, name)
 
         exchange.gone = gone
-        self._listeners[name] = self._listeners.get(name, 0) + 1
-        task.add_done_callback(lambda done: self._stop_listening(name))
+        task.start()
 
     def _stop_listening(self, name):
         self._listeners[name] -= 1
@@ -717,8 +735,11 @@
         if name not in self._listeners:
             self._gate.cancel(name)
 
-    async def _reply_when_known(self, exchange, outcome):
-        self._reply_hop(exchange, await outcome)
+    async def _reply_when_known(self, exchange, name, outcome):
+        try:
+            self._reply_hop(exchange, await outcome)
+        finally:
+            self._stop_listening(name)
 
     def _reply_hop(self, exchange, outcome):
         load = str(gate.load(self._gate.table)).encode()
@@ -750,6 +771,21 @@
     own: bool = False
 
 
+def _is_refused(outcome):
+    """Return whether an outcome proves that no upstream saw the attempt."""
+    return (
+        isinstance(outcome, calls.Refusal)
+        and outcome.ran is errors.Ran.DID_NOT_RUN
+    )
+
+
+def _fail(error):
+    """Hand a broken invariant to the shell, through its event loop."""
+    asyncio.get_running_loop().call_exception_handler(
+        {'message': 'the call path broke', 'exception': error}
+    )
+
+
 def _status_of(refusal):
     """Return the status where the reason alone does not give it."""
     answer_too_large = (
--- a/jujubefold/callgate.py
+++ b/jujubefold/callgate.py
@@ -12,6 +12,7 @@
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import crashes
+from jujubefold import eagertask
 from jujubefold import errors
 from jujubefold import events
 from jujubefold import gate
@@ -20,9 +21,9 @@
 
 SHED = b'jujubefold-shed'
 RETRY_S = 1.0
-KEPT_S = 60.0
+KEPT_S = 30.0
 KEPT_BYTES = 16 * 1024 * 1024
-KEPT_COUNT = 16_384
+KEPT_COUNT = 4096
 CRASH_WINDOW_S = 0.05
 PROBE_TIMEOUT_S = 0.5
 
@@ -89,19 +90,30 @@
     """An attempt of another daemon, running or ended.
 
     Args:
-        future: Of its `Outcome`.
-        task: Runs it.
-        ended_at: Monotonic seconds; 0 while it runs.
+        trace: How far it has got.
+        task: Runs it; None once it has ended.
+        waiters: Told of its `Outcome`.
+        outcome: The `Outcome` once it has ended.
+        ended_at: Monotonic seconds.
         size: Bytes of its answer.
     """
 
-    future: asyncio.Future
-    task: asyncio.Task
     trace: Trace
+    task: eagertask.EagerTask | None = None
+    waiters: list[eagertask.Waiter] = dataclasses.field(default_factory=list)
+    outcome: object = None
     ended_at: float = 0.0
     size: int = 0
 
 
+async def _share(kept):
+    if kept.outcome is not None:
+        return kept.outcome
+    waiter = eagertask.Waiter()
+    kept.waiters.append(waiter)
+    return await waiter
+
+
 class CallGate:
     """Runs attempts at this VM's own upstream.
 
@@ -114,6 +126,7 @@
         new_pool: Called with an address, returns a `callclient.Pool`.
         record: Called with each `events.Event`.
         emit: Called with each `effects.Effect` of a decision.
+        fail: Called with an exception that broke an attempt.
     """
 
     def __init__(
@@ -127,6 +140,7 @@
         new_pool,
         record,
         emit,
+        fail,
     ):
         self.table = table
         self.pool = None
@@ -137,13 +151,13 @@
         self._new_pool = new_pool
         self._record = record
         self._emit = emit
+        self._fail = fail
         self._waiting = {}
         self._live = {}
         self._ended = collections.OrderedDict()
         self._ended_bytes = 0
         self._expiry = None
         self._lost = []
-        self._tasks = set()
 
     @property
     def running(self):
@@ -199,7 +213,7 @@
         kept = self._find(attempt.id)
         if kept is None:
             kept = self._keep(attempt, message, allowance)
-        return await asyncio.shield(kept.future)
+        return await _share(kept)
 
     async def join_or_bar(self, name):
         """Share the outcome of an attempt, or make sure it never runs.
@@ -212,7 +226,7 @@
         """
         kept = self._find(name)
         if kept is not None:
-            return await asyncio.shield(kept.future)
+            return await _share(kept)
         if self.bar(name) is gate.BarState.BARRED:
             return calls.Refusal(
                 errors.Ran.DID_NOT_RUN,
@@ -243,25 +257,42 @@
     def _find(self, name):
         return self._live.get(name) or self._ended.get(name)
 
+    def forget(self, name):
+        """Drop an outcome that its sender is known to have received."""
+        kept = self._ended.pop(name, None)
+        if kept is not None:
+            self._ended_bytes -= kept.size
+
     def _keep(self, attempt, message, allowance):
-        loop = asyncio.get_running_loop()
-        trace = Trace()
-        task = loop.create_task(self.run(attempt, message, allowance, trace))
-        kept = Kept(loop.create_future(), task, trace)
+        kept = Kept(Trace())
         self._live[attempt.id] = kept
-        task.add_done_callback(lambda done: self._end(attempt.id, done))
+        kept.task = eagertask.EagerTask(
+            self.run(attempt, message, allowance, kept.trace),
+            functools.partial(self._end, attempt.id, kept),
+        )
+        kept.task.start()
         return kept
 
-    def _end(self, name, task):
-        kept = self._live.pop(name)
+    def _end(self, name, kept, task):
+        del self._live[name]
+        kept.task = None
         kept.ended_at = self._clock.monotonic()
-        outcome = _CANCELLED if task.cancelled() else task.result()
-        kept.future.set_result(outcome)
-        if isinstance(outcome, callserver.Answer):
-            kept.size = outcome.size
+        kept.outcome = self._outcome_of(task)
+        if isinstance(kept.outcome, callserver.Answer):
+            kept.size = kept.outcome.size
             self._ended_bytes += kept.size
         self._ended[name] = kept
         self._forget()
+        waiters, kept.waiters = kept.waiters, []
+        for waiter in waiters:
+            waiter.set_result(kept.outcome)
+
+    def _outcome_of(self, task):
+        if task.error is None:
+            return task.result
+        if not isinstance(task.error, asyncio.CancelledError):
+            self._fail(task.error)
+        return _CANCELLED
 
     def _forget(self):
         """Drop the oldest outcomes; the newest is always kept."""
@@ -397,9 +428,10 @@
             message, hops.context_headers(call, allowance, now)
         )
         bounds = callclient.Bounds(call.deadline, call.route.timeout.attempt)
-        done = connection.start(message, head, bounds)
+        waiter = eagertask.Waiter()
+        connection.start(message, head, bounds, waiter)
         try:
-            return await done
+            return await waiter
         except asyncio.CancelledError:
             connection.abort()
             raise
@@ -430,9 +462,11 @@
         """Look, a moment later, whether the whole upstream is gone."""
         self._lost.append(call.fingerprint)
         if len(self._lost) == 1:
-            task = asyncio.get_running_loop().create_task(self._probe())
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            eagertask.spawn(self._probe(), self._probed)
+
+    def _probed(self, task):
+        if task.error is not None:
+            self._fail(task.error)
 
     async def _probe(self):
         await asyncio.sleep(CRASH_WINDOW_S)
@@ -477,7 +511,5 @@
         """Stop timers and close connections."""
         if self._expiry is not None:
             self._expiry.cancel()
-        for task in tuple(self._tasks):
-            task.cancel()
         if self.pool is not None:
             self.pool.close()
--- a/jujubefold/callkeys.py
+++ b/jujubefold/callkeys.py
@@ -84,7 +84,7 @@
             f'{call.host}{call.path}', call.key, call.fingerprint, self._holder
         )
         left = max(0.0, call.deadline - self._clock.monotonic())
-        found = await self._claims.claim(request, left)
+        found = await self._spawn(self._claims.claim(request, left))
         match found:
             case claimoutcome.Claimed():
                 return await self._run(found, trace, run)
@@ -112,7 +112,7 @@
         if isinstance(outcome, callserver.Answer):
             self._spawn(self._claims.settle(claimed, _encode(outcome), 0.0))
         elif outcome.ran is errors.Ran.DID_NOT_RUN:
-            await self._claims.release(claimed, RELEASE_WAIT_S)
+            await self._spawn(self._claims.release(claimed, RELEASE_WAIT_S))
         else:
             self._record(
                 events.Event('key.in_doubt', detail=claimed.request.key)
@@ -129,6 +129,7 @@
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
 
 def _encode(answer):
--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -67,6 +67,17 @@
     memory: float = 10.0
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Session:
+    """What a handler remembers of one connection.
+
+    Args:
+        last: Whatever the handler put here.
+    """
+
+    last: object = None
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Request:
     """One whole request.
@@ -80,6 +91,7 @@
         pieces: Body in order.
         size: Body length in bytes.
         peer: Address of the sender, `ip:port`.
+        session: The connection's `Session`.
         late: Whether its headers came after the server began to drain.
     """
 
@@ -90,6 +102,7 @@
     headers: list
     fields: dict
     peer: str
+    session: Session
     late: bool = False
     keep_alive: bool = True
     pieces: list = dataclasses.field(default_factory=list)
@@ -215,6 +228,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport = None
         self._peer = ''
+        self._session = Session()
         # Whole requests, and answers to what could not be parsed.
         self._queue = collections.deque()
         self._current = None
@@ -271,6 +285,9 @@
             self._break(malformed('protocol upgrade is not supported', 501))
         except httptools.HttpParserError as error:
             self._break(_answer_for(error))
+        else:
+            # Only now: an answer may close the connection under the parser.
+            self._advance()
 
     def eof_received(self):
         return False
@@ -337,7 +354,6 @@
         self._queue.append(request)
         if len(self._queue) > MAX_PIPELINED:
             self._pause_reading()
-        self._advance()
 
     # Reading
 
@@ -362,6 +378,7 @@
             headers=self._headers,
             fields=fields,
             peer=self._peer,
+            session=self._session,
             late=self._server.stopping,
         )
 
@@ -373,7 +390,9 @@
 
     def _continue(self, request):
         expects = b'expect' in request.fields
-        if expects and request is self._request and self._current is None:
+        if not expects or request is not self._request:
+            return
+        if self._current is None and not self._queue:
             self._transport.write(_CONTINUE)
 
     def _reserve(self, request, more):
