--- a/jujubefold/core.py
+++ b/jujubefold/core.py
@@ -11,6 +11,7 @@
 from jujubefold import membership
 from jujubefold import probing
 from jujubefold import progress
+from jujubefold import upstreams
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,6 +26,7 @@
         joining: How far joining the fleet has come.
         progress: Who has the newest version in force.
         crashes: Requests that crash upstreams.
+        upstream: The lease of the upstream on this VM.
     """
 
     identity: identity.Identity
@@ -42,10 +44,14 @@
     crashes: 'crashes.CrashTable' = dataclasses.field(
         default_factory=crashes.new_crashes
     )
+    upstream: 'upstreams.UpstreamTable' = dataclasses.field(
+        default_factory=upstreams.UpstreamTable
+    )
 
 
 SYSTEMS = (
     membership.run,
+    upstreams.run,
     joining.run,
     probing.run,
     dissemination.run,
--- a/jujubefold/joining.py
+++ b/jujubefold/joining.py
@@ -8,20 +8,26 @@
 from jujubefold import messages
 from jujubefold import overlay
 
-# A herd that starts together spreads its first step over this time.
+# A herd that starts together spreads its first step over this time, and
+# over more of it when that step is a read of the platform's table.
 FIRST_SPREAD_S = 1.0
+FIRST_READ_SPREAD_S = 4.0
 ANSWER_TIMEOUT_S = 2.0
 MIN_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 30.0
-MAX_STORE_BACKOFF_S = 60.0
+MAX_STORE_BACKOFF_S = 20.0
 # Contacts that may fail in a row before the contact table is read.
-MAX_FAILURES = 3
+MAX_FAILURES = 2
 # First pages that one contact gives out a second.
 ADMISSIONS_PER_S = 20.0
+BURST_S = 0.5
 MAX_RETRY_AFTER_S = 30.0
+MAX_TURNS = 4096
 PAGE_MEMBERS = 100
 CONTACT_SLOTS = 16
 REREAD_S = 1.0
+# Chance that a daemon replaces a lapsed row at its first read; it doubles.
+REPLACE_CHANCE = 0.25
 CONTACT_CHECK_S = 600.0
 FIRST_CONTACT_CHECK_S = 60.0
 
@@ -42,9 +48,12 @@
         failed: Addresses that failed since the last success.
         failures: Contacts that failed one after another.
         store_failures: Reads of the contact table that failed in a row.
-        admitted_at: When the next joiner may be let in.
+        promised: Contact that gave this daemon a turn, or ''.
+        turns: When a joiner may come back, by VM.
+        turn_at: The last turn given.
         check_at: When the contact table is next looked at, or None.
         checking: Whether a read for that check is under way.
+        held: Reads after which a lapsed row was left to others.
         reread: Whether the next step must read the contact table.
         lapsed: Address in this daemon's slot that was tried, or ''.
     """
@@ -58,9 +67,12 @@
     failed: set[str] = dataclasses.field(default_factory=set)
     failures: int = 0
     store_failures: int = 0
-    admitted_at: float = 0.0
+    promised: str = ''
+    turns: dict[str, float] = dataclasses.field(default_factory=dict)
+    turn_at: float = 0.0
     check_at: float | None = None
     checking: bool = False
+    held: int = 0
     reread: bool = False
     lapsed: str = ''
 
@@ -75,7 +87,7 @@
     if tables.membership.leaving or tables.membership.stopped:
         return
     if joining.next_at is None:
-        joining.next_at = context.now + context.rng.uniform(0, FIRST_SPREAD_S)
+        joining.next_at = context.now + _first_wait(tables, context)
     if joining.joined:
         yield from _check_contact(tables, context)
         _start_over_when_alone(tables, context)
@@ -86,7 +98,7 @@
 @dispatch.handle.register
 def _(item: messages.Join, tables, context, sender=''):
     if not item.after:
-        wait = _admit(tables.joining, context.now)
+        wait = _admit(tables.joining, item.member.vm, context.now)
         if wait > 0:
             yield effects.Send(sender, _later(wait))
             return
@@ -102,8 +114,10 @@
         return
     joining.failures = 0
     joining.failed.clear()
+    joining.promised = ''
     if item.retry_after_ms > 0:
         joining.contact = ''
+        joining.promised = sender
         wait = min(item.retry_after_ms / _MILLISECONDS, MAX_RETRY_AFTER_S)
         joining.next_at = context.now + wait * context.rng.uniform(1, 1.2)
         return
@@ -147,12 +161,19 @@
     if joining.joined or address != joining.contact:
         return
     joining.contact = ''
+    joining.promised = ''
     joining.after = ''
     joining.failures += 1
     joining.failed.add(address)
     joining.next_at = context.now + _backoff(joining.failures, context)
 
 
+def _first_wait(tables, context):
+    known = tables.membership.contacts
+    spread = FIRST_SPREAD_S if known else FIRST_READ_SPREAD_S
+    return context.rng.uniform(0, spread)
+
+
 def _step(tables, context):
     joining = tables.joining
     if joining.contact:
@@ -165,6 +186,8 @@
         joining.failures = 0
         joining.reread = False
         yield from _read_contacts(joining, context)
+    elif joining.promised:
+        yield from _ask(tables, context, joining.promised)
     elif joining.listed:
         # The lowest slot goes first, so that those listed find each other.
         yield from _ask(tables, context, hopeful[0])
@@ -209,18 +232,31 @@
     joining.next_at = context.now + context.rng.uniform(0, MAX_BACKOFF_S)
 
 
-def _admit(joining, now):
-    """Return seconds that a joiner must wait for its own turn."""
-    earliest = now - 1.0
-    turn = max(joining.admitted_at, earliest) + 1 / ADMISSIONS_PER_S
+def _admit(joining, vm, now):
+    """Return seconds until a joiner's turn, 0 when it may come in."""
+    turn = joining.turns.get(vm)
+    if turn is None:
+        turn = max(joining.turn_at + 1 / ADMISSIONS_PER_S, now - BURST_S)
+        if len(joining.turns) >= MAX_TURNS:
+            _drop_missed(joining, now)
+        if len(joining.turns) >= MAX_TURNS:
+            return MAX_RETRY_AFTER_S
+        joining.turn_at = turn
     if turn <= now:
-        joining.admitted_at = turn
+        joining.turns.pop(vm, None)
         return 0.0
-    if turn - now < MAX_RETRY_AFTER_S:
-        joining.admitted_at = turn
+    joining.turns[vm] = turn
     return min(turn - now, MAX_RETRY_AFTER_S)
 
 
+def _drop_missed(joining, now):
+    joining.turns = {
+        vm: turn
+        for vm, turn in joining.turns.items()
+        if turn > now - MAX_RETRY_AFTER_S
+    }
+
+
 def _later(wait):
     return messages.Welcome((), retry_after_ms=int(wait * _MILLISECONDS) + 1)
 
@@ -256,19 +292,28 @@
 
 def _use_contacts(tables, context, rows):
     joining = tables.joining
-    if any(row not in joining.failed for row in joining.found):
-        joining.next_at = context.now
-        return
+    hopeful = any(row not in joining.failed for row in joining.found)
+    lapsed = any(row in joining.failed for row in joining.found)
+    joining.next_at = context.now
     if joining.listed:
-        # Nobody else answers: whoever comes next finds this daemon.
-        joining.joined = True
-        joining.failed.clear()
-        return
-    slot = _free_slot(tables, rows)
-    joining.failed.clear()
+        # When nobody else answers, whoever comes next finds this daemon.
+        joining.joined = not hopeful
+    elif not hopeful or lapsed:
+        yield from _list_me(tables, context, rows, lapsed)
+
+
+def _list_me(tables, context, rows, lapsed):
+    joining = tables.joining
+    chance = REPLACE_CHANCE * 2**joining.held if lapsed else 1.0
     joining.next_at = context.now + context.rng.uniform(1, 2) * REREAD_S
     joining.reread = True
-    yield effects.WriteContact(slot)
+    if context.rng.random() < chance:
+        joining.held = 0
+        yield effects.WriteContact(_free_slot(tables, rows))
+    else:
+        # Of a herd that finds lapsed rows, a few replace them.
+        joining.held += 1
+    joining.failed.clear()
 
 
 def _free_slot(tables, rows):
--- a/jujubefold/probing.py
+++ b/jujubefold/probing.py
@@ -4,6 +4,7 @@
 
 from jujubefold import dispatch
 from jujubefold import effects
+from jujubefold import flooding
 from jujubefold import joining
 from jujubefold import membership
 from jujubefold import messages
@@ -16,14 +17,20 @@
 HELPERS = 3
 MAX_RELAYS = 64
 # One probe in so many goes to any member instead of a neighbour.
-RANDOM_EVERY = 5
+RANDOM_EVERY = 20
+# Members probed besides, because another daemon holds them dead.
+DOUBTS_A_ROUND = 4
 RECONTACT_S = 20.0
 RECONTACT_SOON_S = 1.0
-SYNC_AFTER_S = 5.0
-SYNC_INTERVAL_S = 10.0
-SYNC_RECORDS = 24
+SYNC_AFTER_S = 3.0
+SYNC_INTERVAL_S = 5.0
+SYNC_RECORDS = 128
+MAX_DIFFERS = 64
+MAX_OBSERVERS = 16
 # A daemon that hears nobody suspects others only from this doubt on.
 ISOLATED_HEALTH = 3
+# Incarnation in a helper's answer before the target has answered it.
+NOT_HEARD = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,11 +76,11 @@
         relays: By sequence.
         next_at: Monotonic seconds of the next probe, or None.
         rounds: Probes sent.
-        heard_at: When any probe was last answered.
+        heard_at: When another daemon was last heard.
         recontact_at: When a dead member is next tried, or None.
         recontacted: Address of the dead member tried last.
         sync_at: Earliest time of the next comparison.
-        differs_since: Since when views differ from neighbours', or None.
+        differs: Since when a daemon's view differs, by peer address.
     """
 
     sequence: int = 0
@@ -85,7 +92,7 @@
     recontact_at: float | None = None
     recontacted: str = ''
     sync_at: float = 0.0
-    differs_since: float | None = None
+    differs: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def run(tables, context):
@@ -116,6 +123,8 @@
     yield from membership.apply_all(table, item.updates, context)
     if _is_over(table):
         return
+    tables.probing.heard_at = context.now
+    _note_observer(table, sender, context.now)
     known = _record_at(table, sender)
     stranger = item.target not in (0, table.me.incarnation)
     yield effects.Send(
@@ -135,6 +144,7 @@
     table = tables.membership
     probing = tables.probing
     yield from membership.apply_all(table, item.updates, context)
+    probing.heard_at = context.now
     if sender == probing.recontacted:
         probing.recontacted = ''
         probing.recontact_at = context.now + RECONTACT_SOON_S * _jitter(
@@ -148,7 +158,6 @@
     probe = probing.probes.get(item.sequence)
     if probe is not None and _answers(probe, item):
         del probing.probes[item.sequence]
-        probing.heard_at = context.now
         table.health = max(0, table.health - 1)
     if item.view:
         yield from _compare(tables, context, item, sender)
@@ -157,6 +166,8 @@
 @dispatch.handle.register
 def _(item: messages.PingRequest, tables, context, sender=''):
     probing = tables.probing
+    # Tells the requester that its own network works.
+    yield effects.Send(sender, messages.Ack(item.sequence, NOT_HEARD))
     known = tables.membership.by_address.get(item.address)
     if known is None or len(probing.relays) >= MAX_RELAYS:
         return
@@ -208,6 +219,18 @@
     yield from ()
 
 
+def _note_observer(table, address, now):
+    table.observers[address] = now
+    if len(table.observers) > MAX_OBSERVERS:
+        table.observers = {
+            address: at
+            for address, at in table.observers.items()
+            if now - at < flooding.OBSERVED_S
+        }
+    while len(table.observers) > MAX_OBSERVERS:
+        del table.observers[next(iter(table.observers))]
+
+
 def _is_over(table):
     left = table.me.state is messages.MemberState.LEFT
     return left or table.stopped
@@ -233,7 +256,7 @@
 
 
 def _answers(probe, ack):
-    return probe.target in (0, ack.incarnation)
+    return ack.incarnation != NOT_HEARD and probe.target == ack.incarnation
 
 
 def _judge(tables, context, sequence):
@@ -273,15 +296,20 @@
 
 
 def _probe_next(tables, context):
-    probing = tables.probing
     table = tables.membership
+    for vm in tuple(table.doubted)[:DOUBTS_A_ROUND]:
+        yield from _probe(tables, context, table.members[vm], True)
     member, chance = _choose(tables, context)
-    probing.rounds += 1
-    if member is None:
-        return
-    sequence = _number(probing)
+    tables.probing.rounds += 1
+    if member is not None:
+        yield from _probe(tables, context, member, chance)
+
+
+def _probe(tables, context, member, introduce):
+    table = tables.membership
+    sequence = _number(tables.probing)
     timeout = PROBE_TIMEOUT_S * _patience(table)
-    probing.probes[sequence] = Probe(
+    tables.probing.probes[sequence] = Probe(
         member.vm,
         member.peer_address,
         member.incarnation,
@@ -294,7 +322,7 @@
         messages.Ping(
             sequence,
             member.incarnation,
-            membership.news(table, about, introduce=chance),
+            membership.news(table, about, introduce),
             table.digests.view,
         ),
     )
@@ -305,17 +333,25 @@
     """Return whom to probe, and whether by chance."""
     table = tables.membership
     rounds = tables.probing.rounds
-    if table.doubted and rounds % 2:
-        vm = next(iter(table.doubted))
-        return table.members[vm], True
-    if rounds % RANDOM_EVERY == RANDOM_EVERY - 1 and table.by_address:
-        return table.members[_any(table, context)], True
-    near = overlay.neighbours(table)
-    return (near[rounds % len(near)], False) if near else (None, False)
+    # Who hears little may have none but the dead for neighbours.
+    lonely = table.health > 0 and rounds % 2
+    if lonely or rounds % RANDOM_EVERY == RANDOM_EVERY - 1:
+        return _anybody(table, context), True
+    near = [
+        member
+        for member in overlay.neighbours(table)
+        if member.state is messages.MemberState.ALIVE
+    ]
+    if near:
+        return near[rounds % len(near)], False
+    return _anybody(table, context), True
 
 
-def _any(table, context):
-    return context.rng.choice(tuple(table.by_address.values()))
+def _anybody(table, context):
+    if not table.by_address:
+        return None
+    vm = context.rng.choice(tuple(table.by_address.values()))
+    return table.members[vm]
 
 
 def _recontact(tables, context):
@@ -362,11 +398,11 @@
     probing = tables.probing
     table = tables.membership
     if ack.view == table.digests.view:
-        probing.differs_since = None
+        probing.differs.pop(sender, None)
         return
-    if probing.differs_since is None:
-        probing.differs_since = context.now
-    waited = context.now - probing.differs_since
+    if len(probing.differs) >= MAX_DIFFERS:
+        probing.differs.clear()
+    waited = context.now - probing.differs.setdefault(sender, context.now)
     if waited < SYNC_AFTER_S or context.now < probing.sync_at:
         return
     probing.sync_at = context.now + SYNC_INTERVAL_S * _jitter(context)
--- a/tests/cores.py
+++ b/tests/cores.py
@@ -1,6 +1,7 @@
 """Cores driven by hand: a paused clock and a network that loses things."""
 
 import asyncio
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -24,6 +25,7 @@
 
 TICK_S = 0.1
 STORE_DELAY_S = 0.02
+GOSSIP_S = 1.0
 
 
 def member(index, domains=2, incarnation=1):
@@ -38,28 +40,69 @@
     )
 
 
-def step(number):
-    """Return patch bytes that only fit version `number - 1`."""
+def step(number, padding=0):
+    """Return patch bytes that only fit version `number - 1`.
+
+    Each version replaces the route's group and service, so that a version
+    applied in part has a route without its group or service.
+    """
+    route = {'path': '/x', 'targets': [{'group': f'g-{number}'}]}
+    new = {
+        f'/services/s-{number}': {'health_path': '/' + 'h' * padding},
+        f'/groups/g-{number}': {'service': f's-{number}'},
+        '/routes/r': route,
+    }
     operations = [
-        {'op': 'add', 'path': f'/services/s-{number}', 'value': {}},
-        {
-            'op': 'add',
-            'path': f'/groups/g-{number}',
-            'value': {'service': f's-{number}'},
-        },
+        {'op': 'add', 'path': path, 'value': value}
+        for path, value in new.items()
     ]
     if number > 1:
-        operations.append({'op': 'remove', 'path': f'/groups/g-{number - 1}'})
+        operations += [
+            {'op': 'remove', 'path': f'/groups/g-{number - 1}'},
+            {'op': 'remove', 'path': f'/services/s-{number - 1}'},
+        ]
     return versions.canonical(operations)
 
 
+def is_whole(held):
+    """Return whether a version is exactly what was accepted."""
+    number = held.version.number
+    (route,) = held.mesh.routes
+    groups = {target.group.name for target in route.targets}
+    return (
+        versions.digest(held.document) == held.version.digest
+        and groups == {f'g-{number}'}
+        and set(held.mesh.services) == {f's-{number}'}
+        and held.mesh.number == number
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Core:
-    """One daemon's tables and what was seen of it from outside."""
+    """One daemon's tables, its randomness and what leaves at a tick."""
 
     tables: core.Tables
     rng: random.Random
-    served: list[int] = dataclasses.field(default_factory=list)
+    outbox: dict[str, list] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Delivery:
+    """Something under way to a daemon.
+
+    Args:
+        due: Monotonic seconds at which it arrives.
+        content: An envelope's bytes, or an answer of the store.
+        source: Sender's peer address, None for the store.
+        incarnation: The receiver's when it was sent.
+    """
+
+    due: float
+    order: int
+    to: str = dataclasses.field(compare=False)
+    content: object = dataclasses.field(compare=False)
+    source: str | None = dataclasses.field(compare=False)
+    incarnation: int = dataclasses.field(compare=False)
 
 
 class Fleet:
@@ -87,16 +130,29 @@
         self.jitter = 0.0
         self.store_up = True
         self.cut = lambda one, other: False
+        self.drop = lambda source, target, item: False
+        self.paused = set()
         self.cores = {}
+        self.records = {}
+        self._told = {}
+        self._told_cut = None
+        self._met = set()
+        self.torn = []
+        self.checked = True
+        self.swaps = []
         self.served = {}
         self.events = []
         self.sent_bytes = 0
+        self.sent = collections.Counter()
         self.store_reads = 0
+        self.store_bytes = 0
         self._agenda = []
+        self._gossip_at = 0.0
         self._order = itertools.count()
         self._incarnation = itertools.count(1)
         for index in range(count):
-            self.start(index)
+            self._start(index)
+        self.gossip()
 
     @property
     def now(self):
@@ -104,6 +160,10 @@
 
     def start(self, index):
         """Start the daemon of a VM without any state."""
+        self._start(index)
+        self.gossip()
+
+    def _start(self, index):
         me = member(index, self.domains, next(self._incarnation))
         held = dissemination.DisseminationTable(options=self.options)
         tables = core.Tables(
@@ -120,13 +180,15 @@
             held,
         )
         seed = self.rng.getrandbits(32)
+        self._met.discard(me.peer_address)
         self.cores[me.peer_address] = Core(tables, random.Random(seed))
         self.served.setdefault(me.peer_address, [])
-        self.gossip()
 
     def kill(self, index):
         """Stop the daemon of a VM at once."""
-        self.cores.pop(member(index).peer_address, None)
+        address = member(index).peer_address
+        self.cores.pop(address, None)
+        self.paused.discard(address)
         self.gossip()
 
     def core(self, index):
@@ -134,22 +196,50 @@
         return self.cores[member(index).peer_address].tables
 
     def gossip(self):
-        """Let every daemon know every other's record, the dead included."""
-        records = {
-            each.tables.membership.me.vm: each.tables.membership.me
-            for each in self.cores.values()
-        }
-        for each in self.cores.values():
-            self._tell(each.tables.membership, records)
+        """Let every daemon know all records, the dead ones included.
+
+        Membership has its own tests; here its news just arrives.
+        """
+        if self._told_cut is not self.cut:
+            self._told_cut = self.cut
+            self._told.clear()
+        for address, each in self.cores.items():
+            self.records[address] = each.tables.membership.me
+        news = [
+            (address, record)
+            for address, record in self.records.items()
+            if self._told.get(address) != (record, address in self.cores)
+        ]
+        for address, each in self.cores.items():
+            fresh = address not in self._met
+            self._met.add(address)
+            for other, record in self.records.items() if fresh else news:
+                if other != address:
+                    self._tell(address, each.tables, record)
+        for address, record in news:
+            self._told[address] = (record, address in self.cores)
+
+    def _tell(self, address, tables, record):
+        other = record.peer_address
+        if other not in self.cores or self.cut(address, other):
+            record = msgspec.structs.replace(
+                record, state=messages.MemberState.DEAD
+            )
+        tables.joining.joined = True
+        tables.membership.members[record.vm] = record
+        tables.membership.moved.append(record.vm)
 
     def run(self, seconds):
         """Advance in ticks, delivering what falls due."""
         until = self.now + seconds
         while self.now < until - 1e-9:
-            self._deliver()
-            for address in list(self.cores):
+            if self.now >= self._gossip_at:
+                self._gossip_at = self.now + GOSSIP_S
+                self.gossip()
+            for address in sorted(set(self.cores) - self.paused):
                 self.feed(address, ())
-            self.clock.advance(TICK_S)
+                self._flush(address)
+            self._deliver(self.now + TICK_S)
 
     def run_until(self, condition, bound=120.0):
         """Advance until a condition holds; return the seconds it took."""
@@ -164,17 +254,25 @@
         """Tick one core with inputs and carry out its effects."""
         each = self.cores[address]
         context = dispatch.Context(self.now, self.clock.wall(), each.rng)
-        self.carry(address, list(core.tick(each.tables, context, inputs)))
-
-    def accept(self, index, base=None):
+        found = []
+        for item in inputs:
+            found += dispatch.handle(item, each.tables, context)
+        found += dissemination.run(each.tables, context)
+        self.carry(address, found)
+
+    def hear(self, index, sender, message):
+        """Give one core a message as if it came from `sender`."""
+        item = dispatch.Received(sender, 1, message)
+        self.feed(member(index).peer_address, [item])
+
+    def accept(self, index, base=None, padding=0, patch=None):
         """Have an operator's next patch accepted at a VM's daemon."""
         head = self.wait(self.acceptance.head()).ok.number
         base = head if base is None else base
+        patch = patch or step(base + 1, padding)
         found = asyncio.run(
             self.acceptance.submit(
-                acceptance.Submission(
-                    base, f'p-{base + 1}', step(base + 1), 'op'
-                ),
+                acceptance.Submission(base, f'p-{base + 1}', patch, 'op'),
                 1.0,
             )
         )
@@ -191,6 +289,14 @@
             return ended.value
         raise AssertionError('the in-memory store waited')
 
+    def backward(self):
+        """Return addresses whose numbers in force ever went down."""
+        return [
+            address
+            for address, numbers in self.served.items()
+            if numbers != sorted(numbers)
+        ]
+
     def in_force(self):
         """Return the numbers in force, one a running daemon."""
         return [
@@ -204,35 +310,42 @@
 
     def carry(self, address, found):
         """Carry out effects of the core at an address."""
-        outgoing = {}
+        outbox = self.cores[address].outbox
+        urgent = {}
         for effect in found:
             match effect:
                 case effects.Send():
-                    outgoing.setdefault(effect.to, []).append(effect.message)
+                    box = urgent if effect.urgent else outbox
+                    if not self.drop(address, effect.to, effect.message):
+                        box.setdefault(effect.to, []).append(effect.message)
                 case effects.ReadHead():
                     self._store(address, self._head)
                 case effects.FetchVersions():
                     self._store(address, self._fetch, effect)
                 case effects.PutInForce():
-                    self.served[address].append(effect.version.version.number)
+                    self._put_in_force(address, effect.version)
                 case effects.Record():
                     self.events.append((address, effect.event))
-        for to, items in outgoing.items():
+        for to, items in urgent.items():
             self._send(address, to, items)
 
-    def _tell(self, known, records):
-        for vm, record in records.items():
-            if vm != known.me.vm:
-                known.members[vm] = record
-        for vm in set(known.members) - set(records):
-            known.members[vm] = msgspec.structs.replace(
-                known.members[vm], state=messages.MemberState.DEAD
-            )
+    def _flush(self, address):
+        outbox = self.cores[address].outbox
+        for to, items in outbox.items():
+            self._send(address, to, items)
+        outbox.clear()
+
+    def _put_in_force(self, address, held):
+        self.served[address].append(held.version.number)
+        self.swaps.append((self.now, address, held.version.number))
+        if self.checked and not is_whole(held):
+            self.torn.append((address, held.version.number))
 
     def _send(self, source, target, items):
+        me = self.cores[source].tables.membership.me
         envelope = messages.Envelope(
-            vm=source,
-            incarnation=1,
+            vm=me.vm,
+            incarnation=me.incarnation,
             address=source,
             wall_ns=int(self.clock.wall() * 1e9),
             counter=0,
@@ -240,7 +353,8 @@
         )
         data = messages.encode(envelope)
         self.sent_bytes += len(data)
-        if self.rng.random() < self.loss:
+        self.sent.update(type(item).__name__ for item in items)
+        if self.cut(source, target) or self.rng.random() < self.loss:
             return
         copies = 2 if self.rng.random() < self.doubling else 1
         for _ in range(copies):
@@ -250,6 +364,7 @@
     def _store(self, address, call, *given):
         self.store_reads += 1
         answer = call(*given)
+        self.store_bytes += len(msgspec.msgpack.encode(answer))
         self._later(STORE_DELAY_S, address, answer, None)
 
     def _head(self):
@@ -264,26 +379,36 @@
             self.acceptance.fetch(effect.after, effect.upto, effect.whole)
         )
 
-    def _later(self, seconds, address, item, source):
+    def _later(self, seconds, address, content, source):
         if address not in self.cores:
             return
         incarnation = self.cores[address].tables.identity.incarnation
         due = self.now + seconds
-        entry = (due, next(self._order), address, item, source, incarnation)
+        order = next(self._order)
+        entry = Delivery(due, order, address, content, source, incarnation)
         heapq.heappush(self._agenda, entry)
 
-    def _deliver(self):
-        while self._agenda and self._agenda[0][0] <= self.now:
-            _, _, address, item, source, born = heapq.heappop(self._agenda)
-            if address not in self.cores:
-                continue
-            if source is None:
-                incarnation = self.cores[address].tables.identity.incarnation
-                # An answer of the store dies with the asking process.
-                if incarnation == born:
-                    self.feed(address, [item])
-            elif not self.cut(source, address):
-                self.feed(address, list(self._received(item)))
+    def _deliver(self, until):
+        """Deliver in order what falls due, then advance to `until`."""
+        while self._agenda and self._agenda[0].due < until:
+            item = heapq.heappop(self._agenda)
+            self.clock.advance(max(0.0, item.due - self.now))
+            self._arrive(item)
+        self.clock.advance(until - self.now)
+
+    def _arrive(self, item):
+        if item.to not in self.cores:
+            return
+        if item.to in self.paused:
+            late = dataclasses.replace(item, due=self.now + TICK_S)
+            heapq.heappush(self._agenda, late)
+        elif item.source is None:
+            incarnation = self.cores[item.to].tables.identity.incarnation
+            # An answer of the store dies with the asking process.
+            if incarnation == item.incarnation:
+                self.feed(item.to, [item.content])
+        elif not self.cut(item.source, item.to):
+            self.feed(item.to, list(self._received(item.content)))
 
     def _received(self, data):
         envelope = messages.decode(data).ok
