--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -276,6 +276,7 @@
         if self._method == 'HEAD':
             answer.size = length
             self._whole = True
+            self._poisoned |= not self._parser.should_keep_alive()
         elif length:
             self._reserve(length)
 
@@ -293,6 +294,8 @@
     def on_message_complete(self):
         if self._answer is not None:
             self._whole = True
+            # Within the callback: the parser forgets it right after.
+            self._poisoned |= not self._parser.should_keep_alive()
 
     def _reserve(self, more):
         answer = self._answer
@@ -318,10 +321,7 @@
         self._whole = False
         if self._method == 'HEAD':
             # The parser waits for a body that never comes.
-            self._poisoned |= not self._parser.should_keep_alive()
             self._parser = httptools.HttpResponseParser(self)
-        elif not self._parser.should_keep_alive():
-            self._poisoned = True
         if self._out:
             # Answered before it read the whole request.
             self._out.clear()
@@ -489,7 +489,7 @@
         if self.spare is None:
             return
         # The first in the list were used longest ago.
-        for connection in self._idle[: len(self._idle) - self.spare]:
+        for connection in self._idle[: max(0, len(self._idle) - self.spare)]:
             if self.now - connection.moved_at > SPARE_IDLE_S:
                 connection.abort()
 
