--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -418,14 +418,14 @@
             return await self._connect(min(timeout, CONNECT_TIMEOUT_S))
         waiter = self.loop.create_future()
         self._waiting.append(waiter)
+        timer = self.loop.call_later(timeout, _give_up, waiter)
         try:
-            return await asyncio.wait_for(waiter, timeout)
-        except TimeoutError:
-            return Failure(Failed.NOT_SENT, False, detail='pool exhausted')
+            return await waiter
         except asyncio.CancelledError:
             self._give_back(waiter)
             raise
         finally:
+            timer.cancel()
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
 
@@ -540,3 +540,10 @@
             waiter.set_result(found)
         elif isinstance(found, Connection):
             self.released(found)
+
+
+def _give_up(waiter):
+    if not waiter.done():
+        waiter.set_result(
+            Failure(Failed.NOT_SENT, False, detail='pool exhausted')
+        )
--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import itertools
 
 import msgspec
@@ -343,16 +344,21 @@
         loop = asyncio.get_running_loop()
         self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
-    def _spawn(self, coroutine, request):
-        task = eagertask.EagerTask(coroutine, self._served)
+    def _spawn(self, coroutine, request, exchange=None):
+        task = eagertask.EagerTask(
+            coroutine, functools.partial(self._served, exchange)
+        )
         self._tasks[task] = request
         return task
 
-    def _served(self, task):
+    def _served(self, exchange, task):
         del self._tasks[task]
-        error = task.error
-        if error is not None and not isinstance(error, asyncio.CancelledError):
-            _fail(error)
+        if task.error is None:
+            return
+        if exchange is not None:
+            exchange.drop()
+        if not isinstance(task.error, asyncio.CancelledError):
+            _fail(task.error)
 
     # Callers
 
@@ -376,7 +382,9 @@
             return
         trace = callgate.Trace()
         call = read.ok
-        task = self._spawn(self._serve(exchange, call, trace), call.request)
+        task = self._spawn(
+            self._serve(exchange, call, trace), call.request, exchange
+        )
 
         def gone():
             if not trace.committed:
@@ -714,7 +722,7 @@
         """Reply with an awaited outcome; notice if the sender leaves."""
         self._listeners[name] = self._listeners.get(name, 0) + 1
         task = self._spawn(
-            self._reply_when_known(exchange, name, outcome), request
+            self._reply_when_known(exchange, name, outcome), request, exchange
         )
 
         def gone():
--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -180,6 +180,12 @@
         if connection is not None:
             connection.reply_cut(answer)
 
+    def drop(self):
+        """Close the connection without an answer."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.abort()
+
     def lost(self):
         """Learn that the sender has left."""
         self._connection = None
--- a/tests/test_callflow.py
+++ b/tests/test_callflow.py
@@ -3,16 +3,22 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 
 import testtools
 
 from jujubefold import callclient
 from jujubefold import callflow
 from jujubefold import callserver
+from jujubefold import claims
+from jujubefold import clock
 from jujubefold import example
+from jujubefold import faults
 from jujubefold import gate
 from jujubefold import hops
 from jujubefold import messages
+from jujubefold import objects
+from jujubefold import table
 from tests import callnodes
 
 QUICK = callflow.Limits(peer_silence=1.2)
@@ -590,3 +596,162 @@
                 self.assertNotIn(b'jujubefold-load', fields)
 
         self.run_with(scenario, False, True)
+
+
+class Store:
+    """A store shared by the claims of all daemons."""
+
+    def __init__(self):
+        self.faults = faults.Faults()
+        self.rows = table.MemoryTable()
+        self.slow_claims = False
+
+    def claims_of(self, who):
+        """Return the claims of one daemon."""
+        system = clock.SystemClock()
+        rng = random.Random(who.vm)
+        made = claims.Claims(
+            faults.FaultyTable(self.rows, self.faults),
+            objects.MemoryObjects(system),
+            system,
+            rng,
+        )
+        claim = made.claim
+
+        async def claim_and_pause(request, timeout):
+            found = await claim(request, timeout)
+            if self.slow_claims:
+                return dataclasses.replace(found, start_by=0.0)
+            return found
+
+        made.claim = claim_and_pause
+        return made
+
+
+class TestKeys(testtools.TestCase):
+    """Keyed requests run at most once, over both ways to the upstream."""
+
+    def run_with(self, scenario):
+        async def within(upstreams):
+            store = Store()
+            async with fleet_of(*upstreams, claims=store.claims_of) as fleet:
+                node = fleet.nodes[0]
+                caller = callnodes.Caller(node.caller_address)
+
+                async def order(name, key='k', body=b'x', **extra):
+                    return await caller.ask(
+                        'POST',
+                        '/orders',
+                        [body],
+                        idempotency_key=key,
+                        jujubefold_request_id=name,
+                        **extra,
+                    )
+
+                await asyncio.wait_for(scenario(fleet, store, order), 30)
+
+        for upstreams in ((True,), (False, True)):
+            asyncio.run(within(upstreams))
+
+    def test_resend_gets_the_first_answer(self):
+        async def scenario(fleet, store, order):
+            first = await order('a')
+            again = await order('b', key='"k"')
+            self.assertEqual(first.pieces, again.pieces)
+            self.assertEqual(('ran', 'none'), callnodes.outcome(again))
+            self.assertEqual(1, executions(fleet, 'a'))
+            self.assertEqual(0, executions(fleet, 'b'))
+
+        self.run_with(scenario)
+
+    def test_double_send_runs_once(self):
+        async def scenario(fleet, store, order):
+            answers = await asyncio.gather(
+                *(order('a', example_fault='delay:200') for _ in range(5))
+            )
+            told = sorted(callnodes.outcome(answer) for answer in answers)
+            self.assertEqual(1, executions(fleet, 'a'))
+            self.assertEqual(1, told.count(('ran', 'none')))
+            self.assertEqual(4, told.count(('unknown', 'key-running')))
+
+        self.run_with(scenario)
+
+    def test_key_of_another_body_is_refused(self):
+        async def scenario(fleet, store, order):
+            await order('a')
+            answer = await order('b', body=b'y')
+            self.assertEqual(422, answer.status)
+            self.assertEqual(
+                ('did-not-run', 'key-reused'), callnodes.outcome(answer)
+            )
+            self.assertEqual(0, executions(fleet, 'b'))
+
+        self.run_with(scenario)
+
+    def test_outcome_in_doubt_stays_in_doubt(self):
+        async def scenario(fleet, store, order):
+            answer = await order('a', example_fault='cut')
+            self.assertEqual(
+                ('unknown', 'upstream-cut'), callnodes.outcome(answer)
+            )
+            for name in 'bc':
+                answer = await order(name)
+                self.assertEqual(
+                    ('unknown', 'key-unknown'), callnodes.outcome(answer)
+                )
+                self.assertEqual(0, executions(fleet, name))
+
+        self.run_with(scenario)
+
+    def test_shed_request_frees_its_key(self):
+        async def scenario(fleet, store, order):
+            answer = await order('a', example_fault='shed')
+            self.assertEqual(
+                ('did-not-run', 'upstream-shed'), callnodes.outcome(answer)
+            )
+            answer = await order('b')
+            self.assertEqual(('ran', 'none'), callnodes.outcome(answer))
+            self.assertEqual(1, executions(fleet, 'b'))
+
+        self.run_with(scenario)
+
+    def test_store_down_is_a_true_refusal_within_the_deadline(self):
+        async def scenario(fleet, store, order):
+            store.faults.set(faults.Mode.DOWN)
+            answer = await order('a', jujubefold_deadline_ms=300)
+            self.assertEqual('did-not-run', callnodes.outcome(answer)[0])
+            self.assertIn(
+                callnodes.outcome(answer)[1], ('store-down', 'deadline')
+            )
+            self.assertEqual(0, executions(fleet, 'a'))
+            store.faults.set(faults.Mode.NONE)
+            answer = await order('b')
+            self.assertEqual(('ran', 'none'), callnodes.outcome(answer))
+
+        self.run_with(scenario)
+
+    def test_holder_paused_past_its_claim_runs_nothing(self):
+        async def scenario(fleet, store, order):
+            store.slow_claims = True
+            answer = await order('a')
+            self.assertEqual('did-not-run', callnodes.outcome(answer)[0])
+            self.assertEqual(0, executions(fleet, 'a'))
+            store.slow_claims = False
+            answer = await order('b')
+            self.assertEqual(('ran', 'none'), callnodes.outcome(answer))
+
+        self.run_with(scenario)
+
+    def test_caller_that_leaves_still_gets_its_answer_recorded(self):
+        async def scenario(fleet, store, order):
+            asked = asyncio.ensure_future(
+                order('a', example_fault='delay:300')
+            )
+            await until(lambda: executions(fleet, 'a'))
+            asked.cancel()
+            await until(lambda: not fleet.nodes[-1].gate_table.running)
+            answer = await order('b')
+            self.assertEqual(('ran', 'none'), callnodes.outcome(answer))
+            self.assertEqual(0, executions(fleet, 'b'))
+
+        self.run_with(scenario)
