--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -170,6 +170,7 @@
 
     def reply(self, answer):
         """Send the answer; without effect once the sender has left."""
+        self.gone = None
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.reply(self.request, answer)
--- a/jujubefold/eagertask.py
+++ b/jujubefold/eagertask.py
@@ -103,7 +103,10 @@
         else:
             self._wait(awaits)
             return
-        self._ended(self)
+        # No cycle is left behind that keeps a call's body until collected.
+        ended, self._ended = self._ended, None
+        self._coroutine = None
+        ended(self)
 
     def _wait(self, awaits):
         if isinstance(awaits, Waiter):
--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,181 @@
+"""Memory of bodies: the budget, and a daemon under many large ones."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+
+import testtools
+
+from jujubefold import bodies
+from jujubefold import callserver
+from tests import callnodes
+
+RSS_LIMIT_KB = 256 * 1024
+MEGABYTE = 1 << 20
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+@contextlib.contextmanager
+def program(*arguments):
+    """Run a module; yield its process and first line as JSON."""
+    process = subprocess.Popen(
+        [sys.executable, '-m', *arguments], stdout=subprocess.PIPE, cwd=ROOT
+    )
+    try:
+        yield process, json.loads(process.stdout.readline())
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+
+
+def peak_rss_kb(pid):
+    """Return the most memory a process has held resident."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    line = next(line for line in status.splitlines() if 'VmHWM' in line)
+    return int(line.split()[1])
+
+
+class TestBudget(testtools.TestCase):
+    def test_waits_in_order_and_never_exceeds_its_limit(self):
+        budget = bodies.Budget(10)
+        granted = []
+        held = [bodies.Reservation() for _ in range(4)]
+
+        def ask(index, size):
+            return budget.reserve(
+                held[index], size, lambda: granted.append(index)
+            )
+
+        self.assertTrue(ask(0, 6))
+        self.assertFalse(ask(1, 5))
+        self.assertFalse(ask(2, 1))
+        self.assertFalse(ask(3, 4))
+        self.assertEqual(6, budget.used)
+        budget.release(held[0])
+        self.assertEqual([1, 2, 3], granted)
+        self.assertEqual(10, budget.used)
+        for reservation in held:
+            budget.release(reservation)
+        self.assertEqual(0, budget.used)
+
+    def test_leaving_the_queue_lets_the_next_in(self):
+        budget = bodies.Budget(10)
+        granted = []
+        first, second, third = (bodies.Reservation() for _ in range(3))
+        budget.reserve(first, 6, None)
+        budget.reserve(second, 9, lambda: granted.append('second'))
+        budget.reserve(third, 4, lambda: granted.append('third'))
+        budget.release(second)
+        self.assertEqual(['third'], granted)
+
+
+class TestDaemonMemory(testtools.TestCase):
+    def test_many_large_bodies_stay_within_the_limit(self):
+        async def one(caller, pieces, number):
+            answer = await caller.ask(
+                'POST',
+                '/photo',
+                pieces,
+                example_fault='large:5' if number % 2 else '',
+                example_echo=number,
+            )
+            self.assertIsInstance(answer, callserver.Answer)
+            if number % 2:
+                self.assertEqual(5 * MEGABYTE, answer.size)
+            else:
+                self.assertIn(
+                    b'{"echo":"%d","size":%d,' % (number, 10 * MEGABYTE),
+                    b''.join(answer.pieces),
+                )
+
+        async def push(addresses):
+            pieces = [bytes(MEGABYTE)] * 10
+            callers = [callnodes.Caller(address) for address in addresses]
+            await asyncio.gather(
+                *(
+                    one(callers[number % 2], pieces, number // 2)
+                    for number in range(60)
+                )
+            )
+
+        with contextlib.ExitStack() as stack:
+
+            def start(*arguments):
+                return stack.enter_context(program(*arguments))
+
+            _, upstream = start(
+                'jujubefold.example', '--service=example', '--slots=64'
+            )
+            address = upstream['address']
+            gate, near = start(
+                'bench.callnode', f'--upstream={address}', '--slots=6'
+            )
+            entry, far = start(
+                'bench.callnode', f'--peer={near["peers"]}', '--vm=entry'
+            )
+            asyncio.run(push([near['callers'], far['callers']]))
+            for process in (gate, entry):
+                self.assertLess(peak_rss_kb(process.pid), RSS_LIMIT_KB)
+
+
+class TestExampleUpstream(testtools.TestCase):
+    def test_drains_on_sigterm_and_counts(self):
+        async def ask(address, process):
+            caller = callnodes.Caller(address)
+            slow = asyncio.ensure_future(
+                caller.ask(
+                    jujubefold_request_id='a', example_fault='delay:300'
+                )
+            )
+            await asyncio.sleep(0.1)
+            counted = await caller.ask(path='/_executions')
+            self.assertEqual({'a': 1}, json.loads(b''.join(counted.pieces)))
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(200, (await slow).status)
+
+        with program(
+            'jujubefold.example', '--service=example', '--slots=2'
+        ) as (process, line):
+            self.assertEqual('example', line['service'])
+            asyncio.run(ask(line['address'], process))
+            self.assertEqual(0, process.wait(10))
+
+    def test_sheds_before_running_and_honours_deadlines(self):
+        async def ask(address):
+            caller = callnodes.Caller(address)
+            slow = asyncio.ensure_future(
+                caller.ask(example_fault='delay:60000')
+            )
+            await asyncio.sleep(0.1)
+            shed = await caller.ask(jujubefold_request_id='b')
+            fields = dict(shed.headers)
+            self.assertEqual(b'1', fields[b'retry-after'])
+            slow.cancel()
+            await asyncio.sleep(0.1)
+            late = await caller.ask(
+                example_fault='delay:60000', jujubefold_deadline_ms=50
+            )
+            self.assertEqual((503, 504), (shed.status, late.status))
+            counted = await caller.ask(path='/_executions')
+            self.assertNotIn(b'"b"', b''.join(counted.pieces))
+
+        with program(
+            'jujubefold.example', '--service=example', '--slots=1'
+        ) as (_, line):
+            asyncio.run(ask(line['address']))
+
+    def test_crash_ends_the_process(self):
+        async def ask(address):
+            await callnodes.Caller(address).ask(example_fault='crash')
+
+        with program('jujubefold.example', '--service=example') as (
+            process,
+            line,
+        ):
+            asyncio.run(ask(line['address']))
+            self.assertEqual(70, process.wait(10))
