Put calls between daemons under TLS and prove the fleet with keys

Cause: keys were tested port by port; the call port took any certificate of the authority, so an operator could have acted as a daemon. Change: the call port demands the daemons' role; clients check it; the example upstream announces through the shared client, with its own key.

--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -163,15 +163,24 @@
             self.daemons[self.daemons.index(daemon)] = again
         return again
 
-    def add_upstream(self, daemon, service, *arguments):
-        """Start an upstream that announces itself to a daemon."""
+    def add_upstream(self, daemon, service, *arguments, tls=None):
+        """Start an upstream that announces itself to a daemon.
+
+        Args:
+            daemon: The daemon's `Process`.
+            service: Service name.
+            arguments: More arguments of the example upstream.
+            tls: Its `settings.Tls`, where the daemon has keys.
+        """
         admin = daemon.addresses['admin_address']
+        scheme = 'http' if tls is None else 'https'
         upstream = self._start(
             'example',
             '--service',
             service,
             '--admin',
-            f'http://{admin}',
+            f'{scheme}://{admin}',
+            *_tls_arguments(tls),
             *arguments,
         )
         self.upstreams.append(upstream)
@@ -187,6 +196,19 @@
         return process
 
 
+def _tls_arguments(tls):
+    if tls is None:
+        return ()
+    return (
+        '--ca',
+        str(tls.authority),
+        '--cert',
+        str(tls.certificate),
+        '--key',
+        str(tls.key),
+    )
+
+
 def _tail(log):
     if log is None:
         return ''
--- a/jujubefold/adminapi.py
+++ b/jujubefold/adminapi.py
@@ -12,6 +12,7 @@
 from jujubefold import adminmodels
 from jujubefold import adminserver
 from jujubefold import errors
+from jujubefold import events
 from jujubefold import gate
 from jujubefold import messages
 from jujubefold import timeline
@@ -215,6 +216,8 @@
         checked = trust.may_submit(self._runtime.options.tls, request.operator)
         if checked.is_ok():
             return None
+        refused = events.Event('operator.refused', detail=request.operator)
+        self._call(functools.partial(self._runtime.record, refused))
         return adminserver.problem(
             http.HTTPStatus.FORBIDDEN,
             'operator',
--- a/jujubefold/adminclient.py
+++ b/jujubefold/adminclient.py
@@ -10,14 +10,27 @@
 CONNECT_TIMEOUT_S = 2.0
 
 
+def tls_options(ca, cert, key):
+    """Return `AdminClient`'s keyword arguments for TLS files.
+
+    Args:
+        ca: Path of the CA file, or None for plain HTTP.
+        cert: Path of the client's certificate, or None.
+        key: Path of its private key, or None.
+    """
+    if ca is None:
+        return {}
+    chosen = {'ca_certs': ca, 'cert_file': cert, 'key_file': key}
+    return {name: str(path) for name, path in chosen.items() if path}
+
+
 class AdminClient:
     """Talks to one daemon.
 
     Args:
         address: `ip:port` of the daemon's operators' API.
         timeout: Seconds to wait for an answer.
-        tls: Keyword arguments for `urllib3.PoolManager` with the CA file,
-            certificate and key; empty for plain HTTP.
+        tls: What `tls_options` gives; empty for plain HTTP.
     """
 
     def __init__(self, address, timeout=10.0, **tls):
@@ -50,7 +63,7 @@
         Args:
             method: HTTP method.
             path: Absolute path.
-            kind: Class of the model expected.
+            kind: Class of the model expected; None for an empty answer.
             model: Model sent, or None.
 
         Returns:
@@ -72,6 +85,8 @@
             )
         if answer.status >= 400:
             return _refusal(answer)
+        if kind is None:
+            return expression.Ok(None)
         return adminmodels.decode(answer.data, kind)
 
 
--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -12,6 +12,7 @@
 import httptools
 
 from jujubefold import callserver
+from jujubefold import trust
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 60.0
@@ -504,7 +505,11 @@
         try:
             _, connection = await asyncio.wait_for(
                 self.loop.create_connection(
-                    lambda: Connection(self), host, int(port), ssl=self._tls
+                    lambda: Connection(self),
+                    host,
+                    int(port),
+                    ssl=self._tls,
+                    server_hostname=trust.DAEMON_NAME if self._tls else None,
                 ),
                 timeout,
             )
--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -15,6 +15,7 @@
 from jujubefold import calls
 from jujubefold import errors
 from jujubefold import problems
+from jujubefold import trust
 
 MAX_HEAD_BYTES = 32 * 1024
 MAX_TARGET_BYTES = 8 * 1024
@@ -274,6 +275,10 @@
     def connection_made(self, transport):
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        if self._server.refuses(transport):
+            self._broken = True
+            transport.abort()
+            return
         name = transport.get_extra_info('peername')
         self._peer = f'{name[0]}:{name[1]}' if name else ''
         self._server.opened(self)
@@ -776,6 +781,13 @@
         name = self._server.sockets[0].getsockname()
         return f'{name[0]}:{name[1]}'
 
+    def refuses(self, transport):
+        """Return whether a TLS client failed to prove the daemon role."""
+        secured = transport.get_extra_info('ssl_object')
+        if secured is None:
+            return False
+        return not trust.is_daemon_certificate(secured.getpeercert())
+
     def body_limit(self, request):
         """Return the most bytes that a request's body may have."""
         return min(self.handler.body_limit(request), self.requests.limit)
--- a/jujubefold/cli.py
+++ b/jujubefold/cli.py
@@ -123,14 +123,9 @@
         typer.Option(help="Operator's private key.", exists=True),
     ] = None,
 ):
-    context.obj = Session(daemon, output, _tls(ca, cert, key))
-
-
-def _tls(ca, cert, key):
-    if ca is None:
-        return {}
-    chosen = {'ca_certs': ca, 'cert_file': cert, 'key_file': key}
-    return {name: str(path) for name, path in chosen.items() if path}
+    context.obj = Session(
+        daemon, output, adminclient.tls_options(ca, cert, key)
+    )
 
 
 @app.command()
--- a/jujubefold/example.py
+++ b/jujubefold/example.py
@@ -9,14 +9,16 @@
 import collections
 import dataclasses
 import os
+import pathlib
 import signal
 import sys
 import typing
 
 import msgspec
 import typer
-import urllib3
 
+from jujubefold import adminclient
+from jujubefold import adminmodels
 from jujubefold import bodies
 from jujubefold import calls
 from jujubefold import callserver
@@ -39,20 +41,6 @@
 DRAIN_POLL_S = 0.02
 
 
-class Announcement(msgspec.Struct, frozen=True):
-    """What an upstream tells the daemon on its VM.
-
-    Args:
-        ttl: Seconds for which it holds.
-    """
-
-    service: str
-    address: str
-    slots: int
-    state: messages.UpstreamState
-    ttl: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Behaviour:
     """How the upstream works when no fault is asked for.
@@ -269,21 +257,18 @@
     """Tells the daemon of this VM about the upstream.
 
     Args:
-        admin: Base URL of the daemon's operators' API.
+        client: An `adminclient.AdminClient` of the daemon.
         upstream: The `Upstream`.
         behaviour: Its `Behaviour`.
         address: Where it listens.
     """
 
-    def __init__(self, admin, upstream, behaviour, address):
-        self._url = f'{admin}/v1/upstream'
+    def __init__(self, client, upstream, behaviour, address):
+        self._client = client
         self._upstream = upstream
         self._behaviour = behaviour
         self._address = address
         self._clock = clock.SystemClock()
-        self._http = urllib3.PoolManager(
-            retries=False, timeout=ANNOUNCE_TIMEOUT_S
-        )
 
     async def run(self):
         """Announce until cancelled; a daemon that is away is retried."""
@@ -303,23 +288,15 @@
         return await asyncio.to_thread(self._put)
 
     def _put(self):
-        announcement = Announcement(
-            self._behaviour.service,
-            self._address,
-            self._behaviour.slots,
-            self._upstream.current_state(),
-            ANNOUNCE_TTL_S,
+        announcement = adminmodels.Announcement(
+            service=self._behaviour.service,
+            address=self._address,
+            slots=self._behaviour.slots,
+            state=self._upstream.current_state(),
+            ttl=ANNOUNCE_TTL_S,
         )
-        try:
-            answer = self._http.request(
-                'PUT',
-                self._url,
-                body=msgspec.json.encode(announcement),
-                headers={'content-type': 'application/json'},
-            )
-        except urllib3.exceptions.HTTPError:
-            return False
-        return answer.status < 300
+        result = self._client.send('PUT', '/v1/upstream', None, announcement)
+        return result.is_ok()
 
 
 async def _until_stopped(loop, upstream, stopping):
@@ -328,7 +305,7 @@
     upstream.drain()
 
 
-async def _run(listen, behaviour, admin):
+async def _run(listen, behaviour, client):
     upstream = Upstream(behaviour)
     address = await upstream.start(listen)
     stopping = asyncio.Event()
@@ -339,11 +316,11 @@
         {'address': address, 'service': behaviour.service}
     )
     print(line.decode(), flush=True)
-    if admin:
-        announcer = Announcer(admin, upstream, behaviour, address)
+    if client:
+        announcer = Announcer(client, upstream, behaviour, address)
         announcing = loop.create_task(announcer.run())
     await _until_stopped(loop, upstream, stopping)
-    if admin:
+    if client:
         announcing.cancel()
         await announcer.announce()
     await upstream.stop()
@@ -366,6 +343,15 @@
     cold_start: typing.Annotated[
         float, typer.Option(help='Seconds of cold start.')
     ] = 0.0,
+    ca: typing.Annotated[
+        pathlib.Path | None, typer.Option(help='CA file of the daemon.')
+    ] = None,
+    cert: typing.Annotated[
+        pathlib.Path | None, typer.Option(help='Own certificate.')
+    ] = None,
+    key: typing.Annotated[
+        pathlib.Path | None, typer.Option(help='Own private key.')
+    ] = None,
 ):
     """Run the example upstream until SIGTERM."""
     behaviour = Behaviour(
@@ -374,7 +360,14 @@
         work=work_ms / 1000,
         cold_start=cold_start,
     )
-    asyncio.run(_run(listen, behaviour, admin))
+    client = None
+    if admin:
+        client = adminclient.AdminClient(
+            admin.rpartition('/')[2],
+            ANNOUNCE_TIMEOUT_S,
+            **adminclient.tls_options(ca, cert, key),
+        )
+    asyncio.run(_run(listen, behaviour, client))
 
 
 def main():
