Have one claim transaction under way at a daemon, not two

A daemon waits for its share of the store most of the time. With two transactions under way the second was closed, and waited with its claims, while the first waited for its turn.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -41,6 +41,9 @@
 MODELLED_QUICK = ((20, 50.0), (200, 50.0))
 STAND_IN = ((4, 20.0), (4, 200.0))
 STAND_IN_QUICK = ((4, 20.0),)
+OWNER = 'owner'
+# Transactions that a daemon has under way at once, by design.
+IN_FLIGHT = {'daemon': 1, 'daemon, two under way': 2}
 COLUMNS = (
     'case',
     'daemons',
@@ -133,14 +136,16 @@
         limit.share(clients)
         return limit
 
-    def daemon_claims(self, daemons):
+    def daemon_claims(self, daemons, in_flight):
         """Return the claims of each daemon, each writing for itself."""
+        settings = claimoutcome.ClaimSettings(in_flight=in_flight)
         return [
             claims.Claims(
                 self._new_table(self.limit(CALLS_PER_SECOND, daemons)),
                 objects.MemoryObjects(self._clock),
                 self._clock,
                 self._rng,
+                settings=settings,
             )
             for _ in range(daemons)
         ]
@@ -222,10 +227,10 @@
 
 
 async def _measure(design, daemons, rate, seconds, fleet, counts, at, rng):
-    if design == 'daemon':
-        made = fleet.daemon_claims(daemons)
-    else:
+    if design == OWNER:
         made = await fleet.owned_claims(daemons)
+    else:
+        made = fleet.daemon_claims(daemons, IN_FLIGHT[design])
     return await _load(made, rate, seconds, counts, at, rng)
 
 
@@ -289,7 +294,7 @@
         ('stand-in ', _on_stand_in, STAND_IN_QUICK if quick else STAND_IN),
     ):
         for design, (daemons, rate) in itertools.product(
-            ('daemon', 'owner'), points
+            (*IN_FLIGHT, OWNER), points
         ):
             found = run(design, daemons, rate, seconds, seed)
             case = f'{where}{design} {rate:g}/s'
--- a/jujubefold/claimoutcome.py
+++ b/jujubefold/claimoutcome.py
@@ -30,7 +30,7 @@
 
     batch_window: float = 0.005
     settle_window: float = 0.05
-    in_flight: int = 2
+    in_flight: int = 1
     max_batch: int = table.MAX_WRITES
     start_window: float = 10.0
     retention: float = 24 * 3600.0
