Leave the store to readers when other daemons hold a version

A daemon that starts reads the head once for its floor; it then fetched the version too, though its neighbours had it. A fetch asks for the head that was read, not for the highest number heard of, and a conflict of digests is recorded once.

--- a/jujubefold/dissemination.py
+++ b/jujubefold/dissemination.py
@@ -106,6 +106,8 @@
         held_back: Reasons by number of versions not applied here.
         wanted: Highest version number heard of.
         damaged: Number whose patch did not give its digest, 0 for none.
+        conflict: Number and digest recorded last as differing from what
+            is held under that number, or None.
         sources: Addresses known to hold `wanted`, newest last.
         pulls: Unanswered pulls: address to monotonic seconds of timeout.
         store_failures: Reads of the head that failed in a row.
@@ -130,6 +132,7 @@
     held_back: dict[int, str] = dataclasses.field(default_factory=dict)
     wanted: int = 0
     damaged: int = 0
+    conflict: tuple[int, str] | None = None
     sources: dict[str, int] = dataclasses.field(default_factory=dict)
     pulls: dict[str, float] = dataclasses.field(default_factory=dict)
     store_failures: int = 0
@@ -181,14 +184,16 @@
     if context.now < table.timers.head:
         return
     table.timers.head = context.now + _jittered(_head_wait(table), context)
-    is_due = table.floors.head is None or overlay.is_reader(
-        tables.membership, table.options.readers
-    )
-    if is_due:
+    if table.floors.head is None or _is_reader(tables):
         table.counters.head_reads += 1
         yield effects.ReadHead()
 
 
+def _is_reader(tables):
+    readers = tables.dissemination.options.readers
+    return overlay.is_reader(tables.membership, readers)
+
+
 def _head_wait(table):
     interval = table.options.head_interval
     failures = min(table.store_failures, MAX_DOUBLINGS)
@@ -456,9 +461,13 @@
 
 
 def _check_conflict(table, number, digest):
-    """Record that one number names two documents, and change nothing."""
+    """Record once that one number names two documents."""
     known = table.history.get(number)
-    if known is not None and digest and known.digest != digest:
+    met = (number, digest)
+    if known is None or not digest or known.digest == digest:
+        return
+    if table.conflict != met:
+        table.conflict = met
         yield effects.Record(
             events.Event(
                 'version.conflict',
@@ -507,12 +516,11 @@
     )
 
 
-def _fetch(table, context):
+def _fetch(table, context, upto):
     if context.now < table.timers.fetch_until:
         return
     table.timers.fetch_until = context.now + FETCH_TIMEOUT_S
     table.counters.fetches += 1
-    upto = max(table.wanted, table.damaged)
     yield effects.FetchVersions(table.number, upto, bool(table.damaged))
 
 
@@ -640,7 +648,8 @@
     yield from _check_conflict(table, item.number, item.digest)
     if item.number > table.number:
         _want(table, item.number)
-        yield from _fetch(table, context)
+        if _is_reader(tables) or _source(tables, context) is None:
+            yield from _fetch(table, context, item.number)
     yield from _advance(tables, context)
 
 
@@ -662,4 +671,4 @@
     _want(table, item.version.number)
     yield from _extend(tables, context, [item.version], '')
     if _behind(table):
-        yield from _fetch(table, context)
+        yield from _fetch(table, context, item.version.number)
--- a/jujubefold/floor.py
+++ b/jujubefold/floor.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import hashlib
+import heapq
 
 from jujubefold import dispatch
 from jujubefold import effects
@@ -79,14 +80,15 @@
         candidates: Iterable of `messages.Member`.
     """
     me = table.me
-    ranked = sorted(
+    ranked = heapq.nsmallest(
+        count,
         candidates,
         key=lambda member: (
             member.failure_domain == me.failure_domain,
             _weight(me.peer_address, member.vm),
         ),
     )
-    return ranked[:count]
+    return tuple(ranked)
 
 
 def observe_head(table, number, now):
@@ -126,6 +128,8 @@
         version: A `versions.Version`; asked for from now on.
         now: Monotonic seconds.
     """
+    if not options.witnesses:
+        return True
     chosen = _noting_witnesses(tables.membership, options)
     if not chosen:
         return True
