--- a/jujubefold/probing.py
+++ b/jujubefold/probing.py
@@ -4,6 +4,7 @@
 
 from jujubefold import dispatch
 from jujubefold import effects
+from jujubefold import flooding
 from jujubefold import joining
 from jujubefold import membership
 from jujubefold import messages
@@ -16,12 +17,16 @@
 HELPERS = 3
 MAX_RELAYS = 64
 # One probe in so many goes to any member instead of a neighbour.
-RANDOM_EVERY = 5
+RANDOM_EVERY = 20
+# Members probed besides, because another daemon holds them dead.
+DOUBTS_A_ROUND = 4
 RECONTACT_S = 20.0
 RECONTACT_SOON_S = 1.0
 SYNC_AFTER_S = 3.0
 SYNC_INTERVAL_S = 5.0
 SYNC_RECORDS = 128
+MAX_DIFFERS = 64
+MAX_OBSERVERS = 16
 # A daemon that hears nobody suspects others only from this doubt on.
 ISOLATED_HEALTH = 3
 # Incarnation in a helper's answer before the target has answered it.
@@ -75,7 +80,7 @@
         recontact_at: When a dead member is next tried, or None.
         recontacted: Address of the dead member tried last.
         sync_at: Earliest time of the next comparison.
-        differs_since: Since when views differ from neighbours', or None.
+        differs: Since when a daemon's view differs, by peer address.
     """
 
     sequence: int = 0
@@ -87,7 +92,7 @@
     recontact_at: float | None = None
     recontacted: str = ''
     sync_at: float = 0.0
-    differs_since: float | None = None
+    differs: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def run(tables, context):
@@ -119,6 +124,7 @@
     if _is_over(table):
         return
     tables.probing.heard_at = context.now
+    _note_observer(table, sender, context.now)
     known = _record_at(table, sender)
     stranger = item.target not in (0, table.me.incarnation)
     yield effects.Send(
@@ -213,6 +219,18 @@
     yield from ()
 
 
+def _note_observer(table, address, now):
+    table.observers[address] = now
+    if len(table.observers) > MAX_OBSERVERS:
+        table.observers = {
+            address: at
+            for address, at in table.observers.items()
+            if now - at < flooding.OBSERVED_S
+        }
+    while len(table.observers) > MAX_OBSERVERS:
+        del table.observers[next(iter(table.observers))]
+
+
 def _is_over(table):
     left = table.me.state is messages.MemberState.LEFT
     return left or table.stopped
@@ -278,15 +296,20 @@
 
 
 def _probe_next(tables, context):
-    probing = tables.probing
     table = tables.membership
+    for vm in tuple(table.doubted)[:DOUBTS_A_ROUND]:
+        yield from _probe(tables, context, table.members[vm], True)
     member, chance = _choose(tables, context)
-    probing.rounds += 1
-    if member is None:
-        return
-    sequence = _number(probing)
+    tables.probing.rounds += 1
+    if member is not None:
+        yield from _probe(tables, context, member, chance)
+
+
+def _probe(tables, context, member, introduce):
+    table = tables.membership
+    sequence = _number(tables.probing)
     timeout = PROBE_TIMEOUT_S * _patience(table)
-    probing.probes[sequence] = Probe(
+    tables.probing.probes[sequence] = Probe(
         member.vm,
         member.peer_address,
         member.incarnation,
@@ -299,7 +322,7 @@
         messages.Ping(
             sequence,
             member.incarnation,
-            membership.news(table, about, introduce=chance),
+            membership.news(table, about, introduce),
             table.digests.view,
         ),
     )
@@ -310,10 +333,9 @@
     """Return whom to probe, and whether by chance."""
     table = tables.membership
     rounds = tables.probing.rounds
-    if table.doubted and rounds % 2:
-        vm = next(iter(table.doubted))
-        return table.members[vm], True
-    if rounds % RANDOM_EVERY == RANDOM_EVERY - 1:
+    # Who hears little may have none but the dead for neighbours.
+    lonely = table.health > 0 and rounds % 2
+    if lonely or rounds % RANDOM_EVERY == RANDOM_EVERY - 1:
         return _anybody(table, context), True
     near = [
         member
@@ -344,11 +366,7 @@
         0.5, 1.5
     )
     table = tables.membership
-    dead = [
-        vm
-        for vm in table.ended
-        if table.members[vm].state is messages.MemberState.DEAD
-    ]
+    dead = [vm for vm in table.ended if _may_return(table, table.members[vm])]
     if not dead:
         return
     member = table.members[context.rng.choice(dead)]
@@ -364,6 +382,11 @@
     )
 
 
+def _may_return(table, member):
+    dead = member.state is messages.MemberState.DEAD
+    return dead and member.peer_address not in table.by_address
+
+
 def _record_at(table, address):
     vm = table.by_address.get(address)
     if vm is not None:
@@ -376,11 +399,11 @@
     probing = tables.probing
     table = tables.membership
     if ack.view == table.digests.view:
-        probing.differs_since = None
+        probing.differs.pop(sender, None)
         return
-    if probing.differs_since is None:
-        probing.differs_since = context.now
-    waited = context.now - probing.differs_since
+    if len(probing.differs) >= MAX_DIFFERS:
+        probing.differs.clear()
+    waited = context.now - probing.differs.setdefault(sender, context.now)
     if waited < SYNC_AFTER_S or context.now < probing.sync_at:
         return
     probing.sync_at = context.now + SYNC_INTERVAL_S * _jitter(context)
--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -78,13 +78,17 @@
         self._mesh = NOTHING
         self._live = (None, ())
         self._lease = None
+        self._synced = None
+        self._lag = 0.0
         self._tables = None
         self._loop_task = None
         self._began = clock.monotonic()
         self._caller_address = ''
         self._credentials = None
+        self._server_tls = None
         if options.tls is not None:
             self._credentials = trust.PeerCredentials(options.tls)
+            self._server_tls = trust.ServerContext(options.tls)
         self._peers = grpcpeers.GrpcPeers(
             options.daemon.peer_address, self._credentials
         )
@@ -121,6 +125,11 @@
         """The `settings.Settings` in use."""
         return self._options
 
+    @property
+    def server_tls(self):
+        """The `trust.ServerContext` of the HTTP ports; None without TLS."""
+        return self._server_tls
+
     @property
     def tables(self):
         """The core's tables; to be read in the loop's thread only."""
@@ -141,11 +150,6 @@
         """This daemon's `timeline.Timeline`."""
         return self._timeline
 
-    @property
-    def metrics(self):
-        """This daemon's `metrics.Metrics`."""
-        return self._metrics
-
     @property
     def uptime(self):
         """Seconds since the start."""
@@ -161,6 +165,18 @@
         """Event that is set when this daemon has to stop."""
         return self._stop_wanted
 
+    def render_metrics(self):
+        """Return all metrics in the Prometheus text format, as bytes."""
+        size = membership.fleet_size(self._tables.membership)
+        load = gate.load(self._gate)
+        held_back = self._tables.dissemination.held_back
+        self._metrics.members.set({'state': 'live'}, size)
+        self._metrics.running.set({}, load.running)
+        self._metrics.queued.set({}, load.queued)
+        self._metrics.held_back.set({}, len(held_back))
+        self._metrics.loop_lag.set({}, self._lag)
+        return self._metrics.render()
+
     async def start(self, admin_address=''):
         """Bind the ports, then join the fleet.
 
@@ -261,7 +277,17 @@
 
     def reload_keys(self):
         """Use changed TLS files for new connections."""
-        if self._options.tls is None:
+        if self._server_tls is None:
+            return
+        result = self._server_tls.reload()
+        if result.is_error():
+            failure = result.error
+            self.record(
+                events.Event(
+                    'daemon.keys_refused',
+                    detail=f'{failure.where}: {failure.reason}',
+                )
+            )
             return
         self._peers.reload()
         self.record(events.Event('daemon.keys_reloaded'))
@@ -355,7 +381,6 @@
     def _call_tls(self):
         if self._options.tls is None:
             return ()
-        self._server_tls = trust.ServerContext(self._options.tls)
         return (
             self._server_tls.context,
             trust.client_context(self._options.tls),
@@ -365,11 +390,9 @@
 
     async def _run(self):
         while True:
-            late = self._clock.monotonic()
+            began = self._clock.monotonic()
             await self._next_tick()
-            self._metrics.loop_lag.set(
-                {}, max(0.0, self._clock.monotonic() - late - TICK_S)
-            )
+            self._lag = max(0.0, self._clock.monotonic() - began - TICK_S)
             self._wake.clear()
             inputs, self._inbox = self._inbox, []
             self._perform(self._tick(inputs))
@@ -499,18 +522,15 @@
 
     def _sync_fleet(self):
         table = self._tables.membership
+        if self._synced == table.digests.view:
+            return
+        self._synced = table.digests.view
         size = membership.fleet_size(table)
         for limit in self._limits:
             limit.share(size)
         self._peers.keep(
             member.peer_address for member in overlay.neighbours(table)
         )
-        load = gate.load(self._gate)
-        self._metrics.members.set({'state': 'live'}, size)
-        self._metrics.running.set({}, load.running)
-        self._metrics.queued.set({}, load.queued)
-        held_back = self._tables.dissemination.held_back
-        self._metrics.held_back.set({}, len(held_back))
 
     def _holder_gone(self, holder):
         vm, _, incarnation = holder.rpartition('/')
