--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -574,3 +574,23 @@
         self.assertIsNotNone(fleet.run_until(fleet.converged, 20.0))
         # One pull each, and as many again for those refused or late.
         self.assertLessEqual(fleet.sent['Pull'] - before, 2 * 23)
+
+    def test_store_restored_from_an_older_copy_moves_nobody_back(self):
+        fleet = self.fleet()
+        for _ in range(3):
+            fleet.accept(0)
+            fleet.run(1.0)
+        older = cores.Fleet(1)
+        older.accept(0)
+        older.accept(0, padding=9)
+        fleet.acceptance = older.acceptance
+        fleet.run(5.0)
+        self.assertEqual([3] * FLEET, fleet.in_force())
+        names = [event.name for _, event in fleet.events]
+        self.assertIn('version.conflict', names)
+        for number in (3, 4):
+            accepted = fleet.accept(0, padding=9)
+            self.assertEqual(number, accepted.ok.number)
+        self.assertIsNotNone(fleet.run_until(fleet.converged, 30.0))
+        self.assertEqual([4] * FLEET, fleet.in_force())
+        self.assertEqual(([], []), (fleet.backward(), fleet.torn))
