--- a/jujubefold/callentry.py
+++ b/jujubefold/callentry.py
@@ -14,7 +14,8 @@
 FINGERPRINT_BYTES = 16
 HASHED_AT_ONCE_BYTES = 1024 * 1024
 NO_VERSION_RETRY_S = 1.0
-_MAX_DEADLINE_DIGITS = 9
+_MAX_DIGITS = 9
+_LONGEST = b'9' * _MAX_DIGITS
 _MS = 1000
 
 _REQUEST_ID = re.compile(r'[A-Za-z0-9._:/+=-]{1,128}')
@@ -33,7 +34,8 @@
         rng: A `random.Random` for new request ids.
 
     Returns:
-        `Ok(calls.Call)` without fingerprint, or `Error(calls.Refusal)`.
+        `Ok(calls.Call)`, or `Error(calls.Refusal)`; the fingerprint of a
+        large body is left to `large_fingerprint`.
     """
     if not mesh.number:
         return _refused(
@@ -46,25 +48,19 @@
         return _refused(calls.Reason.NO_ROUTE, 'no route matches')
     fields = request.fields
     depth = _number(fields.get(b'jujubefold-depth', b'0'))
-    left = _number(fields.get(b'jujubefold-deadline-ms', b'999999999'))
-    if depth is None or left is None:
-        return _refused(calls.Reason.MALFORMED, 'depth or deadline malformed')
-    if depth >= calls.MAX_DEPTH:
-        return _refused(calls.Reason.TOO_DEEP, 'calls nest too deep')
-    if left == 0:
-        return _refused(calls.Reason.DEADLINE, 'the deadline has passed')
+    left = _number(fields.get(b'jujubefold-deadline-ms', _LONGEST))
     name = request_id(request, rng)
-    if name is None:
-        return _refused(calls.Reason.MALFORMED, 'request id malformed')
-    idempotent = calls.is_idempotent(route, request.method)
     key = _key(fields)
-    if key is None:
-        return _refused(calls.Reason.MALFORMED, 'idempotency key malformed')
+    idempotent = calls.is_idempotent(route, request.method)
+    fault = _fault(depth, left, name, key)
+    if fault is not None:
+        return _refused(*fault)
     if route.keyed and not idempotent and not key:
         return _refused(
             calls.Reason.KEY_REQUIRED,
             'this route needs an Idempotency-Key header',
         )
+    large = request.size > HASHED_AT_ONCE_BYTES
     return expression.Ok(
         calls.Call(
             request=name,
@@ -78,11 +74,26 @@
             depth=depth,
             key=key,
             idempotent=idempotent,
-            fingerprint='',
+            fingerprint='' if large else fingerprint(request),
         )
     )
 
 
+def _fault(depth, left, name, key):
+    """Return reason and detail of what a caller's headers get wrong."""
+    if depth is None or left is None:
+        return calls.Reason.MALFORMED, 'depth or deadline malformed'
+    if depth >= calls.MAX_DEPTH:
+        return calls.Reason.TOO_DEEP, 'calls nest too deep'
+    if left == 0:
+        return calls.Reason.DEADLINE, 'the deadline has passed'
+    if name is None:
+        return calls.Reason.MALFORMED, 'request id malformed'
+    if key is None:
+        return calls.Reason.MALFORMED, 'idempotency key malformed'
+    return None
+
+
 def request_id(request, rng):
     """Return the caller's request id, a new one, or None if malformed."""
     value = request.fields.get(b'jujubefold-request-id')
@@ -92,17 +103,21 @@
     return text if _REQUEST_ID.fullmatch(text) else None
 
 
-async def fingerprint(request):
+def fingerprint(request):
     """Return the digest that is equal for the same request sent again.
 
     Args:
         request: A `callserver.Request`.
     """
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    digest.update(
-        b'%b\0%b\0%b\0'
-        % (request.method.encode(), request.host.encode(), request.target)
-    )
+    digest = _digest(request)
+    for piece in request.pieces:
+        digest.update(piece)
+    return digest.hexdigest()
+
+
+async def large_fingerprint(request):
+    """Return the same as `fingerprint`, letting others run meanwhile."""
+    digest = _digest(request)
     hashed = 0
     for piece in request.pieces:
         digest.update(piece)
@@ -113,6 +128,15 @@
     return digest.hexdigest()
 
 
+def _digest(request):
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    digest.update(
+        b'%b\0%b\0%b\0'
+        % (request.method.encode(), request.host.encode(), request.target)
+    )
+    return digest
+
+
 def message(request, route):
     """Return the request as it is passed on.
 
@@ -152,7 +176,7 @@
 
 
 def _number(value):
-    if not value.isdigit() or len(value) > _MAX_DEADLINE_DIGITS:
+    if not value.isdigit() or len(value) > _MAX_DIGITS:
         return None
     return int(value)
 
--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -405,8 +405,9 @@
     async def _serve(self, exchange, call, trace):
         began = self._clock.monotonic()
         request = exchange.request
-        digest = await callentry.fingerprint(request)
-        call = dataclasses.replace(call, fingerprint=digest)
+        if not call.fingerprint:
+            digest = await callentry.large_fingerprint(request)
+            call = dataclasses.replace(call, fingerprint=digest)
         header = request.fields.get(b'jujubefold-retry-budget', b'')
         tour = _Tour(
             call,
--- a/tests/test_callserver.py
+++ b/tests/test_callserver.py
@@ -207,6 +207,7 @@
             request = running.handler.taken[0]
             self.assertEqual('a', request.host)
             self.assertEqual([b'x'], request.pieces)
+            self.assertNotIn((b'host', b'z'), request.headers)
 
         self.run_with(scenario)
 
