Keep signs of life while a body waits for memory

Cause: an upload held up by the receiver's memory, and an answer held up by our own, both looked like a silent connection and were given up.

--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -176,6 +176,11 @@
         """Whether an exchange is under way."""
         return self._done is not None
 
+    @property
+    def waits_for_memory(self):
+        """Whether this end, not the other, holds the answer up."""
+        return self._answer is not None and self._answer.memory.wanted > 0
+
     def start(self, message, head, bounds, done=None):
         """Send a request.
 
@@ -471,7 +476,10 @@
             if not connection.busy:
                 if waited > IDLE_TIMEOUT_S:
                     connection.abort()
-            elif waited > connection.bounds.progress:
+            elif (
+                waited > connection.bounds.progress
+                and not connection.waits_for_memory
+            ):
                 silent += 1
                 connection.abort(Failed.SILENT, 'no progress')
             elif self.now > connection.bounds.deadline:
--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -574,6 +574,8 @@
         elif self._waits:
             if waited > timeouts.memory:
                 self._refuse_for_memory()
+            elif self._server.heartbeat:
+                self._transport.write(_PROCESSING)
         elif self._request is not None:
             if waited > timeouts.body:
                 self._break(malformed('request body came too slowly', 408))
--- a/tests/test_callclient.py
+++ b/tests/test_callclient.py
@@ -152,6 +152,21 @@
 
         self.run_with(scenario, b'', False)
 
+    def test_waiting_for_memory_is_not_silence(self):
+        async def scenario(upstream, pool, paused):
+            held = bodies.Reservation()
+            pool.answers.reserve(held, 9_999, None)
+            asked = asyncio.ensure_future(self.ask(pool))
+            while not upstream.connections:
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.05)
+            paused.advance(6.0)
+            self.assertEqual(0, pool.sweep())
+            pool.answers.release(held)
+            self.assertEqual([b'ok'], (await asked).pieces)
+
+        self.run_with(scenario, close=False)
+
     def test_deadline_ends_the_exchange(self):
         async def scenario(upstream, pool, paused):
             until = paused.monotonic() + 1
--- a/tests/test_callserver.py
+++ b/tests/test_callserver.py
@@ -334,6 +334,27 @@
 
         self.run_with(scenario, memory=1000)
 
+    def test_daemons_that_wait_are_told_that_the_connection_lives(self):
+        async def scenario(running):
+            running.server.heartbeat = True
+            running.handler.hold = True
+            post = LINES.replace(b'GET', b'POST')
+            reader, writer = await running.connect()
+            writer.write(post + b'Content-Length: 600\r\n\r\n' + bytes(600))
+            await running.until(lambda: running.handler.held)
+            waiting, waiting_writer = await running.connect()
+            waiting_writer.write(post + b'Content-Length: 600\r\n\r\n')
+            await running.until(lambda: running.server.connections == 2)
+            await asyncio.sleep(0.05)
+            running.pass_time(1.0)
+            for end in (reader, waiting):
+                head = await asyncio.wait_for(end.readuntil(b'\r\n\r\n'), 10)
+                self.assertEqual(b'HTTP/1.1 102 Processing\r\n\r\n', head)
+            writer.close()
+            waiting_writer.close()
+
+        self.run_with(scenario, memory=1000)
+
     def test_caller_that_leaves_is_noticed(self):
         async def scenario(running):
             running.handler.hold = True
