Skip messages of unknown types instead of the whole envelope

Cause: one message of a type that only a newer release knows made the older daemon refuse the envelope, so probes and versions beside it were lost in a mixed fleet. Change: an envelope that does not fit is taken apart; messages of unknown types are left out and counted (jujubefold_control_skipped_total), at most 256 an envelope. Envelopes that fit are decoded in one step as before. Conclusion: known messages arrive; malformed known ones still refuse all.

--- a/jujubefold/messages.py
+++ b/jujubefold/messages.py
@@ -1,10 +1,11 @@
 """Messages between daemons, and their codec.
 
-Every message is a tagged struct. Decoding checks types and ignores fields
-it does not know, so that daemons of two releases can talk.
+Every message is a tagged struct. Decoding checks types, ignores fields and
+skips messages it does not know, so that daemons of two releases can talk.
 """
 
 import enum
+import typing
 
 import expression
 import msgspec
@@ -13,6 +14,8 @@
 
 SCHEMA = 1
 MAX_ENVELOPE_BYTES = 4 * 1024 * 1024
+# Messages of unknown types that one envelope may carry.
+MAX_SKIPPED = 256
 
 
 class Message(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
@@ -373,6 +376,8 @@
         address: Sender's peer address, where answers go.
         wall_ns: Sender's hybrid clock, time part.
         counter: Sender's hybrid clock, counter part.
+        skipped: Set on decoding: messages left out, because their types
+            are not known here.
     """
 
     vm: str
@@ -382,10 +387,40 @@
     counter: int
     messages: tuple[Peer, ...]
     schema: int = SCHEMA
+    skipped: int = 0
 
 
+class _Unread(msgspec.Struct, frozen=True):
+    """An envelope's messages, each still encoded."""
+
+    messages: tuple[msgspec.Raw, ...]
+
+
+class _Tag(msgspec.Struct, frozen=True):
+    """The type of a message, whatever its fields."""
+
+    type: str
+
+
+class _Rest(msgspec.Struct, frozen=True):
+    """An envelope without its messages."""
+
+    vm: str
+    incarnation: int
+    address: str
+    wall_ns: int
+    counter: int
+    schema: int = SCHEMA
+
+
+_KNOWN = frozenset(kind.__name__ for kind in typing.get_args(Peer))
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Envelope)
+_unread_decoder = msgspec.msgpack.Decoder(_Unread)
+_tag_decoder = msgspec.msgpack.Decoder(_Tag)
+_rest_decoder = msgspec.msgpack.Decoder(_Rest)
+_peer_decoder = msgspec.msgpack.Decoder(Peer)
 
 
 def encode(envelope):
@@ -394,7 +429,7 @@
 
 
 def decode(data):
-    """Return the envelope in `data`.
+    """Return the envelope in `data`, without messages of unknown types.
 
     Args:
         data: Bytes from another daemon, not trusted.
@@ -403,10 +438,46 @@
         `Ok(Envelope)` or `Error(errors.Invalid)`.
     """
     if len(data) > MAX_ENVELOPE_BYTES:
-        return expression.Error(
-            errors.Invalid('envelope larger than allowed', 'envelope')
-        )
+        return _invalid('envelope larger than allowed')
     try:
-        return expression.Ok(_decoder.decode(data))
+        return expression.Ok(_whole(data))
     except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
-        return expression.Error(errors.Invalid(str(error), 'envelope'))
+        return _invalid(str(error))
+
+
+def _whole(data):
+    """Decode at once; only an envelope that does not fit is taken apart."""
+    try:
+        envelope = _decoder.decode(data)
+    except msgspec.ValidationError:
+        return _known_part(data)
+    if envelope.skipped:
+        return msgspec.structs.replace(envelope, skipped=0)
+    return envelope
+
+
+def _known_part(data):
+    unread = _unread_decoder.decode(data).messages
+    known = tuple(raw for raw in unread if _is_known(raw))
+    skipped = len(unread) - len(known)
+    if skipped > MAX_SKIPPED:
+        raise msgspec.ValidationError(f'{skipped} messages of unknown types')
+    rest = _rest_decoder.decode(data)
+    return Envelope(
+        vm=rest.vm,
+        incarnation=rest.incarnation,
+        address=rest.address,
+        wall_ns=rest.wall_ns,
+        counter=rest.counter,
+        messages=tuple(map(_peer_decoder.decode, known)),
+        schema=rest.schema,
+        skipped=skipped,
+    )
+
+
+def _is_known(raw):
+    return _tag_decoder.decode(raw).type in _KNOWN
+
+
+def _invalid(reason):
+    return expression.Error(errors.Invalid(reason, 'envelope'))
--- a/jujubefold/metrics.py
+++ b/jujubefold/metrics.py
@@ -44,6 +44,10 @@
             'jujubefold_control_messages_total',
             'Messages sent and received, by direction and type.',
         )
+        self.skipped = self._counter(
+            'jujubefold_control_skipped_total',
+            'Messages received of types that this release does not know.',
+        )
         self.store_calls = self._counter(
             'jujubefold_store_calls_total',
             'Calls to the platform by operation and outcome.',
--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -409,6 +409,8 @@
     def _inputs(self, envelope):
         stamp = hlc.Timestamp(envelope.wall_ns, envelope.counter)
         self._hybrid.observe(stamp)
+        if envelope.skipped:
+            self._metrics.skipped.add({}, envelope.skipped)
         return [
             dispatch.Received(envelope.address, envelope.incarnation, message)
             for message in envelope.messages
