--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -67,6 +67,17 @@
     memory: float = 10.0
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Session:
+    """What a handler remembers of one connection.
+
+    Args:
+        last: Whatever the handler put here.
+    """
+
+    last: object = None
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Request:
     """One whole request.
@@ -80,6 +91,7 @@
         pieces: Body in order.
         size: Body length in bytes.
         peer: Address of the sender, `ip:port`.
+        session: The connection's `Session`.
         late: Whether its headers came after the server began to drain.
     """
 
@@ -90,6 +102,7 @@
     headers: list
     fields: dict
     peer: str
+    session: Session
     late: bool = False
     keep_alive: bool = True
     pieces: list = dataclasses.field(default_factory=list)
@@ -157,6 +170,7 @@
 
     def reply(self, answer):
         """Send the answer; without effect once the sender has left."""
+        self.gone = None
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.reply(self.request, answer)
@@ -167,6 +181,12 @@
         if connection is not None:
             connection.reply_cut(answer)
 
+    def drop(self):
+        """Close the connection without an answer."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.abort()
+
     def lost(self):
         """Learn that the sender has left."""
         self._connection = None
@@ -215,6 +235,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport = None
         self._peer = ''
+        self._session = Session()
         # Whole requests, and answers to what could not be parsed.
         self._queue = collections.deque()
         self._current = None
@@ -271,6 +292,9 @@
             self._break(malformed('protocol upgrade is not supported', 501))
         except httptools.HttpParserError as error:
             self._break(_answer_for(error))
+        else:
+            # Only now: an answer may close the connection under the parser.
+            self._advance()
 
     def eof_received(self):
         return False
@@ -337,7 +361,6 @@
         self._queue.append(request)
         if len(self._queue) > MAX_PIPELINED:
             self._pause_reading()
-        self._advance()
 
     # Reading
 
@@ -362,6 +385,7 @@
             headers=self._headers,
             fields=fields,
             peer=self._peer,
+            session=self._session,
             late=self._server.stopping,
         )
 
@@ -373,7 +397,9 @@
 
     def _continue(self, request):
         expects = b'expect' in request.fields
-        if expects and request is self._request and self._current is None:
+        if not expects or request is not self._request:
+            return
+        if self._current is None and not self._queue:
             self._transport.write(_CONTINUE)
 
     def _reserve(self, request, more):
