Notice a daemon that answers probes but serves nothing

Cause: membership could tell of it, but nobody looked. Change: every 5 s a daemon calls its own call port over a new connection; what it finds goes with its acknowledgements. Slots are ramped by the service's warm-up, and routing takes member changes from the tick.

--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -10,6 +10,7 @@
 from jujubefold import claims
 from jujubefold import contacts
 from jujubefold import core
+from jujubefold import crashes
 from jujubefold import dispatch
 from jujubefold import dissemination
 from jujubefold import effects
@@ -27,6 +28,7 @@
 from jujubefold import overlay
 from jujubefold import peering
 from jujubefold import routing
+from jujubefold import selfcheck
 from jujubefold import storelimit
 from jujubefold import tableservice
 from jujubefold import timeline
@@ -211,6 +213,7 @@
         self.record(events.Event('daemon.started', detail=peer_address))
         self._loop_task = asyncio.create_task(self._run())
         self._spawn(self._sweep())
+        self._spawn(self._check_self())
 
     def feed(self, item):
         """Give the core an input at the next tick, which is due at once.
@@ -358,7 +361,8 @@
         )
 
     def _new_flow(self):
-        self._crashes = core.crashes.new_crashes()
+        self._crashes = crashes.new_crashes()
+        self._routing = routing.new_routing(self._rng)
         return callflow.CallFlow(
             identity=self._identity,
             clock=self._clock,
@@ -367,7 +371,7 @@
             live_members=self._live_members,
             own_member=lambda: self._tables.membership.me,
             gate_table=self._gate,
-            routing_table=routing.new_routing(self._rng),
+            routing_table=self._routing,
             crash_table=self._crashes,
             claims=self._claims,
             observe=self._call_seen,
@@ -513,8 +517,13 @@
         self._set_gate(lease.state, lease.slots)
 
     def _set_gate(self, state, slots):
+        service = self._mesh.services.get(self._lease.service)
         admitted = gate.set_upstream(
-            self._gate, state, slots, self._clock.monotonic()
+            self._gate,
+            state,
+            slots,
+            self._clock.monotonic(),
+            service.warmup if service else 0.0,
         )
         self._flow.upstream_changed(admitted)
 
@@ -533,6 +542,7 @@
         self._peers.keep(
             member.peer_address for member in overlay.neighbours(table)
         )
+        routing.refresh(self._routing, self._live_members(), table.me)
 
     def _holder_gone(self, holder):
         vm, _, incarnation = holder.rpartition('/')
@@ -545,6 +555,20 @@
             known
         )
 
+    async def _check_self(self):
+        tls = None
+        if self._options.tls is not None:
+            tls = trust.client_context(self._options.tls)
+        check = selfcheck.SelfCheck(
+            self._identity.call_address, self._clock, tls
+        )
+        while True:
+            await asyncio.sleep(selfcheck.INTERVAL_S)
+            passed = await check.passes()
+            membership.set_serving(
+                self._tables.membership, passed, self._clock.monotonic()
+            )
+
     async def _sweep(self):
         while True:
             await asyncio.sleep(SWEEP_S * self._rng.uniform(0.8, 1.2))
