--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -15,6 +15,7 @@
 from jujubefold import calls
 from jujubefold import errors
 from jujubefold import problems
+from jujubefold import trust
 
 MAX_HEAD_BYTES = 32 * 1024
 MAX_TARGET_BYTES = 8 * 1024
@@ -67,6 +68,17 @@
     memory: float = 10.0
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Session:
+    """What a handler remembers of one connection.
+
+    Args:
+        last: Whatever the handler put here.
+    """
+
+    last: object = None
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Request:
     """One whole request.
@@ -80,6 +92,7 @@
         pieces: Body in order.
         size: Body length in bytes.
         peer: Address of the sender, `ip:port`.
+        session: The connection's `Session`.
         late: Whether its headers came after the server began to drain.
     """
 
@@ -90,6 +103,7 @@
     headers: list
     fields: dict
     peer: str
+    session: Session
     late: bool = False
     keep_alive: bool = True
     pieces: list = dataclasses.field(default_factory=list)
@@ -157,6 +171,7 @@
 
     def reply(self, answer):
         """Send the answer; without effect once the sender has left."""
+        self.gone = None
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.reply(self.request, answer)
@@ -167,6 +182,12 @@
         if connection is not None:
             connection.reply_cut(answer)
 
+    def drop(self):
+        """Close the connection without an answer."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.abort()
+
     def lost(self):
         """Learn that the sender has left."""
         self._connection = None
@@ -215,6 +236,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport = None
         self._peer = ''
+        self._session = Session()
         # Whole requests, and answers to what could not be parsed.
         self._queue = collections.deque()
         self._current = None
@@ -253,6 +275,10 @@
     def connection_made(self, transport):
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        if self._server.refuses(transport):
+            self._broken = True
+            transport.abort()
+            return
         name = transport.get_extra_info('peername')
         self._peer = f'{name[0]}:{name[1]}' if name else ''
         self._server.opened(self)
@@ -271,6 +297,9 @@
             self._break(malformed('protocol upgrade is not supported', 501))
         except httptools.HttpParserError as error:
             self._break(_answer_for(error))
+        else:
+            # Only now: an answer may close the connection under the parser.
+            self._advance()
 
     def eof_received(self):
         return False
@@ -337,7 +366,6 @@
         self._queue.append(request)
         if len(self._queue) > MAX_PIPELINED:
             self._pause_reading()
-        self._advance()
 
     # Reading
 
@@ -362,6 +390,7 @@
             headers=self._headers,
             fields=fields,
             peer=self._peer,
+            session=self._session,
             late=self._server.stopping,
         )
 
@@ -373,7 +402,9 @@
 
     def _continue(self, request):
         expects = b'expect' in request.fields
-        if expects and request is self._request and self._current is None:
+        if not expects or request is not self._request:
+            return
+        if self._current is None and not self._queue:
             self._transport.write(_CONTINUE)
 
     def _reserve(self, request, more):
@@ -548,6 +579,8 @@
         elif self._waits:
             if waited > timeouts.memory:
                 self._refuse_for_memory()
+            elif self._server.heartbeat:
+                self._transport.write(_PROCESSING)
         elif self._request is not None:
             if waited > timeouts.body:
                 self._break(malformed('request body came too slowly', 408))
@@ -750,6 +783,13 @@
         name = self._server.sockets[0].getsockname()
         return f'{name[0]}:{name[1]}'
 
+    def refuses(self, transport):
+        """Return whether a TLS client failed to prove the daemon role."""
+        secured = transport.get_extra_info('ssl_object')
+        if secured is None:
+            return False
+        return not trust.is_daemon_certificate(secured.getpeercert())
+
     def body_limit(self, request):
         """Return the most bytes that a request's body may have."""
         return min(self.handler.body_limit(request), self.requests.limit)
--- a/jujubefold/example.py
+++ b/jujubefold/example.py
@@ -9,14 +9,16 @@
 import collections
 import dataclasses
 import os
+import pathlib
 import signal
 import sys
 import typing
 
 import msgspec
 import typer
-import urllib3
 
+from jujubefold import adminclient
+from jujubefold import adminmodels
 from jujubefold import bodies
 from jujubefold import calls
 from jujubefold import callserver
@@ -31,6 +33,7 @@
 CRASH_STATUS = 70
 ANNOUNCE_TTL_S = 6.0
 ANNOUNCE_TIMEOUT_S = 2.0
+ANNOUNCE_POLL_S = 0.05
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 MEMORY_BYTES = 128 * 1024 * 1024
 MEGABYTE = 1024 * 1024
@@ -38,20 +41,6 @@
 DRAIN_POLL_S = 0.02
 
 
-class Announcement(msgspec.Struct, frozen=True):
-    """What an upstream tells the daemon on its VM.
-
-    Args:
-        ttl: Seconds for which it holds.
-    """
-
-    service: str
-    address: str
-    slots: int
-    state: messages.UpstreamState
-    ttl: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Behaviour:
     """How the upstream works when no fault is asked for.
@@ -100,6 +89,7 @@
         self.most_running = 0
         self.running = 0
         self.draining = False
+        self.leaving = False
         self._behaviour = behaviour
         self._crash = crash or (lambda: os._exit(CRASH_STATUS))
         self._clock = clock.SystemClock()
@@ -115,6 +105,10 @@
         """Listen on `ip:port` and return the bound address."""
         return await self._server.start(bind)
 
+    def drain(self):
+        """Say that it is leaving; what is sent all the same still runs."""
+        self.leaving = True
+
     async def stop(self, grace=DRAIN_GRACE_S):
         """Finish what runs, for at most `grace` seconds, and close."""
         self.draining = True
@@ -130,7 +124,7 @@
 
     def current_state(self):
         """Return the state to announce."""
-        if self.draining:
+        if self.leaving:
             return messages.UpstreamState.DRAINING
         if self._is_cold():
             return messages.UpstreamState.WARMING
@@ -263,52 +257,55 @@
     """Tells the daemon of this VM about the upstream.
 
     Args:
-        admin: Base URL of the daemon's operators' API.
+        client: An `adminclient.AdminClient` of the daemon.
         upstream: The `Upstream`.
         behaviour: Its `Behaviour`.
         address: Where it listens.
     """
 
-    def __init__(self, admin, upstream, behaviour, address):
-        self._url = f'{admin}/v1/upstream'
+    def __init__(self, client, upstream, behaviour, address):
+        self._client = client
         self._upstream = upstream
         self._behaviour = behaviour
         self._address = address
-        self._http = urllib3.PoolManager(
-            retries=False, timeout=ANNOUNCE_TIMEOUT_S
-        )
+        self._clock = clock.SystemClock()
 
     async def run(self):
         """Announce until cancelled; a daemon that is away is retried."""
         while True:
             await self.announce()
-            await asyncio.sleep(ANNOUNCE_TTL_S / 3)
+            told = self._upstream.current_state()
+            until = self._clock.monotonic() + ANNOUNCE_TTL_S / 3
+            while self._holds(told, until):
+                await asyncio.sleep(ANNOUNCE_POLL_S)
+
+    def _holds(self, told, until):
+        changed = self._upstream.current_state() is not told
+        return not changed and self._clock.monotonic() < until
 
     async def announce(self):
         """Announce once; returns whether the daemon took it."""
         return await asyncio.to_thread(self._put)
 
     def _put(self):
-        announcement = Announcement(
-            self._behaviour.service,
-            self._address,
-            self._behaviour.slots,
-            self._upstream.current_state(),
-            ANNOUNCE_TTL_S,
+        announcement = adminmodels.Announcement(
+            service=self._behaviour.service,
+            address=self._address,
+            slots=self._behaviour.slots,
+            state=self._upstream.current_state(),
+            ttl=ANNOUNCE_TTL_S,
         )
-        try:
-            answer = self._http.request(
-                'PUT',
-                self._url,
-                body=msgspec.json.encode(announcement),
-                headers={'content-type': 'application/json'},
-            )
-        except urllib3.exceptions.HTTPError:
-            return False
-        return answer.status < 300
+        result = self._client.send('PUT', '/v1/upstream', None, announcement)
+        return result.is_ok()
+
+
+async def _until_stopped(loop, upstream, stopping):
+    loop.add_signal_handler(signal.SIGUSR1, upstream.drain)
+    await stopping.wait()
+    upstream.drain()
 
 
-async def _run(listen, behaviour, admin):
+async def _run(listen, behaviour, client):
     upstream = Upstream(behaviour)
     address = await upstream.start(listen)
     stopping = asyncio.Event()
@@ -319,12 +316,11 @@
         {'address': address, 'service': behaviour.service}
     )
     print(line.decode(), flush=True)
-    if admin:
-        announcer = Announcer(admin, upstream, behaviour, address)
+    if client:
+        announcer = Announcer(client, upstream, behaviour, address)
         announcing = loop.create_task(announcer.run())
-    await stopping.wait()
-    upstream.draining = True
-    if admin:
+    await _until_stopped(loop, upstream, stopping)
+    if client:
         announcing.cancel()
         await announcer.announce()
     await upstream.stop()
@@ -347,6 +343,15 @@
     cold_start: typing.Annotated[
         float, typer.Option(help='Seconds of cold start.')
     ] = 0.0,
+    ca: typing.Annotated[
+        pathlib.Path | None, typer.Option(help='CA file of the daemon.')
+    ] = None,
+    cert: typing.Annotated[
+        pathlib.Path | None, typer.Option(help='Own certificate.')
+    ] = None,
+    key: typing.Annotated[
+        pathlib.Path | None, typer.Option(help='Own private key.')
+    ] = None,
 ):
     """Run the example upstream until SIGTERM."""
     behaviour = Behaviour(
@@ -355,7 +360,14 @@
         work=work_ms / 1000,
         cold_start=cold_start,
     )
-    asyncio.run(_run(listen, behaviour, admin))
+    client = None
+    if admin:
+        client = adminclient.AdminClient(
+            admin.rpartition('/')[2],
+            ANNOUNCE_TIMEOUT_S,
+            **adminclient.tls_options(ca, cert, key),
+        )
+    asyncio.run(_run(listen, behaviour, client))
 
 
 def main():
--- a/jujubefold/gate.py
+++ b/jujubefold/gate.py
@@ -18,21 +18,16 @@
 from jujubefold import errors
 from jujubefold import fairness
 from jujubefold import messages
+from jujubefold import servicetime
 
 DEFAULT_QUEUE_LIMIT = 32
 # Slots given back each second after the upstream shed load or fell silent.
 SHED_RECOVERY_SLOTS_PER_S = 1.0
-# Seconds after which an estimate without new answers counts half.
-ESTIMATE_HALF_LIFE_S = 5.0
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 30.0
 DRAINING_RETRY_AFTER_S = 0.1
 ABSENT_RETRY_AFTER_S = 1.0
 
-_MEAN_GAIN = 0.1
-_FAST_DOWN_GAIN = 0.3
-_FAST_UP_GAIN = 0.02
-_MAX_ROUTES = 1024
 _NEVER = float('-inf')
 
 _State = messages.UpstreamState
@@ -98,21 +93,6 @@
     refusal: calls.Refusal
 
 
-@dataclasses.dataclass(slots=True)
-class Estimate:
-    """Service time of one route at this upstream, in seconds.
-
-    Args:
-        mean: Moving average.
-        fast: What quick answers take; follows down fast and up slowly.
-        at: Monotonic seconds of the last answer.
-    """
-
-    mean: float
-    fast: float
-    at: float
-
-
 @dataclasses.dataclass(slots=True)
 class Waiting:
     """A queued attempt.
@@ -154,7 +134,7 @@
         shares: What callers hold and lately got.
         evicted: Left the queue, to be told by `expire`.
         memory: Attempts that ended.
-        estimates: Service times by route name; '' for all routes.
+        times: How long requests run.
         arrivals: Numbers the attempts that wait.
         suspects_running: Running attempts that are suspects.
         warmup: Seconds over which slots are ramped up.
@@ -181,7 +161,9 @@
     memory: attempts.AttemptTable = dataclasses.field(
         default_factory=attempts.AttemptTable
     )
-    estimates: dict[str, Estimate] = dataclasses.field(default_factory=dict)
+    times: servicetime.ServiceTimeTable = dataclasses.field(
+        default_factory=servicetime.ServiceTimeTable
+    )
     arrivals: itertools.count = dataclasses.field(
         default_factory=itertools.count
     )
@@ -233,6 +215,23 @@
     return _enqueue(gate, attempt, suspect, now)
 
 
+def forbid(gate, attempt_id, refusal, now):
+    """Remember an attempt that was refused before it was offered.
+
+    A late copy of it gets the same refusal and never runs. An attempt that
+    is here already stays as it is.
+
+    Args:
+        gate: A `GateTable`.
+        attempt_id: A `calls.AttemptId`.
+        refusal: The `calls.Refusal` that its sender got.
+        now: Monotonic seconds.
+    """
+    if _known(gate, attempt_id) is None:
+        attempts.meet(gate.memory, attempt_id)
+        _forbid(gate, attempt_id, refusal, now)
+
+
 def finish(gate, attempt_id, ending, now):
     """Free the slot of an attempt; calling it again changes nothing.
 
@@ -277,9 +276,8 @@
     if attempt_id in gate.queued:
         _leave(gate, attempt_id)
         _forbid(gate, attempt_id, _CANCELLED, now)
-    elif _known(gate, attempt_id) is None:
-        attempts.meet(gate.memory, attempt_id)
-        _forbid(gate, attempt_id, _CANCELLED, now)
+    else:
+        forbid(gate, attempt_id, _CANCELLED, now)
     return _admit(gate, now)
 
 
@@ -331,8 +329,7 @@
             return BarState.BARRED
         case attempts.Memory.FORGOTTEN:
             return BarState.UNKNOWN
-    attempts.meet(gate.memory, attempt_id)
-    _forbid(gate, attempt_id, _BARRED, now)
+    forbid(gate, attempt_id, _BARRED, now)
     return BarState.BARRED
 
 
@@ -384,20 +381,6 @@
     return Load(len(gate.running), len(gate.queue), gate.limit, gate.state)
 
 
-def service_time(gate, route, now):
-    """Return the expected seconds that a request of a route runs.
-
-    Args:
-        gate: A `GateTable`.
-        route: Route name; '' for all routes.
-        now: Monotonic seconds.
-    """
-    estimate = gate.estimates.get(route) or gate.estimates.get('')
-    if estimate is None:
-        return 0.0
-    return estimate.mean * _fade(estimate, now)
-
-
 def _count(text):
     if not (text.isascii() and text.isdigit() and len(text) < 7):
         raise ValueError(text)
@@ -449,7 +432,7 @@
     bisect.insort(gate.queue, entry, key=_QUEUE_KEY)
     gate.queued[attempt.id] = entry
     fairness.hold(gate.shares, attempt.call.caller)
-    while (excess := _excess(gate, now)) is not None:
+    while (excess := _excess(gate, entry, now)) is not None:
         victim = _victim(gate, excess, now)
         refusal = _full_refusal(gate, len(excess), now)
         if victim is entry:
@@ -459,15 +442,21 @@
     return _QUEUED
 
 
-def _excess(gate, now):
+def _excess(gate, newcomer, now):
     """Return the waiting attempts that one must leave, or None.
 
-    That is the whole queue when it is too long, and all up to the first
-    that would start too late at the observed drain rate.
+    That is the whole queue when it is too long, those of the newcomer's
+    route when they are too many, and all up to the first that would start
+    too late at the observed drain rate.
     """
     if len(gate.queue) > gate.queue_limit:
         return gate.queue
-    step = service_time(gate, '', now) / max(1, gate.limit)
+    route = newcomer.attempt.call.route
+    if route.limit.queue < len(gate.queue):
+        same = _of_route(gate, route)
+        if len(same) > route.limit.queue:
+            return same
+    step = servicetime.mean(gate.times, now) / max(1, gate.limit)
     start = now
     for index, entry in enumerate(gate.queue):
         start += step
@@ -476,6 +465,14 @@
     return None
 
 
+def _of_route(gate, route):
+    return [
+        entry
+        for entry in gate.queue
+        if entry.attempt.call.route.name == route.name
+    ]
+
+
 def _victim(gate, entries, now):
     """Return who leaves: lowest priority, then who holds or got most."""
     lowest = min(entry.attempt.call.route.priority for entry in entries)
@@ -563,8 +560,8 @@
 def _learn(gate, entry, ending, now):
     if ending is calls.Ending.ANSWERED:
         seconds = now - entry.started
-        _observe(gate, entry.attempt.call.route.name, seconds, now)
-        _observe(gate, '', seconds, now)
+        route = entry.attempt.call.route.name
+        servicetime.observe(gate.times, route, seconds, now)
     elif ending is calls.Ending.SHED:
         _narrow(gate, len(gate.running), now)
     elif ending is calls.Ending.SILENT:
@@ -577,34 +574,12 @@
     gate.shed_at = now
 
 
-def _observe(gate, route, seconds, now):
-    estimate = gate.estimates.get(route)
-    if estimate is None:
-        if len(gate.estimates) >= _MAX_ROUTES:
-            gate.estimates.clear()
-        gate.estimates[route] = Estimate(seconds, seconds, now)
-        return
-    estimate.mean += _MEAN_GAIN * (seconds - estimate.mean)
-    down = seconds < estimate.fast
-    gain = _FAST_DOWN_GAIN if down else _FAST_UP_GAIN
-    estimate.fast += gain * (seconds - estimate.fast)
-    estimate.at = now
-
-
 def _least_time(gate, attempt, now):
-    """Return the seconds that even a quick answer to this takes."""
-    estimate = gate.estimates.get(attempt.call.route.name)
-    if estimate is None:
-        return 0.0
-    return estimate.fast * _fade(estimate, now)
-
-
-def _fade(estimate, now):
-    return 0.5 ** ((now - estimate.at) / ESTIMATE_HALF_LIFE_S)
+    return servicetime.least(gate.times, attempt.call.route.name, now)
 
 
 def _drain_time(gate, places, now):
-    step = service_time(gate, '', now) / max(1, gate.limit)
+    step = servicetime.mean(gate.times, now) / max(1, gate.limit)
     seconds = places * step
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds))
 
--- a/jujubefold/membership.py
+++ b/jujubefold/membership.py
@@ -82,11 +82,13 @@
         contacts: Peer addresses from settings to join through.
         updates: News that rides on messages.
         flood: Records that go to all neighbours at once, by VM.
+        observers: When each peer address last probed this daemon.
         flood_at: Monotonic seconds before which nothing is flooded.
         suspects: When a suspect is taken for dead, by VM.
         ended: When a dead or left member is forgotten, by VM.
         doubted: VMs that another daemon holds dead and this one does not.
         by_address: VM of the live member at a peer address.
+        changes: Raised whenever any record changes; lets callers cache.
         moved: VMs that became live or ceased to be, for the overlay.
         digests: A `Digests`.
         overlay: The overlay's rings, once built.
@@ -109,6 +111,7 @@
     contacts: tuple[str, ...] = ()
     updates: gossip.Queue = dataclasses.field(default_factory=gossip.Queue)
     flood: dict[str, messages.Member] = dataclasses.field(default_factory=dict)
+    observers: dict[str, float] = dataclasses.field(default_factory=dict)
     flood_at: float = 0.0
     suspects: dict[str, float] = dataclasses.field(default_factory=dict)
     ended: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -116,6 +119,7 @@
         default_factory=dict
     )
     by_address: dict[str, str] = dataclasses.field(default_factory=dict)
+    changes: int = 0
     moved: list[str] = dataclasses.field(default_factory=list)
     digests: Digests = dataclasses.field(default_factory=Digests)
     overlay: typing.Any = None
@@ -219,6 +223,8 @@
         _doubt(table, known, member)
         return
     if known is None:
+        if len(table.members) >= MAX_MEMBERS and table.ended:
+            _forget(table, next(iter(table.ended)))
         if len(table.members) < MAX_MEMBERS:
             yield from _store(table, member, context)
         return
@@ -280,6 +286,7 @@
         before, revision=before.revision + 1, **changes
     )
     _toggle(table, table.me)
+    table.changes += 1
     _spread(table, table.me, before)
 
 
@@ -504,6 +511,7 @@
         if table.by_address.get(known.peer_address) == known.vm:
             del table.by_address[known.peer_address]
     table.members[member.vm] = member
+    table.changes += 1
     if is_live(member):
         _toggle(table, member)
     if is_live(known) != is_live(member):
@@ -628,6 +636,7 @@
 def _forget(table, vm):
     del table.ended[vm]
     del table.members[vm]
+    table.changes += 1
     table.updates.discard(vm)
 
 
--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -7,10 +7,10 @@
 
 from jujubefold import acceptance
 from jujubefold import callflow
-from jujubefold import callkeys
 from jujubefold import claims
 from jujubefold import contacts
 from jujubefold import core
+from jujubefold import crashes
 from jujubefold import dispatch
 from jujubefold import dissemination
 from jujubefold import effects
@@ -28,6 +28,7 @@
 from jujubefold import overlay
 from jujubefold import peering
 from jujubefold import routing
+from jujubefold import selfcheck
 from jujubefold import storelimit
 from jujubefold import tableservice
 from jujubefold import timeline
@@ -79,13 +80,17 @@
         self._mesh = NOTHING
         self._live = (None, ())
         self._lease = None
+        self._synced = None
+        self._lag = 0.0
         self._tables = None
         self._loop_task = None
         self._began = clock.monotonic()
         self._caller_address = ''
         self._credentials = None
+        self._server_tls = None
         if options.tls is not None:
             self._credentials = trust.PeerCredentials(options.tls)
+            self._server_tls = trust.ServerContext(options.tls)
         self._peers = grpcpeers.GrpcPeers(
             options.daemon.peer_address, self._credentials
         )
@@ -99,7 +104,11 @@
         )
         self._gate = gate.new_gate(options.upstream.slots)
         self._claims = claims.Claims(
-            self._rows, self._objects, clock, self._rng, self._holder_gone
+            self._rows,
+            self._objects,
+            clock,
+            self._rng,
+            is_holder_gone=self._holder_gone,
         )
         self._flow = self._new_flow()
 
@@ -118,6 +127,11 @@
         """The `settings.Settings` in use."""
         return self._options
 
+    @property
+    def server_tls(self):
+        """The `trust.ServerContext` of the HTTP ports; None without TLS."""
+        return self._server_tls
+
     @property
     def tables(self):
         """The core's tables; to be read in the loop's thread only."""
@@ -138,11 +152,6 @@
         """This daemon's `timeline.Timeline`."""
         return self._timeline
 
-    @property
-    def metrics(self):
-        """This daemon's `metrics.Metrics`."""
-        return self._metrics
-
     @property
     def uptime(self):
         """Seconds since the start."""
@@ -158,6 +167,18 @@
         """Event that is set when this daemon has to stop."""
         return self._stop_wanted
 
+    def render_metrics(self):
+        """Return all metrics in the Prometheus text format, as bytes."""
+        size = membership.fleet_size(self._tables.membership)
+        load = gate.load(self._gate)
+        held_back = self._tables.dissemination.held_back
+        self._metrics.members.set({'state': 'live'}, size)
+        self._metrics.running.set({}, load.running)
+        self._metrics.queued.set({}, load.queued)
+        self._metrics.held_back.set({}, len(held_back))
+        self._metrics.loop_lag.set({}, self._lag)
+        return self._metrics.render()
+
     async def start(self, admin_address=''):
         """Bind the ports, then join the fleet.
 
@@ -192,6 +213,7 @@
         self.record(events.Event('daemon.started', detail=peer_address))
         self._loop_task = asyncio.create_task(self._run())
         self._spawn(self._sweep())
+        self._spawn(self._check_self())
 
     def feed(self, item):
         """Give the core an input at the next tick, which is due at once.
@@ -258,7 +280,17 @@
 
     def reload_keys(self):
         """Use changed TLS files for new connections."""
-        if self._options.tls is None:
+        if self._server_tls is None:
+            return
+        result = self._server_tls.reload()
+        if result.is_error():
+            failure = result.error
+            self.record(
+                events.Event(
+                    'daemon.keys_refused',
+                    detail=f'{failure.where}: {failure.reason}',
+                )
+            )
             return
         self._peers.reload()
         self.record(events.Event('daemon.keys_reloaded'))
@@ -329,8 +361,8 @@
         )
 
     def _new_flow(self):
-        holder = f'{self._identity.vm}/{self._identity.incarnation}'
-        self._crashes = core.crashes.new_crashes()
+        self._crashes = crashes.new_crashes()
+        self._routing = routing.new_routing(self._rng)
         return callflow.CallFlow(
             identity=self._identity,
             clock=self._clock,
@@ -339,9 +371,9 @@
             live_members=self._live_members,
             own_member=lambda: self._tables.membership.me,
             gate_table=self._gate,
-            routing_table=routing.new_routing(self._rng),
+            routing_table=self._routing,
             crash_table=self._crashes,
-            keys=callkeys.Keys(self._claims, holder, self._clock, self.record),
+            claims=self._claims,
             observe=self._call_seen,
             record=self.record,
             emit=self._perform_later,
@@ -353,7 +385,6 @@
     def _call_tls(self):
         if self._options.tls is None:
             return ()
-        self._server_tls = trust.ServerContext(self._options.tls)
         return (
             self._server_tls.context,
             trust.client_context(self._options.tls),
@@ -363,11 +394,9 @@
 
     async def _run(self):
         while True:
-            late = self._clock.monotonic()
+            began = self._clock.monotonic()
             await self._next_tick()
-            self._metrics.loop_lag.set(
-                {}, max(0.0, self._clock.monotonic() - late - TICK_S)
-            )
+            self._lag = max(0.0, self._clock.monotonic() - began - TICK_S)
             self._wake.clear()
             inputs, self._inbox = self._inbox, []
             self._perform(self._tick(inputs))
@@ -400,6 +429,8 @@
     def _inputs(self, envelope):
         stamp = hlc.Timestamp(envelope.wall_ns, envelope.counter)
         self._hybrid.observe(stamp)
+        if envelope.skipped:
+            self._metrics.skipped.add({}, envelope.skipped)
         return [
             dispatch.Received(envelope.address, envelope.incarnation, message)
             for message in envelope.messages
@@ -452,15 +483,7 @@
 
     def _put_in_force(self, held):
         self._mesh = held.mesh
-        number = held.version.number
-        self._metrics.version.set({}, number)
-        self.record(
-            events.Event(
-                'version.in_force',
-                version=number,
-                patch=held.version.patch_id,
-            )
-        )
+        self._metrics.version.set({}, held.version.number)
 
     # Keeping the call path in step with the tables
 
@@ -494,8 +517,13 @@
         self._set_gate(lease.state, lease.slots)
 
     def _set_gate(self, state, slots):
+        service = self._mesh.services.get(self._lease.service)
         admitted = gate.set_upstream(
-            self._gate, state, slots, self._clock.monotonic()
+            self._gate,
+            state,
+            slots,
+            self._clock.monotonic(),
+            service.warmup if service else 0.0,
         )
         self._flow.upstream_changed(admitted)
 
@@ -505,18 +533,16 @@
 
     def _sync_fleet(self):
         table = self._tables.membership
+        if self._synced == table.digests.view:
+            return
+        self._synced = table.digests.view
         size = membership.fleet_size(table)
         for limit in self._limits:
             limit.share(size)
         self._peers.keep(
             member.peer_address for member in overlay.neighbours(table)
         )
-        load = gate.load(self._gate)
-        self._metrics.members.set({'state': 'live'}, size)
-        self._metrics.running.set({}, load.running)
-        self._metrics.queued.set({}, load.queued)
-        held_back = self._tables.dissemination.held_back
-        self._metrics.held_back.set({}, len(held_back))
+        routing.refresh(self._routing, self._live_members(), table.me)
 
     def _holder_gone(self, holder):
         vm, _, incarnation = holder.rpartition('/')
@@ -529,6 +555,20 @@
             known
         )
 
+    async def _check_self(self):
+        tls = None
+        if self._options.tls is not None:
+            tls = trust.client_context(self._options.tls)
+        check = selfcheck.SelfCheck(
+            self._identity.call_address, self._clock, tls
+        )
+        while True:
+            await asyncio.sleep(selfcheck.INTERVAL_S)
+            passed = await check.passes()
+            membership.set_serving(
+                self._tables.membership, passed, self._clock.monotonic()
+            )
+
     async def _sweep(self):
         while True:
             await asyncio.sleep(SWEEP_S * self._rng.uniform(0.8, 1.2))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -169,6 +169,12 @@
             page = tuple(member(start + i) for i in range(256))
             daemon.tick(told(messages.Gossip(page)))
         self.assertEqual(membership.MAX_MEMBERS, len(daemon.table.members))
+        for index in range(3):
+            gone = member(index, revision=1, state=STATE.LEFT)
+            new = member(20_000 + index)
+            daemon.tick(told(messages.Gossip((gone, new))))
+            self.assertIs(STATE.ALIVE, daemon.sees(new.vm))
+        self.assertEqual(membership.MAX_MEMBERS, len(daemon.table.members))
 
     def test_records_from_the_future_are_refused(self):
         fleet, daemon = table_of(0)
@@ -217,6 +223,30 @@
                 self.assertIsNone(daemon.sees('vm-0000'))
 
 
+class TestSync(testtools.TestCase):
+    def test_one_neighbour_that_agrees_hides_none_that_differs(self):
+        fleet, daemon = table_of(4)
+        mine = daemon.table.digests.view
+        asked = []
+        for seconds, sender, view in (
+            (0, '10.1.0.1:1', mine + 1),
+            (1, '10.1.0.2:1', mine),
+            (3, '10.1.0.1:1', mine + 1),
+            (1, '10.1.0.1:1', mine + 1),
+        ):
+            fleet.clock.advance(seconds)
+            ack = messages.Ack(99, 5, view=view)
+            asked.append(
+                {
+                    effect.to
+                    for effect in daemon.tick(told(ack, sender))
+                    if isinstance(effect, effects.Send)
+                    and isinstance(effect.message, messages.Sync)
+                }
+            )
+        self.assertEqual([set(), set(), {'10.1.0.1:1'}, set()], asked)
+
+
 class TestGossipQueue(testtools.TestCase):
     def test_urgent_first_newest_only_and_bounded(self):
         queue = gossip.Queue()
