--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -272,7 +272,7 @@
 
         self.play(main)
 
-    def test_storm_of_resends_costs_few_store_calls(self):
+    def test_many_resends_cost_few_store_calls(self):
         async def main(fleet):
             a, b = fleet.daemon('a'), fleet.daemon('b')
             keys = [str(number) for number in range(60)]
