Start a claim's time at the first write that may have landed

A caller with a minute's deadline that met an outage of more than ten seconds was refused when the store came back: the window to start counted from the call. It counts from the first write that may stand now. The new test fails without it.

--- a/jujubefold/claimoutcome.py
+++ b/jujubefold/claimoutcome.py
@@ -17,8 +17,8 @@
         settle_window: How long an answer waits for company.
         in_flight: Transactions under way at once.
         max_batch: Writes in a transaction.
-        start_window: From the call of `claim` to the last moment at which
-            the request may start.
+        start_window: From the first write of a claim to the last moment at
+            which the request may start.
         retention: How long a key runs at most once, from its claim.
         released_retention: How long a released row stays. Longer than any
             write can be under way.
--- a/jujubefold/claimstore.py
+++ b/jujubefold/claimstore.py
@@ -23,7 +23,7 @@
 
     Args:
         id: Id of the claim; never used for another.
-        started: Monotonic seconds at which it was asked for.
+        started: Monotonic seconds before any write that may have landed.
         since_ms: The same in wall milliseconds.
         replaces: Id of the row it replaces, '' for none.
         in_doubt: Whether a write of it may have landed or may yet land.
@@ -190,6 +190,10 @@
 
     async def _try(self, attempt):
         before = attempt.in_doubt
+        if not before:
+            # No row of this attempt can stand, so its time starts here.
+            attempt.started = self._clock.monotonic()
+            attempt.since_ms = self._wall_ms()
         pending = self._batcher.submit(
             table.Put(
                 attempt.key,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -313,6 +313,19 @@
 
         self.play(main)
 
+    def test_claim_waits_for_the_store_within_its_deadline(self):
+        async def main(fleet):
+            a, b = fleet.daemon('a'), fleet.daemon('b')
+            fleet.faults['a'].set(faults.Mode.DOWN)
+            task = asyncio.ensure_future(a.claim(request('a'), 60.0))
+            await asyncio.sleep(2 * SETTINGS.start_window)
+            fleet.faults['a'].set(faults.Mode.NONE)
+            claimed = self.assert_told(claimoutcome.Claimed, await task)
+            self.assertTrue(claimed.may_start(fleet.clock.monotonic()))
+            self.assert_told(claimoutcome.Running, await self.told(b, 'b'))
+
+        self.play(main)
+
     def test_cancelled_caller_frees_the_key(self):
         async def main(fleet):
             a, b = fleet.daemon('a'), fleet.daemon('b')
