Match requests by host and path prefix instead of one route after another

The answer is compared with the ordered list over generated routes and requests. Unknown fields are now refused by the model itself instead of by a walk over it.

--- a/jujubefold/declarations.py
+++ b/jujubefold/declarations.py
@@ -39,9 +39,9 @@
 
 
 class Model(pydantic.BaseModel):
-    """Base of the border models; unknown fields are kept aside."""
+    """Base of the border models; the caller says what may be unknown."""
 
-    model_config = pydantic.ConfigDict(extra='allow', frozen=True, strict=True)
+    model_config = pydantic.ConfigDict(frozen=True, strict=True)
 
 
 class Retry(Model):
@@ -216,14 +216,12 @@
         reason = f'schema {schema} is newer than {SCHEMA}, known here'
         return _failed(errors.Invalid(reason, '/schema'))
     try:
-        checked = Document.model_validate(document)
+        checked = Document.model_validate(
+            document, extra=_unknown_fields(document)
+        )
     except (pydantic.ValidationError, RecursionError) as error:
         return expression.Error(_model_errors(error))
-    problems = (
-        *_unknown(checked),
-        *_dangling(checked),
-        *_ambiguous(checked),
-    )
+    problems = (*_dangling(checked), *_ambiguous(checked))
     if problems:
         return expression.Error(problems)
     return expression.Ok(_compiled(checked, number))
@@ -251,29 +249,10 @@
     return ''.join('/' + name.replace('/', '~1') for name in names)
 
 
-def _unknown(checked):
-    if checked.minor > MINOR:
-        return
-    yield from _extras(checked, ())
-
-
-def _extras(model, where):
-    for name in model.model_extra:
-        yield errors.Invalid('unknown field', _pointer(*where, name))
-    for name, value in model:
-        yield from _nested_extras(value, (*where, name))
-
-
-def _nested_extras(value, where):
-    match value:
-        case Model():
-            yield from _extras(value, where)
-        case dict():
-            for key, item in value.items():
-                yield from _nested_extras(item, (*where, key))
-        case list():
-            for index, item in enumerate(value):
-                yield from _nested_extras(item, (*where, index))
+def _unknown_fields(document):
+    minor = document.get('minor') if isinstance(document, dict) else None
+    is_newer = isinstance(minor, int) and minor > MINOR
+    return 'ignore' if is_newer else 'forbid'
 
 
 def _dangling(checked):
--- a/jujubefold/mesh.py
+++ b/jujubefold/mesh.py
@@ -144,25 +144,59 @@
     number: int = 0
     routes: tuple[Route, ...] = ()
     services: dict[str, Service] = dataclasses.field(default_factory=dict)
+    _places: dict[str, '_Places'] = dataclasses.field(
+        init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self):
+        places = {}
+        for route in self.routes:
+            places.setdefault(route.host, _Places()).add(route)
+        object.__setattr__(self, '_places', places)
 
     def match(self, host, path, method):
-        """Return the route for a request, or None.
+        """Return the most specific route for a request, or None.
+
+        An exact host goes before `*`, a longer path before a shorter one,
+        and a route that names the method before one that does not.
 
         Args:
             host: Host header without port, lower case.
             path: Request path without query.
             method: Method, upper case.
         """
-        for route in self.routes:
-            if _matches(route, host, path, method):
+        for name in (host, '*'):
+            places = self._places.get(name)
+            route = places.find(path, method) if places else None
+            if route is not None:
                 return route
         return None
 
 
-def _matches(route, host, path, method):
-    if route.host not in ('*', host):
-        return False
-    if route.methods and method not in route.methods:
-        return False
-    prefix = route.path.rstrip('/')
-    return path == prefix or path.startswith(prefix + '/')
+@dataclasses.dataclass(slots=True)
+class _Places:
+    """Routes of one host by path prefix.
+
+    Args:
+        prefixes: Routes by path without a slash at its end.
+        lengths: Lengths of the prefixes, longest first.
+    """
+
+    prefixes: dict[str, list[Route]] = dataclasses.field(default_factory=dict)
+    lengths: list[int] = dataclasses.field(default_factory=list)
+
+    def add(self, route):
+        prefix = route.path.rstrip('/')
+        self.prefixes.setdefault(prefix, []).append(route)
+        if len(prefix) not in self.lengths:
+            self.lengths.append(len(prefix))
+            self.lengths.sort(reverse=True)
+
+    def find(self, path, method):
+        for length in self.lengths:
+            if path[length : length + 1] not in ('', '/'):
+                continue
+            for route in self.prefixes.get(path[:length], ()):
+                if not route.methods or method in route.methods:
+                    return route
+        return None
--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -161,6 +161,54 @@
         self.assertTrue(declarations.compile_mesh(value, 1).is_error())
 
 
+PATH = strategies.lists(strategies.sampled_from(['a', 'ab', '']), max_size=3)
+METHODS = strategies.lists(strategies.sampled_from(['GET', 'PUT']), max_size=2)
+HOST = strategies.sampled_from(['*', 'x.example', 'y.example'])
+
+
+def matches(route, host, path, method):
+    """Return whether a route takes a request, by the words of its docs."""
+    prefix = route.path.rstrip('/')
+    return (
+        route.host in ('*', host)
+        and (not route.methods or method in route.methods)
+        and (path == prefix or path.startswith(prefix + '/'))
+    )
+
+
+class TestMatch(testtools.TestCase):
+    @hypothesis.given(
+        strategies.lists(strategies.tuples(HOST, PATH, METHODS), max_size=8),
+        strategies.lists(strategies.tuples(HOST, PATH), min_size=5),
+    )
+    @hypothesis.settings(derandomize=True, max_examples=200)
+    def test_first_of_the_ordered_routes_that_matches(self, routes, requests):
+        document = whole()
+        document['routes'] = {
+            f'r-{index}': {
+                'host': host,
+                'path': '/' + '/'.join(path),
+                'methods': methods,
+                'targets': [{'group': 'g'}],
+            }
+            for index, (host, path, methods) in enumerate(routes)
+        }
+        found = declarations.compile_mesh(document, 1)
+        hypothesis.assume(found.is_ok())
+        mesh = found.ok
+        for host, parts in requests:
+            for path in ('/' + '/'.join(parts), '/'.join(parts)):
+                expected = [
+                    route
+                    for route in mesh.routes
+                    if matches(route, host, path, 'GET')
+                ]
+                self.assertEqual(
+                    expected[0] if expected else None,
+                    mesh.match(host, path, 'GET'),
+                )
+
+
 class TestToml(testtools.TestCase):
     def test_examples_hold_together(self):
         for name in ('collections.toml', 'repair-orders.toml'):
