--- a/jujubefold/declarations.py
+++ b/jujubefold/declarations.py
@@ -68,8 +68,8 @@
 class Headers(Model):
     """A named header rule."""
 
-    set: dict[Header, HeaderValue] = {}
-    remove: list[Header] = []
+    set: dict[Header, HeaderValue] = pydantic.Field(default_factory=dict)
+    remove: list[Header] = pydantic.Field(default_factory=list)
 
 
 class Tls(Model):
@@ -93,8 +93,8 @@
     """An endpoint group of a service."""
 
     service: str
-    regions: list[settings.Name] = []
-    failure_domains: list[settings.Name] = []
+    regions: list[settings.Name] = pydantic.Field(default_factory=list)
+    failure_domains: list[settings.Name] = pydantic.Field(default_factory=list)
 
 
 class Target(Model):
@@ -109,7 +109,7 @@
 
     host: Host = '*'
     path: Path = '/'
-    methods: list[Method] = []
+    methods: list[Method] = pydantic.Field(default_factory=list)
     targets: list[Target] = pydantic.Field(min_length=1, max_length=64)
     retry: str = ''
     limit: str = ''
@@ -120,19 +120,31 @@
     priority: int = pydantic.Field(default=5, ge=0, le=9)
 
 
+_RETRY = Retry()
+_LIMIT = Limit()
+_TIMEOUT = Timeout()
+_HEADERS = Headers()
+
+
 class Document(Model):
     """A whole configuration."""
 
     schema_: int = pydantic.Field(alias='schema', ge=1)
     minor: int = pydantic.Field(default=0, ge=0)
-    services: dict[settings.Name, Service] = {}
-    groups: dict[settings.Name, Group] = {}
-    retries: dict[settings.Name, Retry] = {}
-    limits: dict[settings.Name, Limit] = {}
-    timeouts: dict[settings.Name, Timeout] = {}
-    headers: dict[settings.Name, Headers] = {}
-    tls: dict[settings.Name, Tls] = {}
-    routes: dict[settings.Name, Route] = {}
+    services: dict[settings.Name, Service] = pydantic.Field(
+        default_factory=dict
+    )
+    groups: dict[settings.Name, Group] = pydantic.Field(default_factory=dict)
+    retries: dict[settings.Name, Retry] = pydantic.Field(default_factory=dict)
+    limits: dict[settings.Name, Limit] = pydantic.Field(default_factory=dict)
+    timeouts: dict[settings.Name, Timeout] = pydantic.Field(
+        default_factory=dict
+    )
+    headers: dict[settings.Name, Headers] = pydantic.Field(
+        default_factory=dict
+    )
+    tls: dict[settings.Name, Tls] = pydantic.Field(default_factory=dict)
+    routes: dict[settings.Name, Route] = pydantic.Field(default_factory=dict)
 
 
 def parse(text, source):
@@ -332,10 +344,10 @@
 
 
 def _route(checked, groups, name, item):
-    retry = checked.retries.get(item.retry, Retry())
-    limit = checked.limits.get(item.limit, Limit())
-    timeout = checked.timeouts.get(item.timeout, Timeout())
-    headers = checked.headers.get(item.headers, Headers())
+    retry = checked.retries.get(item.retry, _RETRY)
+    limit = checked.limits.get(item.limit, _LIMIT)
+    timeout = checked.timeouts.get(item.timeout, _TIMEOUT)
+    headers = checked.headers.get(item.headers, _HEADERS)
     return mesh.Route(
         name=name,
         host=item.host,
