--- a/tests/cores.py
+++ b/tests/cores.py
@@ -118,6 +118,7 @@
 
     def __init__(self, count, chosen=None, seed=1, domains=2, delay=0.01):
         self.options = chosen or settings.Dissemination(start_jitter=0.5)
+        self.count = count
         self.domains = domains
         self.delay = delay
         self.rng = random.Random(seed)
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -20,6 +20,8 @@
 from tests import cores
 
 COUNT = 5
+FEWEST = 3
+MOST = 8
 OPTIONS = {
     'convergence': settings.Dissemination(start_jitter=0.5),
     'bytes': settings.Dissemination(preset='bytes', start_jitter=0.5),
@@ -27,36 +29,44 @@
         witnesses=3, start_jitter=0.5, settle=1.0
     ),
 }
-VM = strategies.integers(0, COUNT - 1)
+VM = strategies.integers(0, MOST - 1)
+ON_ONE_VM = (
+    'accept',
+    'accept alone',
+    'kill',
+    'start',
+    'herd',
+    'cut',
+    'cut region',
+    'pause',
+    'old head',
+)
 ACTIONS = strategies.one_of(
     strategies.tuples(strategies.just('accept'), VM),
-    strategies.tuples(strategies.just('accept alone'), VM),
-    strategies.tuples(strategies.just('kill'), VM),
-    strategies.tuples(strategies.just('start'), VM),
-    strategies.tuples(strategies.just('herd'), VM),
+    strategies.tuples(strategies.sampled_from(ON_ONE_VM), VM),
     strategies.tuples(strategies.just('store'), strategies.booleans()),
-    strategies.tuples(strategies.just('cut'), VM),
-    strategies.tuples(strategies.just('pause'), VM),
     strategies.tuples(strategies.just('faults'), strategies.booleans()),
     strategies.tuples(strategies.just('run'), strategies.integers(1, 60)),
 )
 
 
-def domain_cut(fleet, index, count=COUNT):
+def domain_cut(fleet, index):
     """Cut the failure domain of a VM from the others."""
     inside = {
         cores.member(each, fleet.domains).peer_address
-        for each in range(count)
+        for each in range(fleet.count)
         if each % fleet.domains == index % fleet.domains
     }
     return lambda one, other: (one in inside) != (other in inside)
 
 
-def region_cut(fleet, index, count=COUNT):
+def region_cut(fleet, index):
     """Cut the region of a VM from the others."""
     regions = {
         member.peer_address: member.region
-        for member in (cores.member(n, fleet.domains) for n in range(count))
+        for member in (
+            cores.member(n, fleet.domains) for n in range(fleet.count)
+        )
     }
     region = cores.member(index, fleet.domains).region
     return lambda one, other: (
@@ -70,6 +80,8 @@
 
 def act(fleet, name, value):
     """Bring one fault or change about."""
+    if name in ON_ONE_VM:
+        value %= fleet.count
     match name:
         case 'accept' if fleet.store_up and is_running(fleet, value):
             fleet.accept(value)
@@ -89,8 +101,12 @@
             fleet.store_up = value
         case 'pause' if is_running(fleet, value):
             fleet.paused ^= {cores.member(value).peer_address}
+        case 'old head' if is_running(fleet, value):
+            old_head(fleet, value)
         case 'cut':
             fleet.cut = domain_cut(fleet, value)
+        case 'cut region':
+            fleet.cut = region_cut(fleet, value)
         case 'faults':
             fleet.loss = 0.3 if value else 0.0
             fleet.doubling = 0.3 if value else 0.0
@@ -99,20 +115,28 @@
             fleet.run(value / 10)
 
 
+def old_head(fleet, index):
+    """Give a daemon that has its floor the answer of a lagging reader."""
+    table = fleet.core(index).dissemination
+    if table.floors.known is not None:
+        old = dispatch.HeadRead(max(0, table.number - 2))
+        fleet.feed(cores.member(index).peer_address, [old])
+
+
 def heal(fleet):
     """Undo all faults and start what was killed."""
     fleet.store_up = True
     fleet.loss = fleet.doubling = fleet.jitter = 0.0
     fleet.cut = lambda one, other: False
     fleet.paused.clear()
-    for index in range(COUNT):
+    for index in range(fleet.count):
         if not is_running(fleet, index):
             fleet.start(index)
 
 
-def play(options, actions, seed):
+def play(options, actions, seed, count=COUNT):
     """Return a fleet after a history of faults, healed and settled."""
-    fleet = cores.Fleet(COUNT, options, seed=seed, domains=3)
+    fleet = cores.Fleet(count, options, seed=seed, domains=3)
     fleet.run(1.0)
     for name, value in actions:
         act(fleet, name, value)
@@ -351,14 +375,15 @@
 class TestInterleavings(testtools.TestCase):
     @hypothesis.given(
         strategies.sampled_from(sorted(OPTIONS)),
-        strategies.lists(ACTIONS, max_size=25),
+        strategies.integers(FEWEST, MOST),
+        strategies.lists(ACTIONS, min_size=4, max_size=30),
         strategies.integers(0, 1000),
     )
-    @hypothesis.settings(derandomize=True, deadline=None, max_examples=120)
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
     def test_never_backward_never_torn_and_all_converge(
-        self, name, actions, seed
+        self, name, count, actions, seed
     ):
-        fleet = play(OPTIONS[name], actions, seed)
+        fleet = play(OPTIONS[name], actions, seed, count)
         self.assertEqual([], fleet.backward())
         self.assertEqual([], fleet.torn)
         self.assertTrue(fleet.converged(), fleet.in_force())
@@ -425,11 +450,11 @@
 
 
 def cut_domain(fleet):
-    fleet.cut = domain_cut(fleet, 1, FLEET)
+    fleet.cut = domain_cut(fleet, 1)
 
 
 def cut_region(fleet):
-    fleet.cut = region_cut(fleet, 1, FLEET)
+    fleet.cut = region_cut(fleet, 1)
 
 
 def herd(fleet):
@@ -545,7 +570,7 @@
 
     def test_healed_cut_is_no_flood(self):
         fleet = self.fleet()
-        fleet.cut = domain_cut(fleet, 1, FLEET)
+        fleet.cut = domain_cut(fleet, 1)
         fleet.store_up = False
         for _ in range(5):
             fleet.store_up = True
