--- a/jujubefold/settings.py
+++ b/jujubefold/settings.py
@@ -121,9 +121,9 @@
     @pydantic.model_validator(mode='before')
     @classmethod
     def _with_preset(cls, given):
-        if not isinstance(given, dict):
+        preset = given.get('preset') if isinstance(given, dict) else None
+        if not isinstance(preset, str):
             return given
-        preset = given.get('preset', Preset.CONVERGENCE)
         return {**_PRESETS.get(preset, {}), **given}
 
 
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -215,6 +215,17 @@
     ]
 
 
+class TestOptions(testtools.TestCase):
+    def test_preset_gives_what_the_file_leaves_out(self):
+        small = settings.Dissemination(preset='bytes', push_edges=3)
+        fast = settings.Dissemination()
+        self.assertEqual(3, small.push_edges)
+        self.assertGreater(small.announce_delay, fast.announce_delay)
+        self.assertEqual(small.chain_max, fast.chain_max)
+        for wrong in ('fast', ['bytes'], 1):
+            self.assertRaises(ValueError, settings.Dissemination, preset=wrong)
+
+
 class TestOneCore(testtools.TestCase):
     def test_version_that_cannot_be_applied_is_held_back_whole(self):
         lone = Lone()
