Keep the overlay's rings while members join

Timers are put off by the time in which this process did not run. A contact admits 10 joiners a second in place of 20, with pages of 200 records.

--- a/jujubefold/flooding.py
+++ b/jujubefold/flooding.py
@@ -25,18 +25,18 @@
         return
     table.flood_at = context.now + FLOOD_INTERVAL_S
     near = {n.peer_address for n in overlay.neighbours(table)}
-    leaving, others = _take(table)
+    wide, narrow = _take(table)
     # A neighbour may be dead, so this news takes every edge both ways.
-    yield from _gossip(leaving, near | _observers(table, context.now))
-    yield from _gossip(others, near)
+    yield from _gossip(wide, near | _observers(table, context.now))
+    yield from _gossip(narrow, near)
 
 
 def _take(table):
     chosen = sorted(table.flood.values(), key=_rank)[:FLOOD_RECORDS]
     for member in chosen:
         del table.flood[member.vm]
-    leaving = tuple(member for member in chosen if _leaves(member))
-    return leaving, tuple(m for m in chosen if not _leaves(m))
+    suspected = tuple(member for member in chosen if _is_suspect(member))
+    return tuple(m for m in chosen if not _is_suspect(m)), suspected
 
 
 def _gossip(members, addresses):
@@ -60,5 +60,9 @@
     return left or member.upstream_state in _LEAVING
 
 
+def _is_suspect(member):
+    return member.state is messages.MemberState.SUSPECT
+
+
 def _rank(member):
     return not _leaves(member), member.vm
--- a/jujubefold/joining.py
+++ b/jujubefold/joining.py
@@ -19,11 +19,11 @@
 # Contacts that may fail in a row before the contact table is read.
 MAX_FAILURES = 2
 # First pages that one contact gives out a second.
-ADMISSIONS_PER_S = 20.0
-BURST_S = 0.5
+ADMISSIONS_PER_S = 10.0
+BURST_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
 MAX_TURNS = 4096
-PAGE_MEMBERS = 100
+PAGE_MEMBERS = 200
 CONTACT_SLOTS = 16
 REREAD_S = 1.0
 # Chance that a daemon replaces a lapsed row at its first read; it doubles.
--- a/jujubefold/membership.py
+++ b/jujubefold/membership.py
@@ -32,6 +32,8 @@
 LEFT_KEPT_S = 900.0
 # A longer gap between two ticks means that this process was paused.
 STALL_S = 1.5
+# A gap above this is time in which this process heard nobody.
+LAG_S = 0.4
 # Time for which a daemon may be unable to serve before it says so.
 WEDGED_S = 3.0
 MAX_HEALTH = 4
@@ -94,6 +96,7 @@
         overlay: The overlay's rings, once built.
         health: 0 for sound; raised when this daemon should doubt itself.
         ticked_at: Monotonic seconds of the last tick, or None.
+        lag: Seconds that timers are put off in this tick, mostly 0.
         paused_at: Monotonic seconds of the last pause's end, or None.
         serving: Whether this daemon's call path makes progress.
         stuck_at: When `serving` became false, or None.
@@ -125,6 +128,7 @@
     overlay: typing.Any = None
     health: int = 0
     ticked_at: float | None = None
+    lag: float = 0.0
     paused_at: float | None = None
     serving: bool = True
     stuck_at: float | None = None
@@ -604,13 +608,15 @@
 def _watch_time(table, context):
     last = table.ticked_at
     table.ticked_at = context.now
-    if last is None or context.now - last <= STALL_S:
+    gap = 0.0 if last is None else context.now - last
+    table.lag = gap if gap > LAG_S else 0.0
+    grace = SUSPICION_S if gap > STALL_S else 0.0
+    for vm in table.suspects:
+        table.suspects[vm] += table.lag + grace
+    if gap <= STALL_S:
         return
-    gap = context.now - last
     table.paused_at = context.now
     table.health = min(MAX_HEALTH, table.health + 2)
-    for vm in table.suspects:
-        table.suspects[vm] += gap + SUSPICION_S
     yield _record('daemon.paused', table.me.vm, f'{gap:.1f} s')
 
 
--- a/jujubefold/overlay.py
+++ b/jujubefold/overlay.py
@@ -82,12 +82,14 @@
 
 def _current(table):
     rings = table.overlay
+    if rings is not None and table.moved:
+        for vm in table.moved:
+            _move(rings, vm, table.members.get(vm))
+        rings.size = len(table.members)
+    table.moved.clear()
     if rings is None or rings.size != len(table.members):
         rings = _build(table)
         table.overlay = rings
-    for vm in table.moved:
-        _move(rings, vm, table.members.get(vm))
-    table.moved.clear()
     return rings
 
 
--- a/jujubefold/probing.py
+++ b/jujubefold/probing.py
@@ -13,7 +13,7 @@
 
 PROBE_INTERVAL_S = 1.0
 PROBE_TIMEOUT_S = 0.8
-INDIRECT_TIMEOUT_S = 1.2
+INDIRECT_TIMEOUT_S = 1.5
 HELPERS = 3
 MAX_RELAYS = 64
 # One probe in so many goes to any member instead of a neighbour.
@@ -107,6 +107,8 @@
         return
     if probing.next_at is None or table.paused_at == context.now:
         _begin_afresh(probing, context)
+    for probe in probing.probes.values():
+        probe.deadline += table.lag
     for sequence in _overdue(probing.relays, context.now):
         del probing.relays[sequence]
     for sequence in _overdue(probing.probes, context.now):
@@ -411,10 +413,13 @@
 
 
 def _fill(table, differing):
+    """Return the buckets that fit one answer, and their records."""
+    grouped = {index: [] for index in differing}
+    for member in _in_buckets(table, differing):
+        grouped[membership.bucket_of(member.vm)].append(member)
     members = []
     buckets = []
-    for index in differing:
-        found = list(_in_buckets(table, (index,)))
+    for index, found in grouped.items():
         if buckets and len(members) + len(found) > SYNC_RECORDS:
             break
         buckets.append(index)
