--- a/jujubefold/probing.py
+++ b/jujubefold/probing.py
@@ -26,6 +26,8 @@
 SYNC_INTERVAL_S = 5.0
 SYNC_RECORDS = 128
 MAX_DIFFERS = 64
+# After a pause of this process, views are compared without delay.
+CATCH_UP_S = 5.0
 MAX_OBSERVERS = 16
 # A daemon that hears nobody suspects others only from this doubt on.
 ISOLATED_HEALTH = 3
@@ -406,12 +408,18 @@
     if len(probing.differs) >= MAX_DIFFERS:
         probing.differs.clear()
     waited = context.now - probing.differs.setdefault(sender, context.now)
-    if waited < SYNC_AFTER_S or context.now < probing.sync_at:
+    patience = 0.0 if _missed_news(table, context.now) else SYNC_AFTER_S
+    if waited < patience or context.now < probing.sync_at:
         return
     probing.sync_at = context.now + SYNC_INTERVAL_S * _jitter(context)
     yield effects.Send(sender, messages.Sync(tuple(table.digests.buckets)))
 
 
+def _missed_news(table, now):
+    paused_at = table.paused_at
+    return paused_at is not None and now - paused_at < CATCH_UP_S
+
+
 def _fill(table, differing):
     """Return the buckets that fit one answer, and their records."""
     grouped = {index: [] for index in differing}
