--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -10,6 +10,7 @@
 from jujubefold import claims
 from jujubefold import contacts
 from jujubefold import core
+from jujubefold import crashes
 from jujubefold import dispatch
 from jujubefold import dissemination
 from jujubefold import effects
@@ -27,6 +28,7 @@
 from jujubefold import overlay
 from jujubefold import peering
 from jujubefold import routing
+from jujubefold import selfcheck
 from jujubefold import storelimit
 from jujubefold import tableservice
 from jujubefold import timeline
@@ -85,8 +87,10 @@
         self._began = clock.monotonic()
         self._caller_address = ''
         self._credentials = None
+        self._server_tls = None
         if options.tls is not None:
             self._credentials = trust.PeerCredentials(options.tls)
+            self._server_tls = trust.ServerContext(options.tls)
         self._peers = grpcpeers.GrpcPeers(
             options.daemon.peer_address, self._credentials
         )
@@ -123,6 +127,11 @@
         """The `settings.Settings` in use."""
         return self._options
 
+    @property
+    def server_tls(self):
+        """The `trust.ServerContext` of the HTTP ports; None without TLS."""
+        return self._server_tls
+
     @property
     def tables(self):
         """The core's tables; to be read in the loop's thread only."""
@@ -204,6 +213,7 @@
         self.record(events.Event('daemon.started', detail=peer_address))
         self._loop_task = asyncio.create_task(self._run())
         self._spawn(self._sweep())
+        self._spawn(self._check_self())
 
     def feed(self, item):
         """Give the core an input at the next tick, which is due at once.
@@ -270,7 +280,17 @@
 
     def reload_keys(self):
         """Use changed TLS files for new connections."""
-        if self._options.tls is None:
+        if self._server_tls is None:
+            return
+        result = self._server_tls.reload()
+        if result.is_error():
+            failure = result.error
+            self.record(
+                events.Event(
+                    'daemon.keys_refused',
+                    detail=f'{failure.where}: {failure.reason}',
+                )
+            )
             return
         self._peers.reload()
         self.record(events.Event('daemon.keys_reloaded'))
@@ -341,7 +361,8 @@
         )
 
     def _new_flow(self):
-        self._crashes = core.crashes.new_crashes()
+        self._crashes = crashes.new_crashes()
+        self._routing = routing.new_routing(self._rng)
         return callflow.CallFlow(
             identity=self._identity,
             clock=self._clock,
@@ -350,7 +371,7 @@
             live_members=self._live_members,
             own_member=lambda: self._tables.membership.me,
             gate_table=self._gate,
-            routing_table=routing.new_routing(self._rng),
+            routing_table=self._routing,
             crash_table=self._crashes,
             claims=self._claims,
             observe=self._call_seen,
@@ -364,7 +385,6 @@
     def _call_tls(self):
         if self._options.tls is None:
             return ()
-        self._server_tls = trust.ServerContext(self._options.tls)
         return (
             self._server_tls.context,
             trust.client_context(self._options.tls),
@@ -409,6 +429,8 @@
     def _inputs(self, envelope):
         stamp = hlc.Timestamp(envelope.wall_ns, envelope.counter)
         self._hybrid.observe(stamp)
+        if envelope.skipped:
+            self._metrics.skipped.add({}, envelope.skipped)
         return [
             dispatch.Received(envelope.address, envelope.incarnation, message)
             for message in envelope.messages
@@ -495,8 +517,13 @@
         self._set_gate(lease.state, lease.slots)
 
     def _set_gate(self, state, slots):
+        service = self._mesh.services.get(self._lease.service)
         admitted = gate.set_upstream(
-            self._gate, state, slots, self._clock.monotonic()
+            self._gate,
+            state,
+            slots,
+            self._clock.monotonic(),
+            service.warmup if service else 0.0,
         )
         self._flow.upstream_changed(admitted)
 
@@ -515,6 +542,7 @@
         self._peers.keep(
             member.peer_address for member in overlay.neighbours(table)
         )
+        routing.refresh(self._routing, self._live_members(), table.me)
 
     def _holder_gone(self, holder):
         vm, _, incarnation = holder.rpartition('/')
@@ -527,6 +555,20 @@
             known
         )
 
+    async def _check_self(self):
+        tls = None
+        if self._options.tls is not None:
+            tls = trust.client_context(self._options.tls)
+        check = selfcheck.SelfCheck(
+            self._identity.call_address, self._clock, tls
+        )
+        while True:
+            await asyncio.sleep(selfcheck.INTERVAL_S)
+            passed = await check.passes()
+            membership.set_serving(
+                self._tables.membership, passed, self._clock.monotonic()
+            )
+
     async def _sweep(self):
         while True:
             await asyncio.sleep(SWEEP_S * self._rng.uniform(0.8, 1.2))
