--- a/jujubefold/probing.py
+++ b/jujubefold/probing.py
@@ -13,7 +13,7 @@
 
 PROBE_INTERVAL_S = 1.0
 PROBE_TIMEOUT_S = 0.8
-INDIRECT_TIMEOUT_S = 1.2
+INDIRECT_TIMEOUT_S = 1.5
 HELPERS = 3
 MAX_RELAYS = 64
 # One probe in so many goes to any member instead of a neighbour.
@@ -26,6 +26,8 @@
 SYNC_INTERVAL_S = 5.0
 SYNC_RECORDS = 128
 MAX_DIFFERS = 64
+# After a pause of this process, views are compared without delay.
+CATCH_UP_S = 5.0
 MAX_OBSERVERS = 16
 # A daemon that hears nobody suspects others only from this doubt on.
 ISOLATED_HEALTH = 3
@@ -107,6 +109,8 @@
         return
     if probing.next_at is None or table.paused_at == context.now:
         _begin_afresh(probing, context)
+    for probe in probing.probes.values():
+        probe.deadline += table.lag
     for sequence in _overdue(probing.relays, context.now):
         del probing.relays[sequence]
     for sequence in _overdue(probing.probes, context.now):
@@ -404,17 +408,26 @@
     if len(probing.differs) >= MAX_DIFFERS:
         probing.differs.clear()
     waited = context.now - probing.differs.setdefault(sender, context.now)
-    if waited < SYNC_AFTER_S or context.now < probing.sync_at:
+    patience = 0.0 if _missed_news(table, context.now) else SYNC_AFTER_S
+    if waited < patience or context.now < probing.sync_at:
         return
     probing.sync_at = context.now + SYNC_INTERVAL_S * _jitter(context)
     yield effects.Send(sender, messages.Sync(tuple(table.digests.buckets)))
 
 
+def _missed_news(table, now):
+    paused_at = table.paused_at
+    return paused_at is not None and now - paused_at < CATCH_UP_S
+
+
 def _fill(table, differing):
+    """Return the buckets that fit one answer, and their records."""
+    grouped = {index: [] for index in differing}
+    for member in _in_buckets(table, differing):
+        grouped[membership.bucket_of(member.vm)].append(member)
     members = []
     buckets = []
-    for index in differing:
-        found = list(_in_buckets(table, (index,)))
+    for index, found in grouped.items():
         if buckets and len(members) + len(found) > SYNC_RECORDS:
             break
         buckets.append(index)
