--- a/jujubefold/adminapi.py
+++ b/jujubefold/adminapi.py
@@ -257,7 +257,8 @@
         table = self._runtime.tables.membership
         members = (table.me, *table.members.values())
         ordered = sorted(members, key=lambda member: member.vm)
-        return adminmodels.Fleet(seen_by=table.me.vm, members=tuple(ordered))
+        shown = tuple(map(adminmodels.member_model, ordered))
+        return adminmodels.Fleet(seen_by=table.me.vm, members=shown)
 
     def _call(self, function):
         """Run a function in the loop's thread and return its result."""
--- a/jujubefold/adminclient.py
+++ b/jujubefold/adminclient.py
@@ -1,5 +1,8 @@
 """Client of the operators' HTTP API."""
 
+import http
+import ssl
+
 import expression
 import urllib3
 
@@ -9,6 +12,14 @@
 
 CONNECT_TIMEOUT_S = 2.0
 
+# Raised before any byte of a request has left.
+_NOT_SENT = (
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.LocationValueError,
+    urllib3.exceptions.NewConnectionError,
+    OSError,
+)
+
 
 class AdminClient:
     """Talks to one daemon.
@@ -54,31 +65,58 @@
             model: Model sent, or None.
 
         Returns:
-            As `get`; after `errors.PeerUnreachable` the outcome is unknown.
+            As `get`. `errors.PeerUnreachable` means that nothing was sent;
+            without an answer to what was sent, the `Problem` says that the
+            outcome is unknown.
         """
         body = b'' if model is None else adminmodels.encode(model)
         headers = {'Content-Type': 'application/json'}
         return self._call(method, path, kind, body=body, headers=headers)
 
     def _call(self, method, path, kind, **options):
-        timeout = urllib3.Timeout(CONNECT_TIMEOUT_S, self._timeout)
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_S, read=self._timeout
+        )
         try:
             answer = self._pool.request(
                 method, self._base + path, timeout=timeout, **options
             )
-        except urllib3.exceptions.HTTPError as error:
-            return expression.Error(
-                errors.PeerUnreachable(f'{self._base}: {error}')
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return self._failed(method, str(error), _is_sent(error))
+        if answer.status >= http.HTTPStatus.BAD_REQUEST:
+            return self._refusal(method, answer)
+        decoded = adminmodels.decode(answer.data, kind)
+        if decoded.is_ok():
+            return decoded
+        reason = f'not the answer of a daemon: {decoded.error.reason}'
+        return self._failed(method, reason, True)
+
+    def _refusal(self, method, answer):
+        decoded = adminmodels.decode(answer.data, adminmodels.Problem)
+        if decoded.is_ok():
+            return expression.Error(decoded.ok)
+        reason = f'HTTP {answer.status} that is not the answer of a daemon'
+        is_server = answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        return self._failed(method, reason, is_server)
+
+    def _failed(self, method, reason, sent):
+        """Return the failure of a request that has no usable answer."""
+        text = f'{self._base}: {reason}'
+        if method == 'GET' or not sent:
+            return expression.Error(errors.PeerUnreachable(text))
+        return expression.Error(
+            adminmodels.Problem(
+                type='urn:jujubefold:no-answer',
+                title='No answer',
+                status=0,
+                detail=text,
+                ran=errors.Ran.UNKNOWN,
             )
-        if answer.status >= 400:
-            return _refusal(answer)
-        return adminmodels.decode(answer.data, kind)
-
-
-def _refusal(answer):
-    decoded = adminmodels.decode(answer.data, adminmodels.Problem)
-    if decoded.is_ok():
-        return expression.Error(decoded.ok)
-    return expression.Error(
-        errors.Invalid(f'HTTP {answer.status} without a problem', 'answer')
-    )
+        )
+
+
+def _is_sent(error):
+    cause = error.args[0] if error.args else None
+    if isinstance(cause, ssl.SSLCertVerificationError):
+        return False
+    return not isinstance(error, _NOT_SENT)
--- a/jujubefold/adminmodels.py
+++ b/jujubefold/adminmodels.py
@@ -9,29 +9,12 @@
 from jujubefold import messages
 
 PATCH_ID_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$'
-MIN_TTL_S = 0.5
-MAX_TTL_S = 300.0
 
 
 class Model(msgspec.Struct, frozen=True, kw_only=True):
     """Base of the API's models; unknown fields are ignored on reading."""
 
 
-class Announcement(Model):
-    """The upstream on this VM says what it serves; a lease.
-
-    Args:
-        address: `ip:port` where it takes requests.
-        ttl: Seconds until the announcement lapses unless renewed.
-    """
-
-    service: str
-    address: str
-    slots: int = msgspec.field(default=6)
-    state: messages.UpstreamState = messages.UpstreamState.SERVING
-    ttl: float = 3.0
-
-
 class PatchSubmission(Model):
     """An operator's patch against a named base version.
 
@@ -112,11 +95,28 @@
     held_back: tuple[HeldBack, ...] = ()
 
 
+class Member(Model):
+    """A daemon as another one sees it; fields as `messages.Member`."""
+
+    vm: str
+    incarnation: int
+    region: str
+    failure_domain: str
+    peer_address: str
+    call_address: str
+    admin_address: str
+    state: messages.MemberState
+    service: str
+    upstream_state: messages.UpstreamState
+    slots: int
+    in_force: int
+
+
 class Fleet(Model):
     """All daemons as one of them sees them, itself included."""
 
     seen_by: str
-    members: tuple[messages.Member, ...]
+    members: tuple[Member, ...]
 
 
 class TimelineEvent(Model):
@@ -181,6 +181,12 @@
         return expression.Error(errors.Invalid(str(error), kind.__name__))
 
 
+def member_model(member):
+    """Return a `messages.Member` as a `Member`."""
+    names = Member.__struct_fields__
+    return Member(**{name: getattr(member, name) for name in names})
+
+
 def event_model(stamped):
     """Return an `events.Stamped` as a `TimelineEvent`."""
     event = stamped.event
--- a/jujubefold/cli.py
+++ b/jujubefold/cli.py
@@ -3,7 +3,6 @@
 import dataclasses
 import datetime
 import enum
-import functools
 import pathlib
 import sys
 import typing
@@ -13,28 +12,18 @@
 import rich.table
 import typer
 
+import jujubefold
 from jujubefold import adminclient
 from jujubefold import adminmodels
-from jujubefold import errors
-from jujubefold import messages
+from jujubefold import outcomes
 from jujubefold import porcelain
+from jujubefold import settings
 from jujubefold import timeline as event_line
 
 NANOSECONDS = 1_000_000_000
 DEFAULT_DAEMON = '127.0.0.1:7403'
 
 
-class ExitCode(enum.IntEnum):
-    """What the exit status says; 2 is wrong usage, as typer gives it."""
-
-    DONE = 0
-    INVALID = 3
-    REFUSED = 4
-    UNKNOWN = 5
-    UNREACHABLE = 6
-    NOT_CONVERGED = 7
-
-
 class Output(enum.StrEnum):
     """How results are printed."""
 
@@ -42,18 +31,40 @@
     JSON = 'json'
 
 
-app = typer.Typer(
-    help='Operate a jujubefold fleet through any of its daemons.',
-    no_args_is_help=True,
-    pretty_exceptions_enable=False,
-    epilog=(
-        'Exit status: 0 done, 2 wrong usage, 3 invalid input, 4 refused and '
-        'did not run, 5 outcome unknown, 6 daemon unreachable, 7 not in '
-        'force everywhere in time.'
-    ),
+_EXIT_STATUS = (
+    'Exit status: 0 done, 2 wrong usage, 3 invalid input, 4 refused and '
+    'did not run, 5 outcome unknown, 6 daemon unreachable, 7 not in '
+    'force everywhere in time.'
 )
-patch_app = typer.Typer(help='Ask about a patch by its id.')
-settings_app = typer.Typer(help="Look at a daemon's settings file.")
+_HELP = """Operate a jujubefold fleet through any of its daemons.
+
+    A change is made against a version number that you name. If somebody
+    else was first, it is refused and the clash is shown.
+
+    \b
+    jujubefold plan mesh.toml
+    jujubefold apply mesh.toml --base 41 --wait
+    jujubefold status --watch
+    jujubefold timeline --version 42
+
+    With --output json, standard output is exactly one JSON document, also
+    when a verb fails; it then has "outcome" and "errors".
+    """
+
+
+def _typer(help, **options):
+    return typer.Typer(
+        help=help,
+        no_args_is_help=True,
+        pretty_exceptions_enable=False,
+        rich_markup_mode=None,
+        **options,
+    )
+
+
+app = _typer(_HELP, epilog=_EXIT_STATUS)
+patch_app = _typer('Ask about a patch by its id, or end its uncertainty.')
+settings_app = _typer("Look at a daemon's settings file.")
 app.add_typer(patch_app, name='patch')
 app.add_typer(settings_app, name='settings')
 
@@ -67,6 +78,10 @@
     str | None,
     typer.Option(help='Name of the patch; a resubmission repeats it.'),
 ]
+PatchName = typing.Annotated[
+    str, typer.Argument(help='Id that the patch was submitted with.')
+]
+Number = typing.Annotated[int, typer.Argument(min=0, help='A version number.')]
 Wait = typing.Annotated[
     bool, typer.Option(help='Wait until it is in force on every daemon.')
 ]
@@ -97,6 +112,47 @@
         """Console for people."""
         return rich.console.Console(soft_wrap=True, highlight=False)
 
+    def show(self, value, text):
+        """Print a result: the value as JSON, or its text."""
+        if self.output is Output.JSON:
+            print(outcomes.document(value))
+        elif text:
+            print(text)
+
+    def value(self, result, hint=''):
+        """Return what a result holds, or show its failures and exit.
+
+        Args:
+            result: `Ok`, or `Error` of one failure or a tuple of them.
+            hint: What to do when the outcome is unknown.
+        """
+        if result.is_ok():
+            return result.ok
+        failures = result.error
+        if not isinstance(failures, tuple):
+            failures = (failures,)
+        code = outcomes.exit_code(failures[0])
+        advice = hint if code is outcomes.ExitCode.UNKNOWN else ''
+        for failure in failures:
+            _complain(outcomes.failure_text(failure))
+        if advice:
+            _complain(advice)
+        self.show(outcomes.failed(failures, advice), '')
+        raise typer.Exit(code)
+
+
+def _version(wanted):
+    if wanted:
+        print(f'jujubefold {jujubefold.__version__}')
+        raise typer.Exit
+
+
+def _address(text):
+    try:
+        return settings.checked_address(text)
+    except ValueError as error:
+        raise typer.BadParameter(f'{error}; given {text!r}')
+
 
 @app.callback()
 def _options(
@@ -104,7 +160,9 @@
     daemon: typing.Annotated[
         str,
         typer.Option(
-            envvar='JUJUBEFOLD_DAEMON', help="A daemon's operators' ip:port."
+            envvar='JUJUBEFOLD_DAEMON',
+            callback=_address,
+            help="A daemon's admin_address, ip:port.",
         ),
     ] = DEFAULT_DAEMON,
     output: typing.Annotated[
@@ -122,6 +180,15 @@
         pathlib.Path | None,
         typer.Option(help="Operator's private key.", exists=True),
     ] = None,
+    version: typing.Annotated[
+        bool,
+        typer.Option(
+            '--version',
+            callback=_version,
+            is_eager=True,
+            help='Print the version of this program and end.',
+        ),
+    ] = False,
 ):
     context.obj = Session(daemon, output, _tls(ca, cert, key))
 
@@ -135,10 +202,15 @@
 
 @app.command()
 def validate(context: typer.Context, path: Declarations):
-    """Check declarations without talking to a daemon."""
-    document = _value(context.obj, porcelain.validate(path))
+    """Check declarations without talking to a daemon.
+
+    \b
+    Example:
+      jujubefold validate mesh.toml
+    """
+    document = context.obj.value(porcelain.validate(path))
     routes = document.get('routes', {})
-    _show(context.obj, document, f'valid: {len(routes)} routes')
+    context.obj.show(document, f'valid: {len(routes)} routes')
 
 
 @app.command()
@@ -149,13 +221,19 @@
         int | None, typer.Option(min=0, help='The head by default.')
     ] = None,
 ):
-    """Show what `apply` would change, and against which version."""
+    """Show what `apply` would change, and against which version.
+
+    \b
+    Example:
+      jujubefold plan mesh.toml
+      jujubefold plan mesh.toml --base 41
+    """
     session = context.obj
-    planned = _value(session, porcelain.plan(session.client, path, base))
+    planned = session.value(porcelain.plan(session.client, path, base))
     text = [f'base version {planned.base}']
     text += [_operation(item) for item in planned.operations]
     text += [] if planned.operations else ['nothing to change']
-    _show(session, planned, '\n'.join(text))
+    session.show(planned, '\n'.join(text))
 
 
 @app.command()
@@ -167,9 +245,18 @@
     wait: Wait = False,
     timeout: Timeout = 18.0,
 ):
-    """Make the configuration equal declarations, against a named version."""
+    """Make the configuration equal declarations, against a named version.
+
+    Name the base that `plan` showed. Repeat the same command with the same
+    --patch-id after an unknown outcome: it is accepted at most once.
+
+    \b
+    Example:
+      jujubefold apply mesh.toml --base 41
+      jujubefold apply mesh.toml --base 41 --patch-id release-7 --wait
+    """
     session = context.obj
-    name = patch_id or porcelain.new_patch_id()
+    name = _patch_name(patch_id)
     result = porcelain.apply(session.client, path, base, name)
     _accepted(session, result, name, wait, timeout)
 
@@ -177,8 +264,8 @@
 @app.command()
 def submit(
     context: typer.Context,
-    patch: typing.Annotated[
-        typer.FileBinaryRead,
+    path: typing.Annotated[
+        pathlib.Path,
         typer.Argument(help='RFC 6902 JSON patch; - for standard input.'),
     ],
     base: Base,
@@ -186,28 +273,49 @@
     wait: Wait = False,
     timeout: Timeout = 18.0,
 ):
-    """Submit a JSON patch against a named version."""
+    """Submit a JSON patch against a named version.
+
+    \b
+    Example:
+      jujubefold submit change.json --base 41 --patch-id hotfix-3
+      jujubefold submit - --base 41 < change.json
+    """
     session = context.obj
-    name = patch_id or porcelain.new_patch_id()
-    result = porcelain.submit(session.client, base, patch.read(), name)
+    name = _patch_name(patch_id)
+    result = porcelain.submit_file(session.client, base, path, name)
     _accepted(session, result, name, wait, timeout)
 
 
 @patch_app.command('status')
-def patch_status(context: typer.Context, patch_id: str):
-    """Say what became of a patch."""
+def patch_status(context: typer.Context, patch_id: PatchName):
+    """Say what became of a patch.
+
+    `unused` may still become `accepted` while a submission is on its way;
+    `patch abandon` excludes that.
+
+    \b
+    Example:
+      jujubefold patch status hotfix-3
+    """
     session = context.obj
-    state = _value(session, porcelain.patch_status(session.client, patch_id))
-    _show(session, state, _patch_text(state))
+    state = session.value(porcelain.patch_status(session.client, patch_id))
+    session.show(state, _patch_text(state))
 
 
 @patch_app.command('abandon')
-def patch_abandon(context: typer.Context, patch_id: str):
-    """Make an undecided patch definite: accepted, or never to run."""
+def patch_abandon(context: typer.Context, patch_id: PatchName):
+    """Make an undecided patch definite: accepted, or never to run.
+
+    An abandoned id stays so: submit again under a new one.
+
+    \b
+    Example:
+      jujubefold patch abandon hotfix-3
+    """
     session = context.obj
     result = porcelain.patch_abandon(session.client, patch_id)
-    state = _value(session, result)
-    _show(session, state, _patch_text(state))
+    state = session.value(result)
+    session.show(state, _patch_text(state))
 
 
 @app.command()
@@ -220,28 +328,43 @@
         int, typer.Option(min=1, max=1000, help='Most versions shown.')
     ] = 100,
 ):
-    """List accepted versions."""
+    """List accepted versions.
+
+    \b
+    Example:
+      jujubefold versions --after 40
+    """
     session = context.obj
     result = porcelain.versions(session.client, after, limit)
-    found = _value(session, result)
+    found = session.value(result)
     rows = [(item.number, item.digest[:12], item.patch_id) for item in found]
     _table(session, found, ('version', 'digest', 'patch'), rows)
 
 
 @app.command()
-def show(context: typer.Context, number: int):
-    """Print a version's whole document as JSON."""
+def show(context: typer.Context, number: Number):
+    """Print a version's whole document as JSON.
+
+    \b
+    Example:
+      jujubefold show 41
+    """
     session = context.obj
-    detail = _value(session, porcelain.version(session.client, number))
-    _show(session, detail, bytes(detail.document).decode())
+    detail = session.value(porcelain.version(session.client, number))
+    session.show(detail, bytes(detail.document).decode())
 
 
 @app.command()
-def diff(context: typer.Context, old: int, new: int):
-    """Show what leads from one version to another."""
+def diff(context: typer.Context, old: Number, new: Number):
+    """Show what leads from one version to another.
+
+    \b
+    Example:
+      jujubefold diff 40 41
+    """
     session = context.obj
-    found = _value(session, porcelain.diff(session.client, old, new))
-    _show(session, found, '\n'.join(_operation(item) for item in found))
+    found = session.value(porcelain.diff(session.client, old, new))
+    session.show(found, '\n'.join(_operation(item) for item in found))
 
 
 @app.command()
@@ -255,10 +378,18 @@
     ] = False,
     timeout: Timeout = 18.0,
 ):
-    """Show the daemon asked, and how far a version has come."""
+    """Show the daemon asked, and how far a version has come.
+
+    With --watch the exit status is 7 when it is not everywhere in time.
+
+    \b
+    Example:
+      jujubefold status
+      jujubefold status --version 42 --watch --timeout 60
+    """
     session = context.obj
-    mine = _value(session, porcelain.status(session.client))
-    look = _value(session, porcelain.convergence(session.client, version))
+    mine = session.value(porcelain.status(session.client))
+    look = session.value(porcelain.convergence(session.client, version))
     if watch:
         _wait(session, look.version, timeout)
         return
@@ -271,14 +402,20 @@
         *held,
         _progress(look),
     ]
-    _show(session, {'daemon': mine, 'convergence': look}, '\n'.join(text))
+    session.show({'daemon': mine, 'convergence': _look(look)}, '\n'.join(text))
 
 
 @app.command()
 def members(context: typer.Context):
-    """List the daemons as the one asked sees them."""
+    """List the daemons as the one asked sees them.
+
+    \b
+    Example:
+      jujubefold members
+      jujubefold --daemon 10.0.0.2:7403 members
+    """
     session = context.obj
-    fleet = _value(session, porcelain.members(session.client))
+    fleet = session.value(porcelain.members(session.client))
     rows = [_member_row(member) for member in fleet.members]
     columns = (
         'vm',
@@ -319,7 +456,16 @@
         datetime.datetime | None, typer.Option(help='UTC, latest event.')
     ] = None,
 ):
-    """Merge the events of all daemons in causal order."""
+    """Merge the events of all daemons in causal order.
+
+    A daemon that does not answer is named, and its events are missing.
+
+    \b
+    Example:
+      jujubefold timeline --patch hotfix-3
+      jujubefold timeline --name member. --vm vm-7
+      jujubefold timeline --since 2026-01-31T09:00:00
+    """
     session = context.obj
     wanted = event_line.Filter(
         request=request,
@@ -331,19 +477,29 @@
         until_ns=_nanoseconds(until),
     )
     result = porcelain.timeline(session.client, wanted, session.open)
-    merged = _value(session, result)
+    merged = session.value(result)
     for vm_name in merged.silent:
         _complain(f'no answer from {vm_name}; its events are missing')
     models = [adminmodels.event_model(item) for item in merged.events]
-    _show(session, models, '\n'.join(_event_text(item) for item in models))
+    session.show(
+        {'events': models, 'silent': merged.silent},
+        '\n'.join(_event_text(item) for item in models),
+    )
 
 
 @app.command()
 def drain(context: typer.Context):
-    """Ask the daemon to take no new work, finish and leave."""
+    """Ask the daemon to take no new work, finish and leave.
+
+    This ends the process of the daemon that is asked.
+
+    \b
+    Example:
+      jujubefold --daemon 10.0.0.2:7403 drain
+    """
     session = context.obj
-    state = _value(session, porcelain.drain(session.client))
-    _show(session, state, f'{state.vm}: draining')
+    state = session.value(porcelain.drain(session.client))
+    session.show(state, f'{state.vm}: draining')
 
 
 @settings_app.command('check')
@@ -353,104 +509,68 @@
         pathlib.Path, typer.Argument(help='Settings, a TOML file.')
     ],
 ):
-    """Check a daemon's settings file."""
-    found = _value(context.obj, porcelain.check_settings(path))
-    _show(context.obj, found.model_dump(mode='json'), f'{path}: valid')
+    """Check a daemon's settings file.
+
+    Also reads the key files that it names. Changes nothing.
+
+    \b
+    Example:
+      jujubefold settings check /etc/jujubefold/jujubefoldd.toml
+    """
+    found = context.obj.value(porcelain.check_settings(path))
+    context.obj.show(found.model_dump(mode='json'), f'{path}: valid')
+
+
+def _patch_name(given):
+    return porcelain.new_patch_id() if given is None else given
 
 
 def _accepted(session, result, patch_id, wait, timeout):
-    if result.is_error() and _code(result.error) is ExitCode.UNKNOWN:
-        _complain(f'ask again with: jujubefold patch status {patch_id}')
-    version = _value(session, result)
-    _show(
-        session,
-        version,
-        f'accepted as version {version.number} (patch {version.patch_id})',
+    hint = (
+        f'resolve it with: jujubefold patch status {patch_id}; or repeat '
+        f'the command with --patch-id {patch_id}, which is accepted at most '
+        f'once; or make sure that it never runs: jujubefold patch abandon '
+        f'{patch_id}'
     )
-    if wait:
-        _wait(session, version.number, timeout)
+    version = session.value(result, hint)
+    text = f'accepted as version {version.number} (patch {version.patch_id})'
+    if not wait:
+        session.show(version, text)
+        return
+    if session.output is Output.TEXT:
+        print(text)
+    _wait(session, version.number, timeout, {'accepted': version})
 
 
-def _wait(session, number, timeout):
+def _wait(session, number, timeout, known=None):
+    """Watch a version, then show one document with what was known."""
     look = None
     for result in porcelain.watch(session.client, number, timeout):
         look = result
         if result.is_ok() and session.output is Output.TEXT:
             print(_progress(result.ok), file=sys.stderr)
-    final = _value(session, look)
-    if session.output is Output.JSON:
-        _show(session, final, '')
+    document = known or {}
+    if look.is_error():
+        _complain(outcomes.failure_text(look.error))
+        code = outcomes.exit_code(look.error)
+        failed = {'outcome': code.word, 'errors': (look.error,)}
+        session.show({**document, **failed}, '')
+        raise typer.Exit(code)
+    final = look.ok
+    session.show({**document, 'convergence': _look(final)}, '')
     if not final.done:
-        _complain(f'not everywhere within {timeout:g} s: {final.behind}')
-        raise typer.Exit(ExitCode.NOT_CONVERGED)
-
-
-def _value(session, result):
-    if result.is_ok():
-        return result.ok
-    failures = result.error
-    if not isinstance(failures, tuple):
-        failures = (failures,)
-    for failure in failures:
-        _complain(_failure_text(failure))
-    if session.output is Output.JSON:
-        _show(session, {'errors': list(failures)}, '')
-    raise typer.Exit(_code(failures[0]))
-
+        behind = ', '.join(final.behind) or 'no daemon is live'
+        _complain(f'not everywhere within {timeout:g} s: {behind}')
+        raise typer.Exit(outcomes.ExitCode.NOT_CONVERGED)
 
-@functools.singledispatch
-def _code(failure):
-    raise errors.BrokenInvariant(f'no exit code for {failure!r}')
 
-
-@_code.register
-def _(failure: errors.Invalid):
-    return ExitCode.INVALID
-
-
-@_code.register
-def _(failure: errors.PeerUnreachable):
-    return ExitCode.UNREACHABLE
-
-
-@_code.register
-def _(failure: adminmodels.Problem):
-    if failure.ran is errors.Ran.UNKNOWN:
-        return ExitCode.UNKNOWN
-    invalid = failure.type == 'urn:jujubefold:invalid'
-    return ExitCode.INVALID if invalid else ExitCode.REFUSED
-
-
-@functools.singledispatch
-def _failure_text(failure):
-    return failure.reason
-
-
-@_failure_text.register
-def _(failure: errors.Invalid):
-    return f'{failure.where}: {failure.reason}'
-
-
-@_failure_text.register
-def _(failure: adminmodels.Problem):
-    text = [f'{failure.title}: {failure.detail} ({failure.ran})']
-    if failure.head is not None:
-        text.append(f'  head is version {failure.head}')
-    text += [f'  clashes at {pointer}' for pointer in failure.clashes]
-    text += [f'  {item}' for item in failure.errors]
-    return '\n'.join(text)
-
-
-def _show(session, value, text):
-    if session.output is Output.JSON:
-        print(msgspec.json.encode(value, enc_hook=str).decode())
-    else:
-        print(text)
+def _look(look):
+    return {**dataclasses.asdict(look), 'done': look.done}
 
 
 def _table(session, value, columns, rows):
     if session.output is Output.JSON:
-        _show(session, value, '')
+        session.show(value, '')
         return
     table = rich.table.Table(box=None)
     for column in columns:
@@ -481,7 +601,7 @@
     return f'version {look.version} in force on {there} of {look.total}'
 
 
-def _member_row(member: messages.Member):
+def _member_row(member):
     return (
         member.vm,
         member.region,
@@ -515,7 +635,7 @@
         )
         if value is not None
     ]
-    clock = at.time().isoformat('microseconds')
+    clock = f'{at:%Y-%m-%dT%H:%M:%S.%fZ}'
     words = [clock, event.vm, event.name, *subject, event.detail]
     return ' '.join(word for word in words if word)
 
--- a/jujubefold/porcelain.py
+++ b/jujubefold/porcelain.py
@@ -1,9 +1,13 @@
 """What operators do, as plain functions; the command line is a shell."""
 
+import concurrent.futures
 import dataclasses
+import functools
 import json
 import pathlib
+import re
 import time
+import urllib.parse
 import uuid
 
 import expression
@@ -13,6 +17,7 @@
 from jujubefold import adminmodels
 from jujubefold import declarations
 from jujubefold import errors
+from jujubefold import inputs
 from jujubefold import messages
 from jujubefold import patches
 from jujubefold import settings
@@ -21,6 +26,9 @@
 
 POLL_INTERVAL_S = 0.2
 PAGE = 100
+DAEMONS_AT_ONCE = 32
+
+_PATCH_ID = re.compile(adminmodels.PATCH_ID_PATTERN)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,11 +96,10 @@
     Returns:
         `Ok(document)` or `Error(tuple[errors.Invalid, ...])`.
     """
-    try:
-        text = pathlib.Path(path).read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        return expression.Error((errors.Invalid(str(error), str(path)),))
-    parsed = declarations.parse(text, str(path))
+    text = inputs.read_text(path)
+    if text.is_error():
+        return expression.Error((text.error,))
+    parsed = declarations.parse(text.ok, str(path))
     if parsed.is_error():
         return parsed
     compiled = declarations.compile_mesh(parsed.ok, 0)
@@ -156,19 +163,39 @@
         `Ok(VersionSummary)`, or `Error` of `adminmodels.Problem`,
         `errors.Invalid` or `errors.PeerUnreachable`.
     """
-    name = patch_id or new_patch_id()
-    try:
-        json.loads(patch)
-    except ValueError as error:
-        return expression.Error(errors.Invalid(str(error), 'patch'))
+    named = _named(new_patch_id() if patch_id is None else patch_id)
+    if named.is_error():
+        return named
+    normal = patches.normalize(patch)
+    if normal.is_error():
+        return normal
     submission = adminmodels.PatchSubmission(
-        base=base, patch_id=name, patch=msgspec.Raw(patch)
+        base=base, patch_id=named.ok, patch=msgspec.Raw(normal.ok)
     )
     return client.send(
         'POST', '/v1/patches', adminmodels.VersionSummary, submission
     )
 
 
+def submit_file(client, base, path, patch_id=None):
+    """Submit the patch that a file holds; see `submit`.
+
+    Args:
+        client: An `adminclient.AdminClient`.
+        base: Version number that the patch was made against.
+        path: JSON file; `-` for standard input.
+        patch_id: Name of the patch; a new one by default.
+    """
+    data = inputs.read_text(path, patches.MAX_PATCH_BYTES)
+    if data.is_error():
+        return data
+    normal = patches.normalize(data.ok.encode())
+    if normal.is_error():
+        reason = f'not a JSON patch: {normal.error.reason}'
+        return expression.Error(errors.Invalid(reason, str(path)))
+    return submit(client, base, normal.ok, patch_id)
+
+
 def new_patch_id():
     """Return a patch id that nobody used before."""
     return f'patch-{uuid.uuid4()}'
@@ -180,7 +207,9 @@
     Returns:
         `Ok(adminmodels.PatchState)`, or `Error` as the client gives.
     """
-    return client.get(f'/v1/patches/{patch_id}', adminmodels.PatchState)
+    return _named(patch_id).bind(
+        lambda name: client.get(_patch_path(name), adminmodels.PatchState)
+    )
 
 
 def patch_abandon(client, patch_id):
@@ -189,8 +218,11 @@
     Returns:
         `Ok(adminmodels.PatchState)`, or `Error` as the client gives.
     """
-    path = f'/v1/patches/{patch_id}/abandon'
-    return client.send('POST', path, adminmodels.PatchState)
+    return _named(patch_id).bind(
+        lambda name: client.send(
+            'POST', _patch_path(name) + '/abandon', adminmodels.PatchState
+        )
+    )
 
 
 def versions(client, after=0, limit=PAGE):
@@ -287,16 +319,17 @@
     fleet = members(client)
     if fleet.is_error():
         return fleet
-    lines = []
-    silent = []
-    for member in _live(fleet.ok):
-        page = own_timeline(open_client(member.admin_address), wanted)
-        if page.is_error():
-            silent.append(member.vm)
-            continue
-        lines.append(page.ok)
-    merged = tuple(event_line.merge(lines))
-    return expression.Ok(MergedTimeline(merged, tuple(silent)))
+    live = _live(fleet.ok)
+    read = functools.partial(_member_timeline, open_client, wanted)
+    with concurrent.futures.ThreadPoolExecutor(DAEMONS_AT_ONCE) as pool:
+        pages = tuple(pool.map(read, live))
+    silent = [m.vm for m, page in zip(live, pages) if page.is_error()]
+    merged = event_line.merge(page.ok for page in pages if page.is_ok())
+    return expression.Ok(MergedTimeline(tuple(merged), tuple(silent)))
+
+
+def _member_timeline(open_client, wanted, member):
+    return own_timeline(open_client(member.admin_address), wanted)
 
 
 def own_timeline(client, wanted):
@@ -331,6 +364,17 @@
     return client.send('POST', '/v1/drain', adminmodels.Status)
 
 
+def _named(patch_id):
+    if _PATCH_ID.fullmatch(patch_id):
+        return expression.Ok(patch_id)
+    reason = 'needs 1 to 128 of A-Z a-z 0-9 ._:- and no sign first'
+    return expression.Error(errors.Invalid(reason, f'patch id {patch_id!r}'))
+
+
+def _patch_path(name):
+    return f'/v1/patches/{urllib.parse.quote(name, safe="")}'
+
+
 def _document(client, number):
     if number == 0:
         return expression.Ok((0, json.loads(versions_model.EMPTY_DOCUMENT)))
--- /dev/null
+++ b/tests/operated.py
@@ -0,0 +1,116 @@
+"""A daemon as operators see it: the real API over stores in memory."""
+
+import asyncio
+import threading
+import types
+
+import msgspec
+
+from jujubefold import acceptance
+from jujubefold import adminapi
+from jujubefold import adminserver
+from jujubefold import clock
+from jujubefold import events
+from jujubefold import gate
+from jujubefold import hlc
+from jujubefold import identity
+from jujubefold import membership
+from jujubefold import metrics
+from jujubefold import objects
+from jujubefold import table
+from jujubefold import timeline
+
+SUBMIT_TIMEOUT_S = 5.0
+LOCAL = '127.0.0.1:0'
+
+
+class Operated:
+    """Stands in for the runtime of one daemon.
+
+    Args:
+        vm: Its VM name.
+        wall: Seconds since the epoch on its clock.
+    """
+
+    def __init__(self, vm='vm-1', wall=1_700_000_000.0):
+        ticking = clock.PausedClock(wall=wall)
+        who = identity.Identity(vm, 'wa', 'perth', LOCAL, LOCAL, '', 7)
+        self.acceptance = acceptance.Acceptance(
+            table.MemoryTable(), objects.MemoryObjects(ticking), ticking
+        )
+        self.hybrid = hlc.HybridClock(ticking)
+        self.timeline = timeline.Timeline(who, self.hybrid)
+        self.tables = types.SimpleNamespace(
+            membership=membership.new_table(who),
+            dissemination=types.SimpleNamespace(
+                held=None, in_force=0, wanted=0, held_back={}
+            ),
+        )
+        self.gate = gate.new_gate(6)
+        self.options = types.SimpleNamespace(tls=None)
+        self.stop_wanted = asyncio.Event()
+        self.caller_address = LOCAL
+        self.serving = True
+        self.uptime = 1.0
+        self.render_metrics = metrics.Metrics().render
+        self.spreads = True
+        self.failure = None
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._server = adminserver.AdminServer(
+            LOCAL, adminapi.AdminApi(self, self._loop).endpoints()
+        )
+        self.address = self._server.bind()
+        self._know(self.address)
+
+    def __enter__(self):
+        self._thread.start()
+        self._server.start()
+        return self
+
+    def __exit__(self, *exception):
+        self._server.stop()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def _know(self, admin_address):
+        known = self.tables.membership
+        known.me = msgspec.structs.replace(
+            known.me, admin_address=admin_address
+        )
+
+    def meet(self, vm, admin_address, in_force=0):
+        """Add another daemon to the members."""
+        me = self.tables.membership.me
+        self.tables.membership.members[vm] = msgspec.structs.replace(
+            me, vm=vm, admin_address=admin_address, in_force=in_force
+        )
+
+    def record(self, *given, **named):
+        """Record an event on the time line."""
+        return self.timeline.record(events.Event(*given, **named))
+
+    def drain(self):
+        self.stop_wanted.set()
+
+    async def submit(self, submission):
+        result = await self.acceptance.submit(submission, SUBMIT_TIMEOUT_S)
+        if self.failure is not None:
+            return self.failure
+        if result.is_ok():
+            self._put_in_force(result.ok)
+        return result
+
+    def _put_in_force(self, version):
+        self.record(
+            'patch.accepted', version=version.number, patch=version.patch_id
+        )
+        known = self.tables.membership
+        self.tables.dissemination.in_force = version.number
+        known.me = msgspec.structs.replace(known.me, in_force=version.number)
+        if self.spreads:
+            for vm, member in known.members.items():
+                known.members[vm] = msgspec.structs.replace(
+                    member, in_force=version.number
+                )
