--- a/jujubefold/adminmodels.py
+++ b/jujubefold/adminmodels.py
@@ -15,6 +15,21 @@
     """Base of the API's models; unknown fields are ignored on reading."""
 
 
+class Announcement(Model):
+    """The upstream on this VM says what it serves; a lease.
+
+    Args:
+        address: `ip:port` where it takes requests.
+        ttl: Seconds until the announcement lapses unless renewed.
+    """
+
+    service: str
+    address: str
+    slots: int = msgspec.field(default=6)
+    state: messages.UpstreamState = messages.UpstreamState.SERVING
+    ttl: float = 3.0
+
+
 class PatchSubmission(Model):
     """An operator's patch against a named base version.
 
--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -12,6 +12,7 @@
 import httptools
 
 from jujubefold import callserver
+from jujubefold import trust
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 60.0
@@ -176,6 +177,11 @@
         """Whether an exchange is under way."""
         return self._done is not None
 
+    @property
+    def waits_for_memory(self):
+        """Whether this end, not the other, holds the answer up."""
+        return self._answer is not None and self._answer.memory.wanted > 0
+
     def start(self, message, head, bounds, done=None):
         """Send a request.
 
@@ -471,7 +477,10 @@
             if not connection.busy:
                 if waited > IDLE_TIMEOUT_S:
                     connection.abort()
-            elif waited > connection.bounds.progress:
+            elif (
+                waited > connection.bounds.progress
+                and not connection.waits_for_memory
+            ):
                 silent += 1
                 connection.abort(Failed.SILENT, 'no progress')
             elif self.now > connection.bounds.deadline:
@@ -504,7 +513,11 @@
         try:
             _, connection = await asyncio.wait_for(
                 self.loop.create_connection(
-                    lambda: Connection(self), host, int(port), ssl=self._tls
+                    lambda: Connection(self),
+                    host,
+                    int(port),
+                    ssl=self._tls,
+                    server_hostname=trust.DAEMON_NAME if self._tls else None,
                 ),
                 timeout,
             )
