--- a/jujubefold/timeline.py
+++ b/jujubefold/timeline.py
@@ -8,6 +8,8 @@
 from jujubefold import hlc
 
 CAPACITY = 20_000
+# Longer details are cut, so that the events' memory is bounded.
+MAX_DETAIL = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +71,10 @@
         Returns:
             The `events.Stamped` kept.
         """
+        if len(event.detail) > MAX_DETAIL:
+            event = dataclasses.replace(
+                event, detail=event.detail[:MAX_DETAIL]
+            )
         stamped = events.Stamped(
             at=self._clock.tick(),
             vm=self._identity.vm,
