Document logs, metrics and alerts, and compare the pages with the code

Also counts control messages by type, which was declared and never filled. Two histograms still get no values; the page says so and alerts may not use them.

--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -431,6 +431,7 @@
         self._hybrid.observe(stamp)
         if envelope.skipped:
             self._metrics.skipped.add({}, envelope.skipped)
+        self._count_messages('received', envelope.messages)
         return [
             dispatch.Received(envelope.address, envelope.incarnation, message)
             for message in envelope.messages
@@ -438,6 +439,7 @@
 
     def _envelope(self, content):
         stamp = self._hybrid.tick()
+        self._count_messages('sent', content)
         return messages.Envelope(
             vm=self._identity.vm,
             incarnation=self._identity.incarnation,
@@ -589,6 +591,11 @@
         self._metrics.store_calls.inc(labels)
         self._metrics.store_seconds.observe({'store': store}, seen.seconds)
 
+    def _count_messages(self, direction, content):
+        for message in content:
+            labels = {'direction': direction, 'type': type(message).__name__}
+            self._metrics.control_messages.inc(labels)
+
     def _count_bytes(self, direction, size):
         self._metrics.control_bytes.add({'direction': direction}, size)
 
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,138 @@
+"""Tests of log lines and of the pages of logs and metrics."""
+
+import ast
+import io
+import json
+import pathlib
+import re
+
+import testtools
+
+from jujubefold import events
+from jujubefold import hlc
+from jujubefold import logs
+from jujubefold import metrics
+
+ROOT = pathlib.Path(__file__).parents[1]
+PAGES = ROOT / 'docs/operations'
+ALWAYS = {'time', 'level', 'message', 'vm', 'incarnation'}
+EVENT = ALWAYS | {'event', 'hlc'}
+UNFILLED = 'not filled yet'
+
+
+class TestLines(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.stream = io.StringIO()
+        logs.configure('INFO', 'vm-1', 7, self.stream)
+        self.addCleanup(logs.logger.remove)
+
+    def lines(self):
+        return [
+            json.loads(line)
+            for line in self.stream.getvalue().split('\n')
+            if line
+        ]
+
+    def log(self, *given, **named):
+        at = hlc.Timestamp(1_700_000_000_000_000_000, 3)
+        logs.event(
+            events.Stamped(at, 'vm-1', 7, events.Event(*given, **named))
+        )
+
+    def test_shape(self):
+        self.log('a.b')
+        self.log(
+            'a.b', version=0, request='r', patch='p', detail='x\ny {} "z"'
+        )
+        logs.logger.debug('left out')
+        logs.logger.bind(event='daemon.plain').warning('plain')
+        try:
+            raise ValueError('lost')
+        except ValueError:
+            logs.logger.exception('failed')
+        first, second, plain, failed = self.lines()
+        self.assertEqual(EVENT, set(first))
+        self.assertEqual(EVENT | {'version', 'request', 'patch'}, set(second))
+        self.assertEqual('x\ny {} "z"', second['message'])
+        self.assertEqual(('a.b', 0), (second['event'], second['version']))
+        self.assertEqual('1700000000000000000.3', second['hlc'])
+        self.assertEqual('WARNING', plain['level'])
+        self.assertEqual(ALWAYS | {'exception'}, set(failed))
+        self.assertIn('lost', failed['exception'])
+        for line in (first, second, plain, failed):
+            self.assertEqual(('vm-1', 7), (line['vm'], line['incarnation']))
+
+    def test_page_lists_every_field(self):
+        page = (PAGES / 'logs.md').read_text()
+        fields = re.findall(r'^\| `(\w+)` \| (\w+)', page, re.M)
+        always = {name for name, when in fields if when == 'yes'}
+        self.assertEqual(ALWAYS, always)
+        rest = {'version', 'request', 'patch', 'exception'}
+        self.assertEqual(EVENT | rest, {name for name, _ in fields})
+
+
+class TestMetricsPage(testtools.TestCase):
+    def rows(self):
+        page = (PAGES / 'metrics.md').read_text()
+        cells = (
+            r'`(jujubefold_\w+)` \| (\w+) \| ([^|]+) \| ([^|]+) \| ([^|]+) '
+        )
+        return re.findall(rf'^\| {cells}\|$', page, re.M)
+
+    def test_page_and_registry_are_equal(self):
+        declared = sorted(
+            (item.name, item.kind.name, item.doc)
+            for item in metrics.Metrics().__dict__.values()
+            if hasattr(item, 'doc')
+        )
+        listed = sorted((row[0], row[1], row[4]) for row in self.rows())
+        self.assertEqual(declared, listed)
+
+    def test_page_and_runtime_agree_on_labels(self):
+        source = (ROOT / 'jujubefold/runtime.py').read_text()
+        filled = dict(labels_used(ast.parse(source)))
+        for attribute, item in vars(metrics.Metrics()).items():
+            if not hasattr(item, 'doc'):
+                continue
+            (told,) = (row[2] for row in self.rows() if row[0] == item.name)
+            used = filled.get(attribute)
+            shown = UNFILLED if used is None else ', '.join(used) or 'none'
+            self.assertEqual(shown, told, item.name)
+
+    def test_alerts_use_metrics_that_are_filled(self):
+        rows = {row[0]: row for row in self.rows()}
+        page = (PAGES / 'alerts.md').read_text()
+        expressions = re.findall(r'(jujubefold_\w+)(\{[^}]*\})?', page)
+        self.assertGreater(len(expressions), 9)
+        for name, labels in expressions:
+            self.assertIn(name, rows)
+            self.assertNotEqual(UNFILLED, rows[name][2], name)
+            for label in re.findall(r'(\w+)=', labels):
+                self.assertIn(label, rows[name][2].split(', '), name)
+
+
+def labels_used(tree):
+    """Yield each metric's attribute with the sorted labels it is given."""
+    for function in ast.walk(tree):
+        if not isinstance(function, ast.FunctionDef):
+            continue
+        named = {
+            node.targets[0].id: node.value
+            for node in ast.walk(function)
+            if isinstance(node, ast.Assign)
+            and isinstance(node.targets[0], ast.Name)
+        }
+        for node in ast.walk(function):
+            if isinstance(node, ast.Call) and node.args and is_metric(node):
+                given = node.args[0]
+                given = named.get(getattr(given, 'id', ''), given)
+                keys = sorted(key.value for key in given.keys)
+                yield node.func.value.attr, keys
+
+
+def is_metric(node):
+    """Return whether a call is `self._metrics.NAME.method(...)`."""
+    owner = getattr(node.func, 'value', None)
+    inner = getattr(owner, 'value', None)
+    return getattr(inner, 'attr', '') == '_metrics'
