Never use a blob's name twice, and keep it condemned once it is removed

An equal document got the name of an orphan. Its removal, when it landed late, or when the collector ran between a submission's put and its transaction, could take the document of an accepted version, after which no patch could be accepted. Each submission's blob now has its own name, and a condemned row stays. Both orders of events have a test; the test of a blob in the middle of removal is replaced by one that runs the collector while the transaction is under way, and three versions now have three blobs, where the two equal ones shared one. The collector moves to a module of its own.

--- a/jujubefold/acceptance.py
+++ b/jujubefold/acceptance.py
@@ -13,6 +13,7 @@
 
 import expression
 
+from jujubefold import blobs
 from jujubefold import declarations
 from jujubefold import dispatch
 from jujubefold import documents
@@ -24,13 +25,10 @@
 HEAD = table.Key('head', 'head')
 MAX_CHAIN = 32
 MAX_PATCH_ID = 200
-ORPHANS_PER_CALL = 50
 FIRST_RETRY_S = 0.05
 LAST_RETRY_S = 1.0
 
 _MILLISECONDS = 1000
-_KEPT = 'kept'
-_CONDEMNED = 'condemned'
 
 
 class PatchState(enum.StrEnum):
@@ -111,7 +109,6 @@
     operator: str
     head: Head
     blob: str
-    blob_kept: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,7 +151,6 @@
         self._rows = rows
         self._objects = objects
         self._clock = clock
-        self._orphans_after = ''
 
     async def submit(self, submission, timeout):
         """Accept a patch against the version it names.
@@ -294,53 +290,6 @@
         found = await self._rows.scan('versions', row, limit)
         return found.map(lambda rows: tuple(map(_listed, rows)))
 
-    async def collect_orphans(self, older_than):
-        """Remove blobs that no version refers to, some at a time.
-
-        A blob is condemned in the table before it is removed, so that no
-        submission can come to refer to it in between.
-
-        Args:
-            older_than: Seconds; younger blobs may be part of a submission.
-
-        Returns:
-            `Ok(number removed)` or `Error(errors.StoreNotRun)`.
-        """
-        names = await self._objects.names()
-        if names.is_error():
-            return names
-        page = self._orphan_page(names.ok, older_than)
-        if not page:
-            return expression.Ok(0)
-        found = await self._rows.read([_blob_key(name) for name in page])
-        if found.is_error():
-            return found
-        removed = 0
-        for name, row in zip(page, found.ok, strict=True):
-            if row is None or row.values['state'] == _CONDEMNED:
-                removed += await self._remove(name, row is None)
-        return expression.Ok(removed)
-
-    def _orphan_page(self, names, older_than):
-        old = sorted(name for name, age in names if age > older_than)
-        rest = [name for name in old if name > self._orphans_after]
-        page = rest[:ORPHANS_PER_CALL]
-        more = len(rest) > ORPHANS_PER_CALL
-        self._orphans_after = page[-1] if more else ''
-        return page
-
-    async def _remove(self, name, is_new):
-        key = _blob_key(name)
-        if is_new:
-            condemn = table.Put(key, {'state': _CONDEMNED}, table.Absent())
-            if (await self._rows.transact([condemn])).is_error():
-                return 0
-        if (await self._objects.delete(name)).is_error():
-            return 0
-        gone = table.Delete(key, table.Equals('state', _CONDEMNED))
-        await self._rows.transact([gone])
-        return 1
-
     async def _prepare(self, submission):
         """Return a `_Candidate`, or the result that ends the submission."""
         seen = await self._see(submission.patch_id)
@@ -381,15 +330,9 @@
         if len(data) > documents.MAX_COMPRESSED_BYTES:
             reason = f'over {documents.MAX_COMPRESSED_BYTES} bytes compressed'
             return expression.Error(errors.Invalid(reason, 'document'))
-        stored = await self._objects.put(data)
+        stored = await self._objects.put(self._own(data, submission))
         if stored.is_error():
             return _not_run(f'not accepted: {stored.error.reason}')
-        rows = await self._rows.read([_blob_key(stored.ok)])
-        if rows.is_error():
-            return rows
-        row = rows.ok[0]
-        if row is not None and row.values['state'] == _CONDEMNED:
-            return _not_run('an equal document is being removed: repeat')
         version = versions.Version(
             head.number + 1,
             versions.digest(document),
@@ -397,9 +340,11 @@
             submission.patch_id,
             submission.patch,
         )
-        return _Candidate(
-            version, submission.operator, head, stored.ok, row is not None
-        )
+        return _Candidate(version, submission.operator, head, stored.ok)
+
+    def _own(self, data, submission):
+        times = f'{self._clock.wall()}/{self._clock.monotonic()}'
+        return documents.named(data, f'{submission.patch_id}/{times}')
 
     async def _accept(self, submission, progress):
         prepared = await self._prepare(submission)
@@ -444,11 +389,10 @@
             return await self._known(submission, seen.ok.patch)
         if seen.ok.head.number != candidate.head.number:
             return await self._moved(submission, seen.ok.head)
-        return _not_run('an equal document is being removed: repeat')
+        return _not_run('its document was removed meanwhile: repeat')
 
     def _writes(self, candidate):
         version = candidate.version
-        blob = _blob_key(candidate.blob)
         head = Head(version.number, version.digest, candidate.blob)
         return [
             table.Put(HEAD, _head_values(head), _unmoved(candidate.head)),
@@ -476,11 +420,9 @@
                 table.Absent(),
             ),
             table.Put(
-                blob,
-                {'state': _KEPT},
-                table.Equals('state', _KEPT)
-                if candidate.blob_kept
-                else table.Absent(),
+                blobs.key(candidate.blob),
+                {'state': blobs.KEPT},
+                table.Absent(),
             ),
         ]
 
@@ -613,10 +555,6 @@
     return table.Key('versions', f'{number:020d}')
 
 
-def _blob_key(name):
-    return table.Key('blobs', name)
-
-
 def _token(version):
     text = f'{version.patch_id}/{version.number}/{_hash(version.patch)}'
     return f'accept-{_hash(text.encode())}'
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -8,6 +8,7 @@
 import testtools
 
 from jujubefold import acceptance
+from jujubefold import blobs
 from jujubefold import dispatch
 from jujubefold import errors
 from jujubefold import faults
@@ -68,6 +69,7 @@
         self.table_faults = faults.Faults()
         self.object_faults = faults.Faults()
         self.table = ArmedTable(self.rows, self.table_faults)
+        self.collector = blobs.Collector(self.table, self.blobs)
         self.acceptance = acceptance.Acceptance(
             self.table,
             faults.FaultyObjects(self.blobs, self.object_faults),
@@ -331,42 +333,57 @@
             await store.submit(remove, base=1, patch_id='q')
             back = await store.submit(service('a'), base=2, patch_id='r')
             self.assertEqual(first.ok.digest, back.ok.digest)
-            for index in range(2 * acceptance.ORPHANS_PER_CALL):
+            for index in range(2 * blobs.ORPHANS_PER_CALL):
                 await store.blobs.put(str(index).encode())
             clock.advance(100)
             await store.blobs.put(b'young')
             removed = [
-                (await store.acceptance.collect_orphans(50)).ok
-                for _ in range(4)
+                (await store.collector.collect(50)).ok for _ in range(4)
             ]
-            self.assertLessEqual(max(removed), acceptance.ORPHANS_PER_CALL)
-            self.assertEqual(2 * acceptance.ORPHANS_PER_CALL, sum(removed))
-            self.assertEqual(3, len((await store.blobs.names()).ok))
+            self.assertLessEqual(max(removed), blobs.ORPHANS_PER_CALL)
+            self.assertEqual(2 * blobs.ORPHANS_PER_CALL, sum(removed))
+            # A blob for each of the three versions, and the young one.
+            self.assertEqual(4, len((await store.blobs.names()).ok))
             for number in (1, 2, 3):
                 found = await store.acceptance.document(number)
                 self.assertTrue(found.ok)
 
         pausedloop.run(check)
 
-    def test_blob_being_removed_is_never_accepted(self):
+    def test_blob_that_was_removed_is_never_accepted(self):
+        async def check(clock):
+            for keeps in (False, True):
+                store = Store(clock)
+                store.blobs.keeps = keeps
+                collector = blobs.Collector(store.rows, store.blobs)
+                store.table.armed = [(Mode.SLOW, 2.0, ONCE)]
+                submitting = asyncio.ensure_future(store.submit(service('a')))
+                await asyncio.sleep(1)
+                removed = await collector.collect(0.5)
+                self.assertEqual(0 if keeps else 1, removed.ok)
+                refused = await submitting
+                self.assertIsInstance(refused.error, errors.StoreNotRun)
+                self.assertFalse(await store.whole('p'))
+                store.blobs.keeps = False
+                self.assertTrue((await collector.collect(0.5)).is_ok())
+                self.assertEqual((), (await store.blobs.names()).ok)
+                again = await store.submit(service('a'))
+                self.assertEqual(1, again.ok.number)
+                self.assertTrue((await store.acceptance.document(1)).ok)
+
+        pausedloop.run(check)
+
+    def test_blob_is_never_put_under_a_name_used_before(self):
         async def check(clock):
             store = Store(clock)
             store.table.armed = [(Mode.DOWN, 0, 1000)]
             await store.submit(service('a'))
             store.table_faults.set(Mode.NONE)
-            clock.advance(100)
-            store.blobs.keeps = True
-            self.assertEqual(
-                0, (await store.acceptance.collect_orphans(50)).ok
-            )
-            store.blobs.keeps = False
-            refused = await store.submit(service('a'), patch_id='q')
-            self.assertIsInstance(refused.error, errors.StoreNotRun)
-            self.assertFalse(await store.whole('q'))
-            removed = await store.acceptance.collect_orphans(50)
-            self.assertEqual(1, removed.ok)
-            again = await store.submit(service('a'), patch_id='q')
-            self.assertEqual(1, again.ok.number)
+            (orphan,) = (await store.blobs.names()).ok
+            clock.advance(1)
+            await store.submit(service('a'))
+            # A removal of the orphan that lands late harms nobody.
+            await store.blobs.delete(orphan[0])
             self.assertTrue((await store.acceptance.document(1)).ok)
 
         pausedloop.run(check)
