--- a/jujubefold/dissemination.py
+++ b/jujubefold/dissemination.py
@@ -17,6 +17,7 @@
 from jujubefold import errors
 from jujubefold import events
 from jujubefold import floor
+from jujubefold import history
 from jujubefold import membership
 from jujubefold import messages
 from jujubefold import overlay
@@ -29,12 +30,8 @@
 MAX_DOUBLINGS = 10
 MAX_HELD_BACK = 16
 MAX_SOURCES = 8
-SERVE_BURST_S = 4.0
-SMALL_CHAIN_BYTES = 1024
 JITTER = 0.2
 
-_PUSH_OVERHEAD_BYTES = 250
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tip:
@@ -327,26 +324,6 @@
     return seconds * (1 + JITTER * (2 * context.rng.random() - 1))
 
 
-def _message(version):
-    return messages.Push(
-        version.number,
-        version.digest,
-        version.parent_digest,
-        version.patch_id,
-        version.patch,
-    )
-
-
-def _version(push):
-    return versions.Version(
-        push.number,
-        push.digest,
-        push.parent_digest,
-        push.patch_id,
-        push.patch,
-    )
-
-
 def _extend(tables, context, chain, sender):
     """Apply patches that follow the tip, in order."""
     table = tables.dissemination
@@ -363,7 +340,7 @@
             yield from _damaged(table, version, document.error)
             break
         yield from _take(table, version, document.ok)
-        learnt.append(_message(version))
+        learnt.append(history.push_of(version))
     if learnt:
         yield from _spread(tables, context, learnt, sender)
 
@@ -412,7 +389,7 @@
         table.history.clear()
         table.history_bytes = 0
     yield from _take(table, version, document.ok)
-    yield from _spread(tables, context, [_message(version)], sender)
+    yield from _spread(tables, context, [history.push_of(version)], sender)
 
 
 def _take(table, version, document):
@@ -421,7 +398,7 @@
     table.wanted = max(table.wanted, version.number)
     if version.number >= table.damaged:
         table.damaged = 0
-    _remember(table, version)
+    history.remember(table, version)
     compiled = declarations.compile_document(document, version.number)
     if compiled.is_ok():
         table.held_back.pop(version.number, None)
@@ -433,17 +410,6 @@
     yield from _hold_back(table, version, reasons)
 
 
-def _remember(table, version):
-    table.history[version.number] = _message(version)
-    table.history_bytes += len(version.patch)
-    while (
-        len(table.history) > table.options.history_versions
-        or table.history_bytes > table.options.history_bytes
-    ):
-        _, oldest = table.history.popitem(last=False)
-        table.history_bytes -= len(oldest.patch)
-
-
 def _hold_back(table, version, reason):
     if table.held_back.get(version.number) == reason:
         return
@@ -524,58 +490,6 @@
     yield effects.FetchVersions(table.number, upto, bool(table.damaged))
 
 
-def _allowance(table, context):
-    """Return how many bytes may be sent as answers now."""
-    rate = table.options.serve_bytes_per_second
-    most = rate * SERVE_BURST_S
-    if table.budget_at is None:
-        table.budget = most
-    else:
-        earned = rate * (context.now - table.budget_at)
-        table.budget = min(most, table.budget + earned)
-    table.budget_at = context.now
-    return table.budget
-
-
-def _chain(table, pull):
-    """Return the pushes that follow what the puller holds, or None."""
-    if pull.whole:
-        return None
-    first = pull.after + 1
-    wanted = table.number - pull.after
-    if first not in table.history or wanted > table.options.chain_max:
-        return None
-    parent = table.history[first].parent_digest
-    if pull.digest and parent != pull.digest:
-        return None
-    return tuple(
-        table.history[number] for number in range(first, table.number + 1)
-    )
-
-
-def _size(pushes):
-    return sum(len(item.patch) + _PUSH_OVERHEAD_BYTES for item in pushes)
-
-
-def _snapshot(table):
-    if table.snapshot is None or table.snapshot[0] != table.number:
-        data = documents.compress(table.tip.document)
-        table.snapshot = (table.number, data)
-    return messages.Snapshot(_message(table.tip.version), table.snapshot[1])
-
-
-def _answer(table, pull):
-    """Return the smaller answer to a pull and its size in bytes."""
-    chain = _chain(table, pull)
-    if chain is not None and _size(chain) <= SMALL_CHAIN_BYTES:
-        return messages.Chain(chain), _size(chain)
-    snapshot = _snapshot(table)
-    size = len(snapshot.document) + _size([snapshot.last])
-    if chain is not None and _size(chain) <= size:
-        return messages.Chain(chain), _size(chain)
-    return snapshot, size
-
-
 @dispatch.handle.register
 def _announce(item: messages.Announce, tables, context, sender=''):
     table = tables.dissemination
@@ -596,7 +510,7 @@
     if item.number > table.number:
         _expire_pulls(table, context)
         _want(table, item.number, sender)
-    yield from _extend(tables, context, [_version(item)], sender)
+    yield from _extend(tables, context, [history.version_of(item)], sender)
     yield from _pull(tables, context)
 
 
@@ -607,8 +521,8 @@
         if item.after > table.number:
             _want(table, item.after, sender)
         return
-    answer, size = _answer(table, item)
-    if size > _allowance(table, context):
+    answer, size = history.answer(table, item)
+    if size > history.allowance(table, context.now):
         table.counters.refused += 1
         return
     table.budget -= size
@@ -619,7 +533,7 @@
 @dispatch.handle.register
 def _chained(item: messages.Chain, tables, context, sender=''):
     tables.dissemination.pulls.pop(sender, None)
-    chain = [_version(push) for push in item.pushes]
+    chain = [history.version_of(push) for push in item.pushes]
     yield from _extend(tables, context, chain, sender)
     yield from _pull(tables, context)
 
@@ -632,7 +546,7 @@
     if document.is_error():
         table.sources.pop(sender, None)
         return
-    version = _version(item.last)
+    version = history.version_of(item.last)
     yield from _adopt(tables, context, version, document.ok, sender)
     yield from _pull(tables, context)
 
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -13,6 +13,7 @@
 from jujubefold import documents
 from jujubefold import effects
 from jujubefold import floor
+from jujubefold import history
 from jujubefold import messages
 from jujubefold import patches
 from jujubefold import settings
@@ -367,7 +368,7 @@
         for _ in range(seconds * 10):
             lone.hear(messages.Pull(0))
             lone.fleet.clock.advance(0.1)
-        most = rate * (seconds + dissemination.SERVE_BURST_S)
+        most = rate * (seconds + history.SERVE_BURST_S)
         self.assertLessEqual(lone.table.counters.served_bytes, most)
         self.assertGreater(lone.table.counters.refused, 0)
         self.assertGreater(lone.table.counters.served_bytes, most / 2)
