--- a/bench/suspicion.py
+++ b/bench/suspicion.py
@@ -11,6 +11,8 @@
 QUICK_HOURS = 0.05
 SETTLE_S = 10
 PAUSES_AN_HOUR = 60
+# Two pauses in a row would count as one that is longer.
+REST_S = 5.0
 
 # Loss each way, seconds of each pause.
 CASES = ((0.0, 0.0), (0.01, 0.0), (0.05, 0.0), (0.0, 1.0), (0.01, 1.0))
@@ -42,8 +44,9 @@
         rows=tuple(_row(*case, quick, seed) for case in cases),
         notes=(
             f'Each daemon is paused {PAUSES_AN_HOUR} times an hour where '
-            'the pause is above 0. Loss hits whole exchanges: TCP, which '
-            'sends again, would hide most of it.',
+            f'the pause is above 0, with {REST_S:g} s between two. Loss '
+            'hits whole exchanges: TCP, which sends again, would hide most '
+            'of it.',
             'A false suspicion is counted once for each refutation.',
         ),
     )
@@ -74,7 +77,13 @@
         fleet.run(seconds)
         return
     count = round(seconds / 3600 * PAUSES_AN_HOUR * len(fleet.daemons))
-    names = sorted(fleet.daemons)
+    paused_at = dict.fromkeys(sorted(fleet.daemons), float('-inf'))
     for _ in range(count):
         fleet.run(seconds / count)
-        fleet.pause(rng.choice(names), pause)
+        now = fleet.clock.monotonic()
+        rested = [
+            vm for vm, at in paused_at.items() if now - at > pause + REST_S
+        ]
+        chosen = rng.choice(rested)
+        paused_at[chosen] = now
+        fleet.pause(chosen, pause)
--- a/jujubefold/grpcpeers.py
+++ b/jujubefold/grpcpeers.py
@@ -23,6 +23,8 @@
 KEEPALIVE_MS = 20_000
 KEEPALIVE_TIMEOUT_MS = 5_000
 STOP_GRACE_S = 1.0
+# Exchanges under way on a dropped channel may end within this time.
+DROP_GRACE_S = 5.0
 
 _PATH = f'/{SERVICE}/{METHOD}'
 _SHARED_OPTIONS = (
@@ -119,7 +121,9 @@
     async def close(self):
         self.reload()
         if self._closing:
-            await asyncio.wait(self._closing, timeout=STOP_GRACE_S)
+            _, late = await asyncio.wait(self._closing, timeout=STOP_GRACE_S)
+            for task in late:
+                task.cancel()
         if self._server is not None:
             await self._server.stop(STOP_GRACE_S)
 
@@ -227,7 +231,7 @@
         found = self._channels.pop(address, None)
         if found is None:
             return
-        closing = asyncio.ensure_future(found[0].close(STOP_GRACE_S))
+        closing = asyncio.ensure_future(found[0].close(DROP_GRACE_S))
         self._closing.add(closing)
         closing.add_done_callback(self._closing.discard)
 
