--- a/jujubefold/adminmodels.py
+++ b/jujubefold/adminmodels.py
@@ -9,8 +9,6 @@
 from jujubefold import messages
 
 PATCH_ID_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$'
-MIN_TTL_S = 0.5
-MAX_TTL_S = 300.0
 
 
 class Model(msgspec.Struct, frozen=True, kw_only=True):
@@ -112,11 +110,28 @@
     held_back: tuple[HeldBack, ...] = ()
 
 
+class Member(Model):
+    """A daemon as another one sees it; fields as `messages.Member`."""
+
+    vm: str
+    incarnation: int
+    region: str
+    failure_domain: str
+    peer_address: str
+    call_address: str
+    admin_address: str
+    state: messages.MemberState
+    service: str
+    upstream_state: messages.UpstreamState
+    slots: int
+    in_force: int
+
+
 class Fleet(Model):
     """All daemons as one of them sees them, itself included."""
 
     seen_by: str
-    members: tuple[messages.Member, ...]
+    members: tuple[Member, ...]
 
 
 class TimelineEvent(Model):
@@ -181,6 +196,12 @@
         return expression.Error(errors.Invalid(str(error), kind.__name__))
 
 
+def member_model(member):
+    """Return a `messages.Member` as a `Member`."""
+    names = Member.__struct_fields__
+    return Member(**{name: getattr(member, name) for name in names})
+
+
 def event_model(stamped):
     """Return an `events.Stamped` as a `TimelineEvent`."""
     event = stamped.event
