--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,113 @@
+"""Tests of a mixed fleet: what an older release does with a newer one's."""
+
+import asyncio
+import json
+
+import msgspec
+import testtools
+
+from jujubefold import acceptance
+from jujubefold import adminmodels
+from jujubefold import claimrow
+from jujubefold import clock
+from jujubefold import declarations
+from jujubefold import documents
+from jujubefold import messages
+from jujubefold import objects
+from jujubefold import patches
+from jujubefold import table
+from jujubefold import versions
+
+NEWER = {
+    'schema': declarations.SCHEMA,
+    'minor': declarations.MINOR + 1,
+    **{name: {} for name in versions.SECTIONS},
+    'services': {'s': {'colour': 'red'}},
+    'groups': {'g': {'service': 's', 'later': {'deep': [1, None]}}},
+    'routes': {'r': {'targets': [{'group': 'g', 'tint': 3}], 'new': True}},
+    'palettes': {'p': {'x': 1}},
+}
+PATCH = [
+    {'op': 'add', 'path': '/services/t', 'value': {}},
+    {'op': 'replace', 'path': '/routes/r/new', 'value': True},
+]
+CLAIM = claimrow.ClaimRow(
+    key=claimrow.key_of('route', 'key'),
+    id='c1',
+    state=claimrow.State.ANSWERED,
+    holder='vm-1/7',
+    fingerprint='f',
+    since_ms=1,
+    expires_ms=2,
+    answer=b'a',
+)
+
+
+class TestDocuments(testtools.TestCase):
+    def test_unknown_fields_survive_a_patch_by_an_older_daemon(self):
+        before = versions.canonical(NEWER)
+        self.assertTrue(declarations.compile_document(before, 1).is_ok())
+        patch = json.dumps(PATCH).encode()
+        after = patches.apply(before, patch).ok
+        stored = documents.decompress(documents.compress(after)).ok
+        expected = json.loads(before)
+        expected['services']['t'] = {}
+        self.assertEqual(expected, json.loads(stored))
+        self.assertTrue(declarations.compile_document(stored, 2).is_ok())
+
+    def test_same_fields_are_refused_where_they_are_mistakes(self):
+        mistaken = {**NEWER, 'minor': declarations.MINOR}
+        found = declarations.compile_mesh(mistaken, 1)
+        where = {failure.where for failure in found.error}
+        self.assertIn('/palettes', where)
+        self.assertIn('/routes/r/new', where)
+
+    def test_newer_schema_is_held_back(self):
+        newer = {**NEWER, 'schema': declarations.SCHEMA + 1}
+        found = declarations.compile_mesh(newer, 1)
+        self.assertIn('newer', found.error[0].reason)
+
+
+class TestForms(testtools.TestCase):
+    def test_forms_carry_a_schema_version(self):
+        self.assertIn('schema', json.loads(versions.EMPTY_DOCUMENT))
+        self.assertIn('schema', messages.Envelope.__struct_fields__)
+        self.assertIn('schema', claimrow.values_of(CLAIM))
+
+    def test_rows_of_a_newer_release_are_read(self):
+        values = {**claimrow.values_of(CLAIM), 'schema': 2, 'later': 'x'}
+        row = table.Row(CLAIM.key, values)
+        self.assertEqual(CLAIM, claimrow.from_row(row))
+        newer = table.Row(CLAIM.key, {**values, 'state': 'paused'})
+        state = claimrow.from_row(newer).state
+        self.assertEqual(claimrow.State.DOUBT, state)
+
+    def test_head_of_a_newer_release_is_read(self):
+        rows = table.MemoryTable()
+        paused = clock.PausedClock()
+        accepting = acceptance.Acceptance(
+            rows, objects.MemoryObjects(paused), paused
+        )
+        values = {'identity': '4/d', 'number': 4, 'digest': 'd', 'blob': 'b'}
+        put = table.Put(
+            acceptance.HEAD, {**values, 'schema': 2, 'x': 1}, table.Absent()
+        )
+        asyncio.run(rows.transact([put]))
+        head = asyncio.run(accepting.head()).ok
+        self.assertEqual(acceptance.Head(4, 'd', 'b'), head)
+
+    def test_api_ignores_unknown_fields(self):
+        cases = (
+            (
+                adminmodels.PatchSubmission,
+                {'base': 1, 'patch_id': 'p', 'patch': []},
+            ),
+            (adminmodels.Problem, {'type': 't', 'title': 'x', 'status': 400}),
+            (
+                adminmodels.VersionSummary,
+                {'number': 1, 'digest': '', 'patch_id': ''},
+            ),
+        )
+        for kind, fields in cases:
+            data = msgspec.json.encode({**fields, 'later': {'x': 1}})
+            self.assertTrue(adminmodels.decode(data, kind).is_ok(), kind)
