End the daemon when it cannot listen, and never cut tables

Cause: with an address in use the daemon printed a traceback and hung, because the operators' server had started its threads; 'members' into a file cut the addresses at 80 columns. Change: exit status 9 with one line that names the address; tables take the width that they need.

--- a/jujubefold/cli.py
+++ b/jujubefold/cli.py
@@ -21,6 +21,8 @@
 from jujubefold import timeline as event_line
 
 NANOSECONDS = 1_000_000_000
+# Columns; wide enough that nothing is cut, also where there is no terminal.
+TABLE_WIDTH = 1000
 DEFAULT_DAEMON = '127.0.0.1:7403'
 
 
@@ -110,7 +112,9 @@
     @property
     def console(self):
         """Console for people."""
-        return rich.console.Console(soft_wrap=True, highlight=False)
+        return rich.console.Console(
+            width=TABLE_WIDTH, soft_wrap=True, highlight=False
+        )
 
     def show(self, value, text):
         """Print a result: the value as JSON, or its text."""
--- a/jujubefold/daemon.py
+++ b/jujubefold/daemon.py
@@ -7,17 +7,20 @@
 import sys
 import typing
 
+import expression
 import typer
 
 from jujubefold import adminapi
 from jujubefold import adminserver
 from jujubefold import clock
+from jujubefold import errors
 from jujubefold import logs
 from jujubefold import runtime
 from jujubefold import settings
 
 INVALID_SETTINGS = 3
 CUT_SOMETHING = 8
+CANNOT_LISTEN = 9
 
 
 async def serve(options):
@@ -27,7 +30,8 @@
         options: A `settings.Settings`.
 
     Returns:
-        A `runtime.Stopped`.
+        `Ok(runtime.Stopped)`, or `Error(errors.Invalid)` when an address
+        cannot be listened at.
     """
     loop = asyncio.get_running_loop()
     daemon = runtime.Runtime(options, clock.SystemClock())
@@ -38,14 +42,19 @@
     server = adminserver.AdminServer(
         options.daemon.admin_address, api.endpoints(), _adapter(daemon)
     )
-    await daemon.start(server.bind())
+    try:
+        await daemon.start(server.bind())
+    except (OSError, RuntimeError) as error:
+        # Its threads would keep the process alive.
+        server.stop()
+        return expression.Error(errors.Invalid(str(error), 'cannot listen'))
     server.start()
     _handle_signals(loop, daemon)
     _print_addresses(daemon)
     await daemon.stop_wanted.wait()
     stopped = await _stop(loop, daemon)
     await asyncio.to_thread(server.stop)
-    return stopped
+    return expression.Ok(stopped)
 
 
 def _adapter(daemon):
@@ -98,10 +107,13 @@
         for failure in loaded.error:
             print(f'{failure.where}: {failure.reason}', file=sys.stderr)
         raise typer.Exit(INVALID_SETTINGS)
-    stopped = asyncio.run(serve(loaded.ok))
-    for request in stopped.cut:
+    ended = asyncio.run(serve(loaded.ok))
+    if ended.is_error():
+        print(f'{ended.error.where}: {ended.error.reason}', file=sys.stderr)
+        raise typer.Exit(CANNOT_LISTEN)
+    for request in ended.ok.cut:
         print(f'cut request {request}', file=sys.stderr)
-    raise typer.Exit(CUT_SOMETHING if stopped.cut else 0)
+    raise typer.Exit(CUT_SOMETHING if ended.ok.cut else 0)
 
 
 def main():
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -132,6 +132,14 @@
         self.assertEqual('vm-1', member['vm'])
         self.assertEqual('alive', member['state'])
 
+    def test_tables_are_never_cut(self):
+        self.daemon.meet('vm-' + 'x' * 60, '10.100.100.100:65535')
+        told = self.text(0, 'members')
+        self.assertIn('vm-' + 'x' * 60, told)
+        self.assertIn('10.100.100.100:65535', told)
+        self.assertNotIn('\u2026', told)
+        self.assertLess(max(map(len, told.splitlines())), 200)
+
     def test_help_teaches(self):
         command = typer.main.get_command(cli.app)
         verbs = dict(walk(command, ()))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,6 +1,7 @@
 """Tests of settings: bad input, the reference page, exit codes."""
 
 import pathlib
+import socket
 import subprocess
 import sys
 import tempfile
@@ -121,17 +122,33 @@
     def test_daemon_refuses_to_start_with_exit_status_3(self):
         self.path.write_text('[daemon]\n')
         before = sorted(self.folder.iterdir())
-        ended = subprocess.run(
-            [sys.executable, '-m', 'jujubefold.daemon', str(self.path)],
-            capture_output=True,
-            text=True,
-        )
+        ended = self.run_daemon()
         self.assertEqual(3, ended.returncode)
         self.assertEqual('', ended.stdout)
         self.assertIn(f'{self.path}: daemon.vm: required', ended.stderr)
         self.assertNotIn('Traceback', ended.stderr)
         self.assertEqual(before, sorted(self.folder.iterdir()))
 
+    def test_daemon_ends_when_it_cannot_listen(self):
+        taken = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(taken.close)
+        address = f'127.0.0.1:{taken.getsockname()[1]}'
+        for key in ('admin', 'peer', 'caller', 'call'):
+            self.load(f'{key}_address = "{address}"')
+            ended = self.run_daemon()
+            self.assertEqual(9, ended.returncode, key)
+            self.assertIn('cannot listen: ', ended.stderr)
+            self.assertIn(address.split(':')[1], ended.stderr, key)
+            self.assertNotIn('Traceback', ended.stderr, key)
+
+    def run_daemon(self):
+        return subprocess.run(
+            [sys.executable, '-m', 'jujubefold.daemon', str(self.path)],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
     def test_preset_gives_what_the_file_leaves_out(self):
         chosen = self.load(
             rest='[dissemination]\npreset = "bytes"\npulls = 7'
