Measure convergence at each daemon, from the acceptor's time

Cause: the convergence histogram existed, but nothing filled it. Change: a version carries when it was accepted; a daemon observes the time until it is in force. Older releases leave it out.

--- a/jujubefold/acceptance.py
+++ b/jujubefold/acceptance.py
@@ -95,12 +95,10 @@
 
     Args:
         operator: Who submitted it.
-        accepted_ms: Milliseconds since the epoch, by the acceptor's clock.
     """
 
     version: versions.Version
     operator: str
-    accepted_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -339,6 +337,7 @@
             head.digest or versions.EMPTY_DIGEST,
             submission.patch_id,
             submission.patch,
+            int(self._clock.wall() * _MILLISECONDS),
         )
         return _Candidate(version, submission.operator, head, stored.ok)
 
@@ -414,7 +413,7 @@
                     'patch_id': version.patch_id,
                     'patch': version.patch,
                     'operator': candidate.operator,
-                    'accepted_ms': int(self._clock.wall() * _MILLISECONDS),
+                    'accepted_ms': version.accepted_ms,
                     'blob': candidate.blob,
                 },
                 table.Absent(),
@@ -532,8 +531,9 @@
         values['parent_digest'],
         values['patch_id'],
         values['patch'],
+        values['accepted_ms'],
     )
-    return Listed(version, values['operator'], values['accepted_ms'])
+    return Listed(version, values['operator'])
 
 
 def _status(patch_id, row):
--- a/jujubefold/history.py
+++ b/jujubefold/history.py
@@ -18,6 +18,7 @@
         version.parent_digest,
         version.patch_id,
         version.patch,
+        version.accepted_ms,
     )
 
 
@@ -29,6 +30,7 @@
         push.parent_digest,
         push.patch_id,
         push.patch,
+        push.accepted_ms,
     )
 
 
--- a/jujubefold/messages.py
+++ b/jujubefold/messages.py
@@ -186,6 +186,7 @@
     Args:
         number: Accepted version number.
         patch: RFC 6902 patch from `number - 1`, canonical JSON.
+        accepted_ms: Milliseconds since the epoch, by the acceptor's clock.
     """
 
     number: int
@@ -193,6 +194,7 @@
     parent_digest: str
     patch_id: str
     patch: bytes
+    accepted_ms: int = 0
 
 
 class Pull(Message):
--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -44,6 +44,8 @@
 SWEEP_S = 60.0
 NOTHING = mesh.Mesh()
 
+_MILLISECONDS = 1000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stopped:
@@ -486,6 +488,11 @@
     def _put_in_force(self, held):
         self._mesh = held.mesh
         self._metrics.version.set({}, held.version.number)
+        accepted = held.version.accepted_ms / _MILLISECONDS
+        if accepted:
+            # The acceptor's clock may be ahead of this one.
+            lasted = max(0.0, self._clock.wall() - accepted)
+            self._metrics.convergence.observe({}, lasted)
 
     # Keeping the call path in step with the tables
 
--- a/jujubefold/versions.py
+++ b/jujubefold/versions.py
@@ -18,6 +18,8 @@
         parent_digest: Digest of version `number - 1`.
         patch_id: Operator's name for the patch, unique over all versions.
         patch: RFC 6902 patch from the parent, canonical JSON bytes.
+        accepted_ms: Milliseconds since the epoch, by the acceptor's clock;
+            0 when an older release sent it.
     """
 
     number: int
@@ -25,6 +27,7 @@
     parent_digest: str
     patch_id: str
     patch: bytes
+    accepted_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from bench import fleets
+from bench import processes
 from jujubefold import adminclient
 from jujubefold import porcelain
 
@@ -70,6 +71,10 @@
             )
             self.assertEqual('ran', answer.headers['jujubefold-outcome'])
             self.assertEqual('1', answer.headers['jujubefold-version'])
+            self.assertIn(
+                'jujubefold_convergence_seconds_count 1',
+                processes.metrics(daemon),
+            )
         self._check_refusals(client)
         self._check_timeline(client)
         self.assertEqual(0, daemons[2].stop(signal.SIGTERM))
