--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -15,6 +15,7 @@
 from jujubefold import floor
 from jujubefold import history
 from jujubefold import messages
+from jujubefold import overlay
 from jujubefold import patches
 from jujubefold import settings
 from jujubefold import versions
@@ -562,6 +563,25 @@
                 most = rate / (1 - dissemination.JITTER)
                 self.assertLessEqual(made, most)
 
+    def test_start_reads_the_head_and_has_versions_from_others(self):
+        fleet = self.fleet()
+        fleet.accept(0)
+        fleet.run(3.0)
+        others = 0
+        for index in range(FLEET):
+            fleet.kill(index)
+            fleet.start(index)
+            self.assertIsNotNone(fleet.run_until(fleet.converged, 10.0))
+            tables = fleet.core(index)
+            chosen = tables.dissemination.options.readers
+            if not overlay.is_reader(tables.membership, chosen):
+                others += 1
+                counters = tables.dissemination.counters
+                self.assertEqual(
+                    (1, 0), (counters.head_reads, counters.fetches)
+                )
+        self.assertGreater(others, 0)
+
     def test_store_that_is_down_is_asked_less(self):
         fleet = self.fleet()
         fleet.accept(0)
