Refuse late requests on kept connections instead of cutting them

Cause: a stop closed idle connections at once, so a request on its way there met a reset: its caller could not tell whether it ran, and another daemon had to call it unknown. Change: idle connections stay for 0.3 s at least and answer draining; the port for daemons listens until the end, for joins and bars.

--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -27,6 +27,8 @@
 
 SWEEP_INTERVAL_S = 0.05
 DRAIN_POLL_S = 0.02
+# At least this long, late requests are refused instead of lost.
+DRAIN_QUIET_S = 0.3
 # Added to the caller's deadline so that the gate's own word arrives first.
 PEER_DEADLINE_SLACK_S = 0.05
 REJOIN_GRACE_S = 1.0
@@ -275,11 +277,15 @@
         Returns:
             Tuple of the ids of requests that were cut; empty when none.
         """
-        for port in self._ports:
-            port.drain()
-        until = self._clock.monotonic() + grace
-        while self._is_busy() and self._clock.monotonic() < until:
+        for port, listening in zip(self._ports, (False, True), strict=False):
+            # Other daemons may still have to join or bar their attempts.
+            port.drain(listening)
+        now = self._clock.monotonic()
+        quiet = now + min(grace, DRAIN_QUIET_S)
+        until = now + grace
+        while now < quiet or (self._is_busy() and now < until):
             await asyncio.sleep(DRAIN_POLL_S)
+            now = self._clock.monotonic()
         cut = self.in_flight
         for task in tuple(self._tasks):
             task.cancel()
--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -609,11 +609,6 @@
             )
         )
 
-    def close_if_idle(self):
-        """Close unless a request is under way."""
-        if self.idle and self._linger_until is None:
-            self.abort()
-
     def abort(self):
         """Close at once."""
         self._transport.abort()
@@ -808,13 +803,18 @@
         for connection in tuple(self._connections):
             connection.sweep(self.now, self._timeouts)
 
-    def drain(self):
-        """Stop listening; connections close behind their last answer."""
+    def drain(self, listening=False):
+        """Close each connection behind its next answer.
+
+        Idle ones stay open: a request on its way there would else be lost
+        without a word. Requests that come from now on are marked late.
+
+        Args:
+            listening: Whether new connections are still taken.
+        """
         self.stopping = True
-        if self._server is not None:
+        if self._server is not None and not listening:
             self._server.close()
-        for connection in tuple(self._connections):
-            connection.close_if_idle()
 
     async def close(self):
         """Close everything at once."""
--- a/tests/test_callflow.py
+++ b/tests/test_callflow.py
@@ -574,6 +574,25 @@
 
         self.run_with(scenario, True)
 
+    def test_late_requests_of_kept_connections_are_refused_not_lost(self):
+        async def scenario(fleet):
+            entry, gate_node = fleet.nodes
+            caller = callnodes.Caller(gate_node.caller_address)
+            through = callnodes.Caller(entry.caller_address)
+            for each in (caller, through):
+                self.assertEqual(200, (await each.ask('POST')).status)
+            stopping = asyncio.ensure_future(gate_node.flow.stop(5.0))
+            await asyncio.sleep(0.05)
+            for each in (caller, through):
+                answer = await each.ask('POST', jujubefold_request_id='a')
+                self.assertEqual(
+                    ('did-not-run', 'draining'), callnodes.outcome(answer)
+                )
+            self.assertEqual(0, executions(fleet, 'a'))
+            self.assertEqual((), await stopping)
+
+        self.run_with(scenario, False, True)
+
     def test_answer_larger_than_memory_is_not_cut_short(self):
         async def scenario(fleet):
             caller = callnodes.Caller(fleet.nodes[0].caller_address)
