--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -5,13 +5,12 @@
 import functools
 import itertools
 
-import msgspec
-
 from jujubefold import bodies
 from jujubefold import budget
 from jujubefold import callclient
 from jujubefold import callentry
 from jujubefold import callgate
+from jujubefold import callhops
 from jujubefold import callkeys
 from jujubefold import calls
 from jujubefold import callserver
@@ -31,7 +30,6 @@
 DRAIN_QUIET_S = 0.3
 # Added to the caller's deadline so that the gate's own word arrives first.
 PEER_DEADLINE_SLACK_S = 0.05
-REJOIN_GRACE_S = 1.0
 MAX_REJOINS = 4
 REJOIN_PAUSE_S = 0.05
 PEER_CONNECTIONS = 16
@@ -61,27 +59,11 @@
     callgate.RETRY_S,
     'the other daemon could not be reached',
 )
-_LOST = calls.Refusal(
-    errors.Ran.UNKNOWN,
-    calls.Reason.PEER_LOST,
-    detail='the daemon that had the request was lost',
-)
 _OVERDUE = calls.Refusal(
     errors.Ran.UNKNOWN,
     calls.Reason.DEADLINE,
     detail='the deadline passed before the answer came',
 )
-_DRAINING = calls.Refusal(
-    errors.Ran.DID_NOT_RUN,
-    calls.Reason.DRAINING,
-    callgate.RETRY_S,
-    'this daemon is leaving',
-)
-_DAMAGED = calls.Refusal(
-    errors.Ran.UNKNOWN,
-    calls.Reason.PEER_LOST,
-    detail='the other daemon gave an answer that makes no sense',
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -198,9 +180,7 @@
         self._answers = bodies.Budget(self._limits.answer_bytes)
         self._pools = {}
         self._tls = None
-        self._routes = {}
         self._tasks = {}
-        self._listeners = {}
         self._ports = ()
         self._sweeper = None
         self._gate = callgate.CallGate(
@@ -214,6 +194,9 @@
             emit=emit or (lambda effect: None),
             fail=_fail,
         )
+        self._hops = callhops.HopPort(
+            identity, clock, self._gate, self._limits.body_bytes, self._spawn
+        )
 
     @property
     def upstream_address(self):
@@ -249,8 +232,10 @@
             Both bound `ip:port`, callers' first.
         """
         self._tls = peer_tls
-        callers = self._new_server(self._take_call, self._call_limit, False)
-        peers = self._new_server(self._take_hop, self._hop_limit, True)
+        callers = self._new_server(
+            _Port(self._take_call, self._call_limit), False
+        )
+        peers = self._new_server(self._hops, True)
         self._ports = (callers, peers)
         bound = (
             await callers.start(caller_bind),
@@ -309,9 +294,9 @@
         holder = f'{self._identity.vm}/{self._identity.incarnation}'
         return callkeys.Keys(claims, holder, self._clock, self._record)
 
-    def _new_server(self, serve, body_limit, heartbeat):
+    def _new_server(self, port, heartbeat):
         return callserver.Server(
-            _Port(serve, body_limit),
+            port,
             self._clock,
             self._requests,
             self._answers,
@@ -381,7 +366,7 @@
         now = self._clock.monotonic()
         read = callentry.read(request, mesh, now, self._rng)
         if request.late:
-            exchange.reply(callserver.refuse(_DRAINING, close=True))
+            exchange.reply(callserver.refuse(callhops.DRAINING, close=True))
             return
         if read.is_error():
             self._refuse_unread(exchange, read.error, mesh)
@@ -435,7 +420,9 @@
             )
             ran, reason = errors.Ran.RAN, calls.Reason.NONE
         else:
-            answer = callserver.refuse(outcome, subject, _status_of(outcome))
+            answer = callserver.refuse(
+                outcome, subject, callhops.status_of(outcome)
+            )
             ran, reason = outcome.ran, outcome.reason
             self._note(call, outcome)
         exchange.reply(answer)
@@ -593,7 +580,7 @@
             if result.how is callclient.Failed.DEADLINE:
                 return _OVERDUE
             await asyncio.sleep(REJOIN_PAUSE_S)
-        return _LOST
+        return callhops.LOST
 
     def _cancel_hop(self, peer, name):
         message = self._control(peer, hops.CANCEL_PATH, name)
@@ -656,127 +643,7 @@
             result.headers = hops.public(result.headers)
             return result, load
         self._answers.release(result.memory)
-        return _read_refusal(result, fields, method), load
-
-    # Other daemons
-
-    def _hop_limit(self, request):
-        return self._limits.body_bytes
-
-    def _take_hop(self, exchange):
-        request = exchange.request
-        if request.path == hops.JOIN_PATH:
-            self._take_named(exchange, self._join)
-        elif request.path == hops.BAR_PATH:
-            self._take_named(exchange, self._bar)
-        elif request.path == hops.CANCEL_PATH:
-            self._take_named(exchange, self._cancel)
-        else:
-            self._take_attempt(exchange)
-
-    def _take_attempt(self, exchange):
-        request = exchange.request
-        hop = hops.decode(request.fields.get(hops.HOP, b''))
-        if hop.is_error():
-            exchange.reply(callserver.malformed('hop header malformed'))
-            return
-        if request.late:
-            self._reply_hop(exchange, _DRAINING)
-            return
-        # On one connection a new request means that the answer before it
-        # arrived, so nobody will ask for that attempt again.
-        session = request.session
-        if session.last is not None:
-            self._gate.forget(session.last)
-        now = self._clock.monotonic()
-        attempt = hops.attempt_of(hop.ok, request, self._routes, now)
-        session.last = attempt.id
-        message = callclient.Message(
-            request.method,
-            request.target,
-            hops.public(callclient.end_to_end(request.headers)),
-            request.pieces,
-            request.size,
-        )
-        self._answer_hop(
-            exchange,
-            attempt.id,
-            self._gate.join_or_run(attempt, message, hop.ok.allowance),
-            hop.ok.request,
-        )
-
-    def _take_named(self, exchange, serve):
-        fields = exchange.request.fields
-        name = hops.parse_attempt(fields.get(hops.ATTEMPT, b''))
-        if name is None:
-            exchange.reply(callserver.malformed('attempt malformed'))
-            return
-        me = f'{self._identity.vm}/{self._identity.incarnation}'
-        if fields.get(hops.TARGET) != me.encode('latin-1'):
-            # Another start of this daemon may have run it.
-            self._reply_hop(exchange, _LOST)
-            return
-        serve(exchange, name)
-
-    def _join(self, exchange, name):
-        self._answer_hop(
-            exchange, name, self._gate.join_or_bar(name), str(name)
-        )
-
-    def _bar(self, exchange, name):
-        state = self._gate.bar(name).encode()
-        exchange.reply(callserver.Answer(200, [], [state], len(state)))
-
-    def _cancel(self, exchange, name):
-        self._gate.cancel(name)
-        exchange.reply(callserver.Answer(204, [], [], 0))
-
-    def _answer_hop(self, exchange, name, outcome, request):
-        """Reply with an awaited outcome; notice if the sender leaves."""
-        self._listeners[name] = self._listeners.get(name, 0) + 1
-        task = self._spawn(
-            self._reply_when_known(exchange, name, outcome), request, exchange
-        )
-
-        def gone():
-            task.cancel()
-            loop = asyncio.get_running_loop()
-            loop.call_later(REJOIN_GRACE_S, self._give_up, name)
-
-        exchange.gone = gone
-        task.start()
-
-    def _stop_listening(self, name):
-        self._listeners[name] -= 1
-        if not self._listeners[name]:
-            del self._listeners[name]
-
-    def _give_up(self, name):
-        """Cancel an attempt that no connection waits for any more."""
-        if name not in self._listeners:
-            self._gate.cancel(name)
-
-    async def _reply_when_known(self, exchange, name, outcome):
-        try:
-            self._reply_hop(exchange, await outcome)
-        finally:
-            self._stop_listening(name)
-
-    def _reply_hop(self, exchange, outcome):
-        load = str(gate.load(self._gate.table)).encode()
-        if isinstance(outcome, callserver.Answer):
-            answer = dataclasses.replace(
-                outcome,
-                headers=[
-                    *outcome.headers,
-                    (b'jujubefold-outcome', b'ran'),
-                    (b'jujubefold-load', load),
-                ],
-            )
-        else:
-            answer = callserver.refuse(outcome, status=_status_of(outcome))
-            answer.headers.append((b'jujubefold-load', load))
-        exchange.reply(answer)
+        return callhops.read_refusal(result, fields, method), load
 
 
 @dataclasses.dataclass(slots=True)
@@ -807,30 +674,6 @@
     )
 
 
-def _status_of(refusal):
-    """Return the status where the reason alone does not give it."""
-    answer_too_large = (
-        refusal.reason is calls.Reason.TOO_LARGE
-        and refusal.ran is not errors.Ran.DID_NOT_RUN
-    )
-    return 502 if answer_too_large else None
-
-
-def _read_refusal(answer, fields, method):
-    """Return the refusal in another daemon's answer."""
-    try:
-        ran = errors.Ran(fields.get(b'jujubefold-outcome', b'').decode())
-        reason = calls.Reason(fields.get(b'jujubefold-reason', b'').decode())
-        if method == 'HEAD':
-            return calls.Refusal(ran, reason)
-        problem = msgspec.json.decode(
-            b''.join(answer.pieces), type=problems.Problem
-        )
-    except (ValueError, msgspec.DecodeError):
-        return _DAMAGED
-    return calls.Refusal(ran, reason, problem.retry_after, problem.detail)
-
-
 def _observation(vm, outcome, load, seconds):
     refusal = outcome if isinstance(outcome, calls.Refusal) else None
     lost = refusal is not None and refusal.reason is calls.Reason.PEER_LOST
--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 server of the call path: whole requests in, whole answers out.
 
 Parsing is httptools'. What that library lets through and a forwarder must
-not (see `_head_fault`) is refused here.
+not (see `callheads.fault`) is refused here.
 """
 
 import asyncio
@@ -12,6 +12,8 @@
 import httptools
 
 from jujubefold import bodies
+from jujubefold import callexchange
+from jujubefold import callheads
 from jujubefold import calls
 from jujubefold import errors
 from jujubefold import problems
@@ -19,7 +21,6 @@
 
 MAX_HEAD_BYTES = 32 * 1024
 MAX_TARGET_BYTES = 8 * 1024
-MAX_HEADERS = 100
 MAX_FRAMING_BYTES = 64 * 1024
 FRAMING_FACTOR = 16
 MAX_PIPELINED = 8
@@ -30,21 +31,6 @@
 HEARTBEAT_S = 0.4
 MEMORY_RETRY_S = 1.0
 
-_METHODS = frozenset(
-    {b'GET', b'HEAD', b'OPTIONS', b'POST', b'PUT', b'PATCH', b'DELETE'}
-)
-_SINGLETONS = frozenset(
-    {
-        b'host',
-        b'content-type',
-        b'idempotency-key',
-        calls.REQUEST_ID.encode(),
-        calls.DEADLINE_MS.encode(),
-        calls.DEPTH.encode(),
-        calls.RETRY_BUDGET.encode(),
-    }
-)
-_NO_BODY = frozenset({204, 304})
 _PROCESSING = b'HTTP/1.1 102 Processing\r\n\r\n'
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -148,53 +134,6 @@
     return Answer(code, headers, [body], len(body), close)
 
 
-class Exchange:
-    """One request being answered.
-
-    Args:
-        connection: The `Connection` it came over.
-        request: The whole `Request`.
-    """
-
-    __slots__ = ('request', 'gone', '_connection')
-
-    def __init__(self, connection, request):
-        self.request = request
-        # Called without arguments if the sender leaves before the answer.
-        self.gone = None
-        self._connection = connection
-
-    @property
-    def open(self):
-        """Whether the sender still waits."""
-        return self._connection is not None
-
-    def reply(self, answer):
-        """Send the answer; without effect once the sender has left."""
-        self.gone = None
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.reply(self.request, answer)
-
-    def reply_cut(self, answer):
-        """Send half of the answer's body and close; for fault tests."""
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.reply_cut(answer)
-
-    def drop(self):
-        """Close the connection without an answer."""
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.abort()
-
-    def lost(self):
-        """Learn that the sender has left."""
-        self._connection = None
-        if self.gone is not None:
-            self.gone()
-
-
 class _Refused(Exception):
     """Leaves the parser's callbacks with an answer for the caller."""
 
@@ -375,18 +314,18 @@
         version = self._parser.get_http_version()
         method = self._parser.get_method()
         fields = dict(self._headers)
-        fault = _head_fault(version, method, self._headers, fields)
+        fault = callheads.fault(version, method, self._headers, fields)
         if fault is not None:
             raise _Refused(malformed(*fault))
-        target, host = _origin(self._target, fields.get(b'host', b''))
+        target, host = callheads.origin(self._target, fields.get(b'host', b''))
         path = target.partition(b'?')[0]
-        if _is_unsafe(target, path):
+        if callheads.is_unsafe(target, path):
             raise _Refused(malformed('request target not acceptable'))
         return Request(
             method=method.decode(),
             target=target,
             path=path.decode('latin-1'),
-            host=_hostname(host),
+            host=callheads.hostname(host),
             headers=self._headers,
             fields=fields,
             peer=self._peer,
@@ -481,7 +420,7 @@
                 self._send(following, 'GET', False)
             else:
                 self._moved_at = self._server.now
-                self._current = Exchange(self, following)
+                self._current = callexchange.Exchange(self, following)
                 self._server.handler.take(self._current)
         self._advancing = False
 
@@ -505,7 +444,7 @@
     def reply_cut(self, answer):
         """Send half of the answer's body, then close."""
         whole = b''.join(answer.pieces)
-        head = encode_head(answer, 'GET', True)
+        head = callheads.encode(answer, 'GET', True)
         self._current = None
         self._transport.write(head + whole[: len(whole) // 2])
         self._finish()
@@ -513,8 +452,8 @@
     def _send(self, answer, method, keep_alive):
         keep_alive = keep_alive and not self._server.stopping
         self._moved_at = self._server.now
-        head = encode_head(answer, method, keep_alive)
-        pieces = () if _bodiless(answer, method) else answer.pieces
+        head = callheads.encode(answer, method, keep_alive)
+        pieces = () if callheads.is_bodiless(answer, method) else answer.pieces
         if answer.size <= JOINED_WRITE_BYTES or not pieces:
             self._server.answers.release(answer.memory)
             self._transport.write(b''.join((head, *pieces)))
@@ -623,92 +562,6 @@
     return malformed(str(error))
 
 
-def _head_fault(version, method, headers, fields):
-    """Return detail and status of what httptools wrongly lets through."""
-    if version not in ('1.1', '1.0'):
-        return 'protocol version not supported', 505
-    if method not in _METHODS:
-        return 'method not supported', 501
-    if len(headers) > MAX_HEADERS:
-        return 'too many headers', 431
-    if version == '1.1' and b'host' not in fields:
-        return ('host header missing',)
-    coding = fields.get(b'transfer-encoding')
-    if coding is not None:
-        if version == '1.0':
-            return ('transfer-encoding in HTTP/1.0',)
-        if coding.strip().lower() != b'chunked':
-            return 'transfer-encoding not supported', 501
-    if len(fields) != len(headers):
-        return _repeated(headers)
-    expects = fields.get(b'expect')
-    if expects is not None and expects.lower() != b'100-continue':
-        return 'expectation not supported', 417
-    return None
-
-
-def _repeated(headers):
-    seen = set()
-    for name, _ in headers:
-        if name in _SINGLETONS and name in seen:
-            return (f'{name.decode()} given twice',)
-        seen.add(name)
-    return None
-
-
-def _origin(target, host):
-    """Return origin-form target and host of any acceptable target."""
-    if not target.startswith(b'http://'):
-        return target, host
-    authority, slash, rest = target[len(b'http://') :].partition(b'/')
-    return slash + rest or b'/', authority
-
-
-def _is_unsafe(target, path):
-    if b'#' in target:
-        return True
-    if not path.startswith(b'/'):
-        return path != b'*'
-    if b'/.' not in path and b'%2' not in path:
-        return False
-    plain = path.lower().replace(b'%2e', b'.').replace(b'%2f', b'/')
-    return not {b'.', b'..'}.isdisjoint(plain.split(b'/'))
-
-
-def _hostname(host):
-    name, colon, port = host.decode('latin-1').lower().rpartition(':')
-    return name if colon and port.isdigit() else host.decode('latin-1').lower()
-
-
-def _bodiless(answer, method):
-    return method == 'HEAD' or answer.status in _NO_BODY
-
-
-_LINES = {
-    code: f'HTTP/1.1 {code} {problems.title_of(code)}\r\n'.encode()
-    for code in range(200, 600)
-}
-
-
-def encode_head(answer, method, keep_alive):
-    """Return the head of an answer on the wire.
-
-    Args:
-        answer: An `Answer`.
-        method: Method of the request.
-        keep_alive: Whether the connection stays open.
-    """
-    parts = [_LINES[answer.status]]
-    for name, value in answer.headers:
-        parts.append(b'%b: %b\r\n' % (name, value))
-    if answer.status not in _NO_BODY:
-        parts.append(b'content-length: %d\r\n' % answer.size)
-    if not keep_alive:
-        parts.append(b'connection: close\r\n')
-    parts.append(b'\r\n')
-    return b''.join(parts)
-
-
 class Server:
     """Listens, and gives whole requests to a handler.
 
