Fill the added-time metric, collect orphans, remember early refusals

Cause: the histogram of added time was empty; orphans were never removed; an attempt refused before its offer could run if a late copy came. Change: a call's trace tells the time its upstream had it; one daemon collects orphans each 10 minutes; early refusals are remembered by the gate. Ruled out: sweeping connections four times a second when idle, because their coarse clock would let a 0.3 s attempt timeout fire early.

--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -100,6 +100,7 @@
         seconds: From whole request to answer.
         tries: Attempts made.
         own: Whether the last attempt went to this VM's upstream.
+        upstream: Seconds of these that the own upstream had it.
     """
 
     route: str
@@ -109,6 +110,7 @@
     seconds: float
     tries: int
     own: bool
+    upstream: float = 0.0
 
 
 class _Port:
@@ -436,6 +438,7 @@
                 now - began,
                 tour.tries,
                 tour.own,
+                trace.upstream,
             )
         )
 
--- a/jujubefold/callgate.py
+++ b/jujubefold/callgate.py
@@ -80,9 +80,11 @@
     Args:
         committed: It is better finished than cancelled, because its answer
             is recorded under the caller's key.
+        upstream: Seconds that the own upstream had it.
     """
 
     committed: bool = False
+    upstream: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -334,18 +336,23 @@
         now = self._clock.monotonic()
         refusal = crashes.check(self._crashes, call.fingerprint, now)
         if refusal is not None:
-            return refusal
+            return self._forbid(attempt, refusal, now)
         if not call.key or call.idempotent or self._keys is None:
-            return await self._admit(attempt, message, allowance, None)
+            return await self._admit(attempt, message, allowance, trace, None)
         refusal = self._hopeless(call)
         if refusal is not None:
-            return refusal
+            return self._forbid(attempt, refusal, now)
         return await self._keys.once(
             call,
             trace,
-            functools.partial(self._admit, attempt, message, allowance),
+            functools.partial(self._admit, attempt, message, allowance, trace),
         )
 
+    def _forbid(self, attempt, refusal, now):
+        # A late copy of the attempt must get the same word, and never run.
+        gate.forbid(self.table, attempt.id, refusal, now)
+        return refusal
+
     def _hopeless(self, call):
         """Return a refusal that the gate would surely give, or None."""
         if self.table.state not in _ADMITTING:
@@ -356,7 +363,7 @@
             )
         return None
 
-    async def _admit(self, attempt, message, allowance, start):
+    async def _admit(self, attempt, message, allowance, trace, start):
         now = self._clock.monotonic()
         suspect = crashes.is_suspect(self._crashes, attempt.call.fingerprint)
         match gate.offer(self.table, attempt, now, suspect):
@@ -368,7 +375,7 @@
                 refusal = await self._wait(attempt.id)
                 if refusal is not None:
                     return refusal
-        return await self._execute(attempt, message, allowance, start)
+        return await self._execute(attempt, message, allowance, trace, start)
 
     async def _wait(self, name):
         waiter = asyncio.get_running_loop().create_future()
@@ -389,14 +396,16 @@
         else:
             self.wake(gate.cancel(self.table, name, now))
 
-    async def _execute(self, attempt, message, allowance, start):
+    async def _execute(self, attempt, message, allowance, trace, start):
         ending = calls.Ending.CANCELLED
+        began = self._clock.monotonic()
         try:
             outcome, ending = await self._ask(
                 attempt.call, message, allowance, start
             )
         finally:
             now = self._clock.monotonic()
+            trace.upstream += now - began
             self.wake(gate.finish(self.table, attempt.id, ending, now))
         if ending is calls.Ending.CRASHED:
             self._suspect_crash(attempt.call)
--- a/jujubefold/metrics.py
+++ b/jujubefold/metrics.py
@@ -33,7 +33,7 @@
         )
         self.added = self._histogram(
             'jujubefold_call_added_seconds',
-            'Time a call spent in this daemon, upstream time left out.',
+            'Time of a call to the own upstream, without the upstream itself.',
             ADDED_BUCKETS_S,
         )
         self.control_bytes = self._counter(
--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -6,6 +6,7 @@
 import random
 
 from jujubefold import acceptance
+from jujubefold import blobs
 from jujubefold import callflow
 from jujubefold import claims
 from jujubefold import contacts
@@ -42,6 +43,9 @@
 DRAIN_GRACE_S = 25.0
 LEAVE_NOTICE_S = 0.3
 SWEEP_S = 60.0
+COLLECT_S = 600.0
+# Far above any submission's timeout.
+ORPHAN_AGE_S = 3600.0
 NOTHING = mesh.Mesh()
 
 _MILLISECONDS = 1000
@@ -216,6 +220,7 @@
         self._loop_task = asyncio.create_task(self._run())
         self._spawn(self._sweep())
         self._spawn(self._check_self())
+        self._spawn(self._collect_orphans())
 
     def feed(self, item):
         """Give the core an input at the next tick, which is due at once.
@@ -583,11 +588,21 @@
             await asyncio.sleep(SWEEP_S * self._rng.uniform(0.8, 1.2))
             await self._claims.sweep()
 
+    async def _collect_orphans(self):
+        # One daemon is enough, and two at once do no harm.
+        collector = blobs.Collector(self._rows, self._objects)
+        while True:
+            await asyncio.sleep(COLLECT_S * self._rng.uniform(0.8, 1.2))
+            if overlay.rank(self._tables.membership) == 0:
+                await collector.collect(ORPHAN_AGE_S)
+
     # Observers
 
     def _call_seen(self, seen):
         labels = {'outcome': seen.ran.value, 'reason': seen.reason.value}
         self._metrics.calls.inc(labels)
+        if seen.own:
+            self._metrics.added.observe({}, seen.seconds - seen.upstream)
 
     def _store_called(self, store, seen):
         labels = {
