Know a request that is sent again to another daemon's address

Cause: keys and fingerprints held the Host header, and callers name daemons by address, so a resend to another VM was another request and could run a second time. Change: the route's own host pattern stands in its place, and keys belong to the path. A test sends the same key under two addresses.

--- a/jujubefold/callentry.py
+++ b/jujubefold/callentry.py
@@ -74,7 +74,7 @@
             depth=depth,
             key=key,
             idempotent=idempotent,
-            fingerprint='' if large else fingerprint(request),
+            fingerprint='' if large else fingerprint(request, route),
         )
     )
 
@@ -103,21 +103,23 @@
     return text if _REQUEST_ID.fullmatch(text) else None
 
 
-def fingerprint(request):
+def fingerprint(request, route):
     """Return the digest that is equal for the same request sent again.
 
     Args:
         request: A `callserver.Request`.
+        route: The matched `mesh.Route`. When it takes any host, callers
+            may name daemons by address and send again to another one.
     """
-    digest = _digest(request)
+    digest = _digest(request, route)
     for piece in request.pieces:
         digest.update(piece)
     return digest.hexdigest()
 
 
-async def large_fingerprint(request):
+async def large_fingerprint(request, route):
     """Return the same as `fingerprint`, letting others run meanwhile."""
-    digest = _digest(request)
+    digest = _digest(request, route)
     hashed = 0
     for piece in request.pieces:
         digest.update(piece)
@@ -128,11 +130,11 @@
     return digest.hexdigest()
 
 
-def _digest(request):
+def _digest(request, route):
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     digest.update(
         b'%b\0%b\0%b\0'
-        % (request.method.encode(), request.host.encode(), request.target)
+        % (request.method.encode(), route.host.encode(), request.target)
     )
     return digest
 
--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -397,7 +397,7 @@
         began = self._clock.monotonic()
         request = exchange.request
         if not call.fingerprint:
-            digest = await callentry.large_fingerprint(request)
+            digest = await callentry.large_fingerprint(request, call.route)
             call = dataclasses.replace(call, fingerprint=digest)
         header = request.fields.get(b'jujubefold-retry-budget', b'')
         tour = _Tour(
--- a/jujubefold/callkeys.py
+++ b/jujubefold/callkeys.py
@@ -81,7 +81,7 @@
             A `callserver.Answer` or a `calls.Refusal`.
         """
         request = claimoutcome.ClaimRequest(
-            f'{call.host}{call.path}', call.key, call.fingerprint, self._holder
+            call.path, call.key, call.fingerprint, self._holder
         )
         left = max(0.0, call.deadline - self._clock.monotonic())
         found = await self._spawn(self._claims.claim(request, left))
--- a/tests/callnodes.py
+++ b/tests/callnodes.py
@@ -245,7 +245,7 @@
         found = await self.pool.acquire(5)
         if isinstance(found, callclient.Failure):
             return found
-        pairs = [(b'host', b'example')]
+        pairs = [(b'host', headers.pop('host', 'example').encode())]
         for name, value in headers.items():
             pairs.append(
                 (name.replace('_', '-').encode(), str(value).encode())
--- a/tests/test_callflow.py
+++ b/tests/test_callflow.py
@@ -686,6 +686,15 @@
 
         self.run_with(scenario)
 
+    def test_resend_to_another_address_runs_nothing(self):
+        async def scenario(fleet, store, order):
+            first = await order('a', host='10.0.0.1')
+            again = await order('b', host='10.0.0.2:80')
+            self.assertEqual(first.pieces, again.pieces)
+            self.assertEqual(0, executions(fleet, 'b'))
+
+        self.run_with(scenario)
+
     def test_double_send_runs_once(self):
         async def scenario(fleet, store, order):
             answers = await asyncio.gather(
