Leave the start's objects out of garbage collections

Cause: one full collection over the 57,611 objects of an imported daemon took 42 ms here, during which no call moves. Change: they are frozen once the daemon has started.

--- a/jujubefold/daemon.py
+++ b/jujubefold/daemon.py
@@ -1,6 +1,7 @@
 """Console program `jujubefoldd`: one daemon beside an upstream."""
 
 import asyncio
+import gc
 import json
 import pathlib
 import signal
@@ -50,6 +51,7 @@
         return expression.Error(errors.Invalid(str(error), 'cannot listen'))
     server.start()
     _handle_signals(loop, daemon)
+    _spare_collections()
     _print_addresses(daemon)
     await daemon.stop_wanted.wait()
     stopped = await _stop(loop, daemon)
@@ -57,6 +59,15 @@
     return expression.Ok(stopped)
 
 
+def _spare_collections():
+    """Leave what the start has made out of later garbage collections.
+
+    A full collection over it stops the call path for tens of milliseconds.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 def _adapter(daemon):
     if daemon.server_tls is None:
         return None
