Prove that a key sent through every daemon runs once

Cause: whole-suite runs showed keyed requests that ran twice after a resend. The scope of a key held the Host header, and callers name daemons by address, so a resend through another daemon was another key. Ruled out: the paused holder itself; without a pause the new test failed with 3 executions on the old scope and passes with 1 on the new. Change: the test.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -245,6 +245,35 @@
         self.converged(2)
 
 
+class TestKeys(FleetCase):
+    size = 3
+    served = 2
+
+    def test_key_sent_through_all_daemons_runs_once(self):
+        answers = [self.settled(address) for address in self.callers()]
+        self.assertEqual(1, len({answer.data for answer in answers}))
+        self.assertEqual(1, ledger.executions(self.upstreams)['one'])
+
+    def settled(self, address):
+        """Send the same request until its first answer is recorded."""
+        http = urllib3.PoolManager(retries=False)
+        headers = {
+            'idempotency-key': '"one"',
+            'jujubefold-request-id': 'one',
+        }
+
+        def ask():
+            url = f'http://{address}/confirm/1'
+            answer = http.request('POST', url, headers=headers)
+            if answer.status == 200:
+                return answer
+            reason = answer.headers['jujubefold-reason']
+            self.assertEqual((409, 'key-running'), (answer.status, reason))
+            return None
+
+        return fleets.wait_for(ask, 'the first answer')
+
+
 class TestOperators(FleetCase):
     size = 3
     served = 1
