--- a/examples/quickstart.py
+++ b/examples/quickstart.py
@@ -29,8 +29,12 @@
     daemons = [fleet.add_daemon() for _ in range(3)]
     fleet.add_upstream(daemons[0], 'pickups')
     fleet.add_upstream(daemons[1], 'routes')
-    client = adminclient.AdminClient(daemons[2].addresses['admin_address'])
-    fleets.wait_for(lambda: _announced(client) == 2, 'announced upstreams')
+    for daemon in daemons:
+        client = adminclient.AdminClient(daemon.addresses['admin_address'])
+        fleets.wait_for(
+            lambda client=client: _announced(client) == 2,
+            'announced upstreams',
+        )
     return daemons
 
 
--- a/jujubefold/callkeys.py
+++ b/jujubefold/callkeys.py
@@ -25,7 +25,7 @@
 _IN_DOUBT = calls.Refusal(
     errors.Ran.UNKNOWN,
     calls.Reason.KEY_UNKNOWN,
-    detail='whether the request with this key ran will not be known',
+    detail='whether the request with this key ran is not known',
 )
 _REUSED = calls.Refusal(
     errors.Ran.DID_NOT_RUN,
--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -37,7 +37,7 @@
 from jujubefold import upstreams
 
 TICK_S = 0.2
-EXCHANGE_TIMEOUT_S = 1.0
+EXCHANGE_TIMEOUT_S = 2.0
 # Time in which the news of a drain reaches the other daemons.
 DRAIN_NOTICE_S = 1.0
 DRAIN_GRACE_S = 25.0
@@ -513,8 +513,8 @@
 
     def _live_members(self):
         table = self._tables.membership
-        if self._live[0] != table.digests.view:
-            self._live = (table.digests.view, tuple(membership.live(table)))
+        if self._live[0] != table.changes:
+            self._live = (table.changes, tuple(membership.live(table)))
         return self._live[1]
 
     def _sync_upstream(self):
@@ -547,9 +547,9 @@
 
     def _sync_fleet(self):
         table = self._tables.membership
-        if self._synced == table.digests.view:
+        if self._synced == table.changes:
             return
-        self._synced = table.digests.view
+        self._synced = table.changes
         size = membership.fleet_size(table)
         for limit in self._limits:
             limit.share(size)
@@ -559,15 +559,16 @@
         routing.refresh(self._routing, self._live_members(), table.me)
 
     def _holder_gone(self, holder):
+        # It only decides between "running" and "unknown"; no claim is ever
+        # freed by it, because a daemon held dead may be paused.
         vm, _, incarnation = holder.rpartition('/')
-        if not incarnation.isdecimal():
-            return False
+        me = self._identity
+        if vm == me.vm:
+            return incarnation != str(me.incarnation)
         known = self._tables.membership.members.get(vm)
-        if known is None:
-            return False
-        return known.incarnation > int(incarnation) or not membership.is_live(
-            known
-        )
+        if not membership.is_live(known):
+            return True
+        return str(known.incarnation) != incarnation
 
     async def _check_self(self):
         tls = None
