Put a schema number on the rows of heads, patches and versions

Cause: stored forms must say which release's meaning they have. Tests: rows of an accepted and an abandoned patch are read back.

--- a/jujubefold/acceptance.py
+++ b/jujubefold/acceptance.py
@@ -22,6 +22,8 @@
 from jujubefold import table
 from jujubefold import versions
 
+# Raised when the meaning of a row's field changes.
+SCHEMA = 1
 HEAD = table.Key('head', 'head')
 MAX_CHAIN = 32
 MAX_PATCH_ID = 200
@@ -199,7 +201,7 @@
         """
         tombstone = table.Put(
             _patch_key(patch_id),
-            {'state': PatchState.ABANDONED.value},
+            {'schema': SCHEMA, 'state': PatchState.ABANDONED.value},
             table.Absent(),
         )
         written = await self._rows.transact([tombstone])
@@ -398,6 +400,7 @@
             table.Put(
                 _patch_key(version.patch_id),
                 {
+                    'schema': SCHEMA,
                     'state': PatchState.ACCEPTED.value,
                     'number': version.number,
                     'patch': _hash(version.patch),
@@ -407,6 +410,7 @@
             table.Put(
                 _version_key(version.number),
                 {
+                    'schema': SCHEMA,
                     'number': version.number,
                     'digest': version.digest,
                     'parent_digest': version.parent_digest,
@@ -509,6 +513,7 @@
 
 def _head_values(head):
     return {
+        'schema': SCHEMA,
         'identity': head.identity,
         'number': head.number,
         'digest': head.digest,
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -43,6 +43,25 @@
 )
 
 
+async def _rows_of_two_patches():
+    """Accept one patch, abandon another, and return all rows written."""
+    rows = table.MemoryTable()
+    paused = clock.PausedClock()
+    accepting = acceptance.Acceptance(
+        rows, objects.MemoryObjects(paused), paused
+    )
+    patch = json.dumps(PATCH[:1]).encode()
+    submission = acceptance.Submission(0, 'p1', patch, 'alice')
+    accepted = await accepting.submit(submission, 1.0)
+    abandoned = await accepting.abandon('p2')
+    tables = ('head', 'patches', 'versions')
+    found = [(await rows.scan(name)).ok for name in tables]
+    counts = [len(page) for page in found]
+    if accepted.is_error() or abandoned.is_error() or counts != [1, 2, 1]:
+        raise AssertionError((accepted, abandoned, counts))
+    return [row for page in found for row in page]
+
+
 class TestDocuments(testtools.TestCase):
     def test_unknown_fields_survive_a_patch_by_an_older_daemon(self):
         before = versions.canonical(NEWER)
@@ -73,6 +92,8 @@
         self.assertIn('schema', json.loads(versions.EMPTY_DOCUMENT))
         self.assertIn('schema', messages.Envelope.__struct_fields__)
         self.assertIn('schema', claimrow.values_of(CLAIM))
+        for row in asyncio.run(_rows_of_two_patches()):
+            self.assertEqual(acceptance.SCHEMA, row.values['schema'])
 
     def test_rows_of_a_newer_release_are_read(self):
         values = {**claimrow.values_of(CLAIM), 'schema': 2, 'later': 'x'}
