Name a request alike at each daemon that it is sent to

Cause: an idempotency key belonged to the Host header and the path, and the fingerprint held the Host as well. Callers reach daemons by IP number, so the same key sent again through another daemon was another key and ran again; and a request that crashes upstreams was another suspect at each.

Change: calls.named_host leaves an IP number out of the scope and the fingerprint; host names count as before.

--- a/jujubefold/callentry.py
+++ b/jujubefold/callentry.py
@@ -132,7 +132,11 @@
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     digest.update(
         b'%b\0%b\0%b\0'
-        % (request.method.encode(), request.host.encode(), request.target)
+        % (
+            request.method.encode(),
+            calls.named_host(request.host).encode(),
+            request.target,
+        )
     )
     return digest
 
--- a/jujubefold/callkeys.py
+++ b/jujubefold/callkeys.py
@@ -80,8 +80,9 @@
         Returns:
             A `callserver.Answer` or a `calls.Refusal`.
         """
+        scope = f'{calls.named_host(call.host)}{call.path}'
         request = claimoutcome.ClaimRequest(
-            f'{call.host}{call.path}', call.key, call.fingerprint, self._holder
+            scope, call.key, call.fingerprint, self._holder
         )
         left = max(0.0, call.deadline - self._clock.monotonic())
         found = await self._spawn(self._claims.claim(request, left))
--- a/jujubefold/calls.py
+++ b/jujubefold/calls.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import enum
+import functools
+import ipaddress
 
 from jujubefold import errors
 from jujubefold import mesh
@@ -25,6 +27,26 @@
 )
 
 
+@functools.lru_cache(maxsize=1024)
+def named_host(host):
+    """Return what a host says of a request, whichever daemon is called.
+
+    An IP number says only which daemon was called, and a request that is
+    sent again through another daemon is still the same.
+
+    Args:
+        host: Lower case, without port.
+
+    Returns:
+        The host, or '' for an IP number.
+    """
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return host
+    return ''
+
+
 class Reason(enum.StrEnum):
     """Why a request was refused or its outcome is in doubt."""
 
@@ -91,7 +113,7 @@
         depth: Hops from the first caller, 0 for the first.
         key: Idempotency key, '' for none.
         idempotent: Whether it may run twice.
-        fingerprint: Digest of method, host, path, query and body.
+        fingerprint: Digest of method, named host, path, query and body.
     """
 
     request: str
