Tell a restarted daemon that its own former claims have no holder

Cause: runtime._holder_gone looked among the other daemons only, so the daemon that held a claim, killed and back, told its key's sendings key-running for as long as the row stands.

--- a/jujubefold/runtime.py
+++ b/jujubefold/runtime.py
@@ -550,7 +550,10 @@
         vm, _, incarnation = holder.rpartition('/')
         if not incarnation.isdecimal():
             return False
-        known = self._tables.membership.members.get(vm)
+        table = self._tables.membership
+        if vm == table.me.vm:
+            return table.me.incarnation > int(incarnation)
+        known = table.members.get(vm)
         if known is None:
             return False
         return known.incarnation > int(incarnation) or not membership.is_live(
