Tell the truth of a try that was cut and found nobody the second time

Cause: an idempotent request on a connection used before was cut and sent again; the second time the upstream refused the connection, and the caller was told did-not-run, though the first may have run. Its crash was not counted either.

Change: the first failure is the outcome when the second was never sent. An upstream that refuses connections offers no slots for 0.25 s, because a refusal comes at once and looked like an idle instance.

Tried and reverted: at most two tries after a cut.

--- a/jujubefold/callgate.py
+++ b/jujubefold/callgate.py
@@ -26,6 +26,8 @@
 KEPT_COUNT = 4096
 CRASH_WINDOW_S = 0.05
 PROBE_TIMEOUT_S = 0.5
+# Seconds for which an upstream that refused a connection gets less work.
+UNREACHABLE_S = 0.25
 
 _ADMITTING = frozenset(
     {messages.UpstreamState.WARMING, messages.UpstreamState.SERVING}
@@ -157,6 +159,7 @@
         self._ended = collections.OrderedDict()
         self._ended_bytes = 0
         self._expiry = None
+        self._unreachable = None
         self._lost = []
 
     @property
@@ -173,6 +176,7 @@
         """Send to the upstream at this address from now on."""
         if address == self.address:
             return
+        self._set_reachable()
         old = self.pool
         self.pool = None if address is None else self._new_pool(address)
         if old is not None:
@@ -401,13 +405,15 @@
         Returns:
             An `Outcome` and its `calls.Ending`.
         """
+        doubtful = None
         while True:
             result = await self._exchange(call, message, allowance, start)
             if isinstance(result, callserver.Answer):
                 return self._answered(result)
             stale = result.reused and result.how is callclient.Failed.CUT
             if not (stale and call.idempotent):
-                return self._failed(result)
+                return self._failed(result, doubtful)
+            doubtful = result
             self.pool.purge()
 
     async def _exchange(self, call, message, allowance, start):
@@ -443,7 +449,17 @@
         answer.headers = hops.public(answer.headers)
         return answer, calls.Ending.ANSWERED
 
-    def _failed(self, failure):
+    def _failed(self, failure, doubtful):
+        """Return the `Outcome` and ending of a failed try.
+
+        Args:
+            failure: The last `callclient.Failure`.
+            doubtful: The one before, which may have run; None for none.
+        """
+        if failure.how is callclient.Failed.REFUSED:
+            self._set_unreachable()
+        if not failure.sent and doubtful is not None:
+            failure = doubtful
         if not failure.sent:
             late = failure.how is callclient.Failed.DEADLINE
             return _LATE if late else _NOT_SENT, calls.Ending.NEVER_SENT
@@ -456,6 +472,19 @@
         )
         return refusal, _ENDINGS.get(failure.how, calls.Ending.CANCELLED)
 
+    def _set_unreachable(self):
+        self._set_reachable()
+        self.table.unreachable = True
+        self._unreachable = asyncio.get_running_loop().call_later(
+            UNREACHABLE_S, self._set_reachable
+        )
+
+    def _set_reachable(self):
+        self.table.unreachable = False
+        if self._unreachable is not None:
+            self._unreachable.cancel()
+            self._unreachable = None
+
     # Crashes
 
     def _suspect_crash(self, call):
@@ -511,5 +540,6 @@
         """Stop timers and close connections."""
         if self._expiry is not None:
             self._expiry.cancel()
+        self._set_reachable()
         if self.pool is not None:
             self.pool.close()
--- a/jujubefold/gate.py
+++ b/jujubefold/gate.py
@@ -142,6 +142,7 @@
         learned: Slots that the upstream could take at `shed_at`.
         shed_at: Monotonic seconds of the last shed or silent attempt.
         limit: Slots usable when last looked at.
+        unreachable: Whether the upstream refused a connection just now.
     """
 
     slots: int
@@ -173,6 +174,7 @@
     learned: int = 0
     shed_at: float = _NEVER
     limit: int = 0
+    unreachable: bool = False
 
 
 def new_gate(slots, queue_limit=DEFAULT_QUEUE_LIMIT):
@@ -378,7 +380,9 @@
 
 def load(gate):
     """Return the `Load` to send with an answer."""
-    return Load(len(gate.running), len(gate.queue), gate.limit, gate.state)
+    # What refuses at once looks idle and would draw all calls.
+    slots = 0 if gate.unreachable else gate.limit
+    return Load(len(gate.running), len(gate.queue), slots, gate.state)
 
 
 def _count(text):
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -10,6 +10,7 @@
 from jujubefold import errors
 from jujubefold import gate
 from jujubefold import messages
+from jujubefold import peerview
 from jujubefold import servicetime
 from tests import calling
 
@@ -452,3 +453,14 @@
     def test_what_is_no_load_is_none(self):
         for text in ('', '1/2/3', '1/2/3/x', '-1/0/0/gone', '٣/0/0/gone'):
             self.assertIsNone(gate.Load.parse(text), text)
+
+
+class TestUnreachableUpstream(testtools.TestCase):
+    def test_offers_no_room_until_it_is_reachable(self):
+        table = gate.new_gate(6)
+        gate.set_upstream(table, messages.UpstreamState.SERVING, 6, 0.0)
+        self.assertTrue(peerview.has_room(gate.load(table)))
+        table.unreachable = True
+        self.assertFalse(peerview.has_room(gate.load(table)))
+        table.unreachable = False
+        self.assertTrue(peerview.has_room(gate.load(table)))
