--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -186,6 +186,10 @@
         self.upstreams.append(upstream)
         return upstream
 
+    def add_process(self, module, *arguments):
+        """Start another module that ends with the fleet."""
+        return self._start(module, *arguments)
+
     def _start(self, module, *arguments, name=None):
         log = None
         if name is not None:
--- a/jujubefold/example.py
+++ b/jujubefold/example.py
@@ -2,7 +2,7 @@
 
 Faults on demand, named by the header `example-fault`: `crash` before it
 answers, `cut` the answer half way, go `silent`, `shed`, `delay:MS`,
-`large:MEGABYTES`.
+`large:MEGABYTES`, `mirror` the request's body.
 """
 
 import asyncio
@@ -80,9 +80,11 @@
     Args:
         behaviour: A `Behaviour`.
         crash: Called for a `crash` fault; ends the process by default.
+        journal: File descriptor that gets the id of each request that
+            begins, a line each, so that a count outlives the process.
     """
 
-    def __init__(self, behaviour, crash=None):
+    def __init__(self, behaviour, crash=None, journal=None):
         self.executions = collections.Counter()
         self.cancelled = 0
         self.busy = 0.0
@@ -92,6 +94,7 @@
         self.leaving = False
         self._behaviour = behaviour
         self._crash = crash or (lambda: os._exit(CRASH_STATUS))
+        self._journal = journal
         self._clock = clock.SystemClock()
         self._started = self._clock.monotonic()
         self._server = callserver.Server(
@@ -171,6 +174,8 @@
         self.most_running = max(self.most_running, self.running)
         name = exchange.request.fields.get(calls.REQUEST_ID.encode(), b'')
         self.executions[name.decode('latin-1')] += 1
+        if self._journal is not None:
+            os.write(self._journal, name + b'\n')
         seconds = self._seconds(fault)
         if not fault and not seconds:
             self.running -= 1
@@ -206,6 +211,8 @@
                 exchange.reply_cut(_answer(200, _echo(exchange.request)))
             elif fault.startswith('large:'):
                 exchange.reply(_large(int(fault.partition(':')[2])))
+            elif fault == 'mirror':
+                exchange.reply(_mirror(exchange.request))
             elif seconds > left:
                 _reply(exchange, 504, b'{"detail":"deadline"}')
             else:
@@ -242,6 +249,10 @@
     )
 
 
+def _mirror(request):
+    return callserver.Answer(200, [], list(request.pieces), request.size)
+
+
 def _large(megabytes):
     piece = bytes(MEGABYTE)
     return callserver.Answer(
@@ -305,8 +316,8 @@
     upstream.drain()
 
 
-async def _run(listen, behaviour, client):
-    upstream = Upstream(behaviour)
+async def _run(listen, behaviour, client, journal=None):
+    upstream = Upstream(behaviour, journal=journal)
     address = await upstream.start(listen)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -326,6 +337,12 @@
     await upstream.stop()
 
 
+def _journal(path):
+    if path is None:
+        return None
+    return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+
+
 def serve(
     service: typing.Annotated[str, typer.Option(help='Service name.')],
     listen: typing.Annotated[
@@ -352,6 +369,10 @@
     key: typing.Annotated[
         pathlib.Path | None, typer.Option(help='Own private key.')
     ] = None,
+    journal: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(help='File that gets the id of each request.'),
+    ] = None,
 ):
     """Run the example upstream until SIGTERM."""
     behaviour = Behaviour(
@@ -367,7 +388,7 @@
             ANNOUNCE_TIMEOUT_S,
             **adminclient.tls_options(ca, cert, key),
         )
-    asyncio.run(_run(listen, behaviour, client))
+    asyncio.run(_run(listen, behaviour, client, _journal(journal)))
 
 
 def main():
