--- a/jujubefold/callgate.py
+++ b/jujubefold/callgate.py
@@ -26,6 +26,8 @@
 KEPT_COUNT = 4096
 CRASH_WINDOW_S = 0.05
 PROBE_TIMEOUT_S = 0.5
+# Seconds for which an upstream that refused a connection gets less work.
+UNREACHABLE_S = 0.25
 
 _ADMITTING = frozenset(
     {messages.UpstreamState.WARMING, messages.UpstreamState.SERVING}
@@ -168,6 +170,7 @@
         self._ended = collections.OrderedDict()
         self._ended_bytes = 0
         self._expiry = None
+        self._unreachable = None
         self._lost = []
 
     @property
@@ -184,6 +187,7 @@
         """Send to the upstream at this address from now on."""
         if address == self.address:
             return
+        self._set_reachable()
         old = self.pool
         self.pool = None if address is None else self._new_pool(address)
         if old is not None:
@@ -471,6 +475,8 @@
         return answer, calls.Ending.ANSWERED
 
     def _failed(self, failure):
+        if failure.how is callclient.Failed.REFUSED:
+            self._set_unreachable()
         if not failure.sent:
             late = failure.how is callclient.Failed.DEADLINE
             return _LATE if late else _NOT_SENT, calls.Ending.NEVER_SENT
@@ -483,6 +489,19 @@
         )
         return refusal, _ENDINGS.get(failure.how, calls.Ending.CANCELLED)
 
+    def _set_unreachable(self):
+        self._set_reachable()
+        self.table.unreachable = True
+        self._unreachable = asyncio.get_running_loop().call_later(
+            UNREACHABLE_S, self._set_reachable
+        )
+
+    def _set_reachable(self):
+        self.table.unreachable = False
+        if self._unreachable is not None:
+            self._unreachable.cancel()
+            self._unreachable = None
+
     # Crashes
 
     def _suspect_crash(self, call):
@@ -538,5 +557,6 @@
         """Stop timers and close connections."""
         if self._expiry is not None:
             self._expiry.cancel()
+        self._set_reachable()
         if self.pool is not None:
             self.pool.close()
