--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -12,6 +12,7 @@
 import httptools
 
 from jujubefold import callserver
+from jujubefold import eagertask
 from jujubefold import trust
 
 CONNECT_TIMEOUT_S = 1.0
@@ -358,6 +359,28 @@
             self._transport.write(self._out.popleft())
 
 
+async def exchange(connection, message, head, bounds):
+    """Send a request and wait for its end, in an eager task.
+
+    Args:
+        connection: A `Connection` from `Pool.take` or `Pool.acquire`.
+        message: A `Message`.
+        head: What `encode_head` made of it.
+        bounds: `Bounds`.
+
+    Returns:
+        A `callserver.Answer` or a `Failure`. When the task is cancelled,
+        the connection is closed.
+    """
+    waiter = eagertask.Waiter()
+    connection.start(message, head, bounds, waiter)
+    try:
+        return await waiter
+    except asyncio.CancelledError:
+        connection.abort()
+        raise
+
+
 class Pool:
     """Connections to one destination, never more than a bound.
 
@@ -402,6 +425,8 @@
 
     def take(self):
         """Return an idle connection, or None."""
+        # Sweeps may be far apart before the first exchange after a rest.
+        self.now = self._clock.monotonic()
         while self._idle:
             connection = self._idle.pop()
             if connection.usable:
--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -25,6 +25,7 @@
 from jujubefold import routing
 
 SWEEP_INTERVAL_S = 0.05
+IDLE_SWEEP_INTERVAL_S = 0.25
 DRAIN_POLL_S = 0.02
 # At least this long, late requests are refused instead of lost.
 DRAIN_QUIET_S = 0.3
@@ -334,8 +335,9 @@
                 del self._pools[address]
         if self._gate.pool is not None:
             self._gate.pool.sweep()
+        interval = SWEEP_INTERVAL_S if self._tasks else IDLE_SWEEP_INTERVAL_S
         loop = asyncio.get_running_loop()
-        self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        self._sweeper = loop.call_later(interval, self._sweep)
 
     def _spawn(self, coroutine, request, exchange=None):
         task = eagertask.EagerTask(
@@ -597,9 +599,7 @@
         deadline = self._clock.monotonic() + callclient.CONNECT_TIMEOUT_S
         bounds = callclient.Bounds(deadline, self._limits.peer_silence)
         head = callclient.encode_head(message)
-        waiter = eagertask.Waiter()
-        connection.start(message, head, bounds, waiter)
-        result = await waiter
+        result = await callclient.exchange(connection, message, head, bounds)
         if isinstance(result, callserver.Answer):
             self._answers.release(result.memory)
 
@@ -626,13 +626,7 @@
             call.deadline + PEER_DEADLINE_SLACK_S, self._limits.peer_silence
         )
         head = callclient.encode_head(message, extra)
-        waiter = eagertask.Waiter()
-        connection.start(message, head, bounds, waiter)
-        try:
-            return await waiter
-        except asyncio.CancelledError:
-            connection.abort()
-            raise
+        return await callclient.exchange(connection, message, head, bounds)
 
     def _read_outcome(self, result, method):
         """Return outcome and load from what another daemon answered."""
--- a/jujubefold/callgate.py
+++ b/jujubefold/callgate.py
@@ -459,13 +459,7 @@
             message, hops.context_headers(call, allowance, now)
         )
         bounds = callclient.Bounds(call.deadline, call.route.timeout.attempt)
-        waiter = eagertask.Waiter()
-        connection.start(message, head, bounds, waiter)
-        try:
-            return await waiter
-        except asyncio.CancelledError:
-            connection.abort()
-            raise
+        return await callclient.exchange(connection, message, head, bounds)
 
     def _answered(self, answer):
         if answer.status == 503 and SHED in dict(answer.headers):
