--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -57,11 +57,19 @@
     works = [
         *_control('convergence'),
         *_control('bytes'),
+        _line(
+            _newest('idle'),
+            'mean core %',
+            'daemon, convergence',
+            'idle core %',
+            CORE_PERCENT,
+        ),
         *_membership(),
         *_wire(),
         *_calls(),
         *_claims(),
         *_platform(),
+        *_operators(),
     ]
     return report.Report(
         name='capacity',
@@ -83,7 +91,12 @@
 
 
 def _line(found, y, role, what, bound=None, group=None, x='daemons'):
+    """Return a figure from a line, or the worst point where none rises."""
     fit = found.fit(x, y, group)
+    points = found.column(y, group)
+    if fit.slope <= 0:
+        source = f'{found.name}: no growth seen, worst of {len(points)} points'
+        return Worked(role, what, max(points), bound, source)
     source = (
         f'{found.name}: {fit.intercept:.4g} + {fit.slope:.4g} x {x}, '
         f'r2 {fit.r_squared:.2f}'
@@ -95,7 +108,12 @@
     found = _newest('convergence')
     role = f'daemon, {preset}'
     yield _line(
-        found, 'idle core %', role, 'idle core %', CORE_PERCENT, preset
+        found,
+        'idle core %',
+        role,
+        'core % with metrics read, busy machine',
+        CORE_PERCENT,
+        preset,
     )
     yield _line(found, 'MB', role, 'resident MB', MEMORY_MB, preset)
     yield _line(
@@ -244,3 +262,12 @@
         STORE_WRITES_PER_S,
         'one contact row a restart at most',
     )
+
+
+def _operators():
+    found = _newest('operators')
+    for column, what in (
+        ('members ms', 'members, ms'),
+        ('time line ms', 'time line, ms'),
+    ):
+        yield _line(found, column, 'command line', what)
