Test a gate whose version differs from the entry's

Cause: nothing showed that a request crossing daemons of two versions is served by one of them throughout.

--- a/jujubefold/selfcheck.py
+++ b/jujubefold/selfcheck.py
@@ -56,9 +56,8 @@
         )
         deadline = self._clock.monotonic() + TIMEOUT_S
         bounds = callclient.Bounds(deadline, TIMEOUT_S)
-        answered = asyncio.get_running_loop().create_future()
         head = callclient.encode_head(message)
-        connection.start(message, head, bounds, answered)
+        answered = connection.start(message, head, bounds)
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 return await answered
--- a/tests/callnodes.py
+++ b/tests/callnodes.py
@@ -51,7 +51,11 @@
 
 @dataclasses.dataclass(eq=False)
 class Node:
-    """One daemon's call path, with an upstream when it has one."""
+    """One daemon's call path, with an upstream when it has one.
+
+    Args:
+        configuration: What it has in force instead of the fleet's, or None.
+    """
 
     flow: callflow.CallFlow
     member: messages.Member
@@ -60,6 +64,7 @@
     caller_address: str = ''
     events: list = dataclasses.field(default_factory=list)
     seen: list = dataclasses.field(default_factory=list)
+    configuration: mesh.Mesh | None = None
 
 
 class Fleet:
@@ -88,7 +93,7 @@
             identity=who,
             clock=self.clock,
             rng=rng,
-            mesh_in_force=lambda: self.mesh,
+            mesh_in_force=lambda: node.configuration or self.mesh,
             live_members=lambda: self.others(node),
             own_member=lambda: node.member,
             gate_table=gate_table,
--- a/tests/test_callflow.py
+++ b/tests/test_callflow.py
@@ -19,6 +19,7 @@
 from jujubefold import faults
 from jujubefold import gate
 from jujubefold import hops
+from jujubefold import mesh
 from jujubefold import messages
 from jujubefold import objects
 from jujubefold import table
@@ -606,6 +607,25 @@
         for upstreams in ((True,), (False, True)):
             self.run_with(scenario, *upstreams, limits=limits)
 
+    def test_gate_with_another_version_serves_by_the_entrys_route(self):
+        async def scenario(fleet):
+            entry, gate_node = fleet.nodes
+            old = callnodes.new_route('old', '/old-only')
+            gate_node.configuration = mesh.Mesh(number=6, routes=(old,))
+            for node, wanted in (
+                (entry, (200, b'7')),
+                (gate_node, (404, b'6')),
+            ):
+                caller = callnodes.Caller(node.caller_address)
+                answer = await caller.ask(path='/new')
+                version = dict(answer.headers)[b'jujubefold-version']
+                self.assertEqual(wanted, (answer.status, version))
+            self.assertEqual(
+                ('did-not-run', 'no-route'), callnodes.outcome(answer)
+            )
+
+        self.run_with(scenario, False, True)
+
     def test_answers_state_version_and_request(self):
         async def scenario(fleet):
             for node in fleet.nodes:
