--- a/jujubefold/adminapi.py
+++ b/jujubefold/adminapi.py
@@ -14,7 +14,6 @@
 from jujubefold import errors
 from jujubefold import events
 from jujubefold import gate
-from jujubefold import messages
 from jujubefold import timeline
 from jujubefold import trust
 from jujubefold import upstreams
@@ -47,12 +46,16 @@
             entry('GET', '/v1/head', self._head),
             entry('GET', '/v1/versions', self._versions),
             entry('GET', '/v1/versions/{}', self._version),
-            entry('POST', '/v1/patches', self._submit),
+            entry('POST', '/v1/patches', self._guarded(self._submit)),
             entry('GET', '/v1/patches/{}', self._patch),
-            entry('POST', '/v1/patches/{}/abandon', self._abandon),
+            entry(
+                'POST',
+                '/v1/patches/{}/abandon',
+                self._guarded(self._abandon),
+            ),
             entry('GET', '/v1/timeline', self._timeline),
             entry('PUT', '/v1/upstream', self._announce),
-            entry('POST', '/v1/drain', self._drain),
+            entry('POST', '/v1/drain', self._guarded(self._drain)),
         )
 
     def _metrics(self, request):
@@ -104,7 +107,7 @@
         if not request.path[0].isdecimal():
             return _invalid('version', 'needs a whole number')
         number = int(request.path[0])
-        listed = self._await(self._runtime.acceptance.listing(number - 1, 1))
+        listed = self._listed(number)
         if listed.is_error():
             return _refusal(listed.error)
         if not listed.ok or listed.ok[0].version.number != number:
@@ -123,10 +126,11 @@
             )
         )
 
+    def _listed(self, number):
+        """Return the listing that begins with a version number."""
+        return self._await(self._runtime.acceptance.listing(number - 1, 1))
+
     def _submit(self, request):
-        allowed = self._allowed(request)
-        if allowed is not None:
-            return allowed
         decoded = adminmodels.decode(request.body, adminmodels.PatchSubmission)
         if decoded.is_error():
             return adminserver.invalid(decoded.error)
@@ -149,9 +153,6 @@
         return self._patch_state(found)
 
     def _abandon(self, request):
-        allowed = self._allowed(request)
-        if allowed is not None:
-            return allowed
         name = request.path[0]
         if not _PATCH_ID.fullmatch(name):
             return _invalid('patch_id', 'needs 1 to 128 of A-Z a-z 0-9 ._:-')
@@ -164,9 +165,7 @@
         status = found.ok
         version = None
         if status.number:
-            listed = self._await(
-                self._runtime.acceptance.listing(status.number - 1, 1)
-            )
+            listed = self._listed(status.number)
             if listed.is_error():
                 return _refusal(listed.error)
             version = _summary(listed.ok[0].version)
@@ -205,13 +204,19 @@
         return adminserver.Answer(http.HTTPStatus.NO_CONTENT, b'')
 
     def _drain(self, request):
-        allowed = self._allowed(request)
-        if allowed is not None:
-            return allowed
         self._call(self._runtime.drain)
         return adminserver.ok(self._call(self._own_status))
 
-    def _allowed(self, request):
+    def _guarded(self, answer):
+        """Return an endpoint's function that only listed operators reach."""
+
+        def guarded(request):
+            refused = self._refused(request)
+            return answer(request) if refused is None else refused
+
+        return guarded
+
+    def _refused(self, request):
         """Return the refusal of an operator not listed, or None."""
         checked = trust.may_submit(self._runtime.options.tls, request.operator)
         if checked.is_ok():
@@ -365,11 +370,3 @@
         since_ns=since,
         until_ns=until,
     )
-
-
-def states(fleet):
-    """Return how many members of an `adminmodels.Fleet` are in each state."""
-    return {
-        state: sum(member.state is state for member in fleet.members)
-        for state in messages.MemberState
-    }
