--- a/bench/standin.py
+++ b/bench/standin.py
@@ -10,7 +10,7 @@
 def run():
     """Run a stand-in; yields what it printed about its addresses."""
     process = subprocess.Popen(
-        [sys.executable, '-m', 'jujubefold.platform'], stdout=subprocess.PIPE
+        [sys.executable, '-m', 'jujubefold.standin'], stdout=subprocess.PIPE
     )
     try:
         yield json.loads(process.stdout.readline())
--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -8,16 +8,21 @@
 import collections
 import dataclasses
 import enum
+import math
+import re
 
 import httptools
 
 from jujubefold import callserver
 from jujubefold import eagertask
+from jujubefold import sockets
 from jujubefold import trust
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 60.0
 SPARE_IDLE_S = 0.25
+# The other end counts from its last byte, and closes on whole seconds.
+KEEP_ALIVE_MARGIN_S = 1.0
 MAX_HEAD_BYTES = 64 * 1024
 WRITE_BUFFER_BYTES = 256 * 1024
 JOINED_WRITE_BYTES = 64 * 1024
@@ -39,6 +44,8 @@
 )
 _WITH_BODY = frozenset({'POST', 'PUT', 'PATCH'})
 _INTERIM = range(100, 200)
+_NO_BODY = frozenset({204, 304})
+_KEEP_ALIVE = re.compile(rb'timeout=(\d{1,6})')
 
 
 class Failed(enum.StrEnum):
@@ -80,6 +87,7 @@
         headers: End-to-end pairs, names in lower case.
         pieces: Body in order.
         size: Body length in bytes.
+        name: Id that the answer echoes; b'' when it need not.
     """
 
     method: str
@@ -87,6 +95,7 @@
     headers: list
     pieces: list
     size: int
+    name: bytes = b''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,6 +132,18 @@
     ]
 
 
+def is_unframed(status, fields):
+    """Return whether an answer's body ends with its connection.
+
+    Args:
+        status: HTTP status.
+        fields: Headers by lower-case name.
+    """
+    if status in _NO_BODY:
+        return False
+    return not fields.keys() & {b'content-length', b'transfer-encoding'}
+
+
 def encode_head(message, extra=()):
     """Return the head of a request on the wire.
 
@@ -165,6 +186,10 @@
         self._fault = None
         self._poisoned = False
         self._closed = False
+        self._name = b''
+        self._skipping = False
+        self._to_end = False
+        self.idle_limit = IDLE_TIMEOUT_S
         self.moved_at = 0.0
         self.bounds = None
 
@@ -199,6 +224,7 @@
             done = self._pool.loop.create_future()
         self._done = done
         self._method = message.method
+        self._name = message.name
         self.bounds = bounds
         self._sent = False
         self.moved_at = self._pool.now
@@ -224,6 +250,7 @@
     def connection_made(self, transport):
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        sockets.probe(transport)
 
     def data_received(self, data):
         self.moved_at = self._pool.now
@@ -245,6 +272,11 @@
             self.abort(*self._fault)
 
     def eof_received(self):
+        if self._to_end and self._answer is not None:
+            # Without a length, the end of the connection ends the answer.
+            self._whole = True
+            self._poisoned = True
+            self._finish()
         return False
 
     def connection_lost(self, exc):
@@ -276,7 +308,13 @@
         status = self._parser.get_status_code()
         if status in _INTERIM or self._whole:
             return
-        length = int(dict(self._headers).get(b'content-length', 0))
+        fields = dict(self._headers)
+        if self._is_surplus(fields):
+            self._skipping = True
+            self._poisoned = True
+            return
+        self._note_idle_limit(fields)
+        length = int(fields.get(b'content-length', 0))
         headers = end_to_end(self._headers)
         answer = callserver.Answer(status, headers, [], 0)
         self._answer = answer
@@ -286,8 +324,24 @@
             self._poisoned |= not self._parser.should_keep_alive()
         elif length:
             self._reserve(length)
+        else:
+            self._to_end = self._pool.unframed and is_unframed(status, fields)
+
+    def _is_surplus(self, fields):
+        """Return whether an answer belongs to an earlier request."""
+        if not self._name or self._pool.echo is None:
+            return False
+        return fields.get(self._pool.echo, self._name) != self._name
+
+    def _note_idle_limit(self, fields):
+        found = _KEEP_ALIVE.search(fields.get(b'keep-alive', b''))
+        if found is not None:
+            stated = int(found[1]) - KEEP_ALIVE_MARGIN_S
+            self.idle_limit = max(0.0, min(IDLE_TIMEOUT_S, stated))
 
     def on_body(self, piece):
+        if self._skipping:
+            return
         answer = self._answer
         if answer is None or self._whole:
             self._poisoned = True
@@ -299,6 +353,9 @@
             self._reserve(over)
 
     def on_message_complete(self):
+        if self._skipping:
+            self._skipping = False
+            return
         if self._answer is not None:
             self._whole = True
             # Within the callback: the parser forgets it right after.
@@ -326,6 +383,7 @@
         done, self._done = self._done, None
         answer, self._answer = self._answer, None
         self._whole = False
+        self._to_end = False
         if self._method == 'HEAD':
             # The parser waits for a body that never comes.
             self._parser = httptools.HttpResponseParser(self)
@@ -392,12 +450,28 @@
         answer_limit: Largest answer body in bytes.
         tls: `ssl.SSLContext` or None.
 
+        echo: Lower-case name of the header in which answers repeat a
+            request's id, or None when they don't.
+        unframed: Whether an answer may end with its connection.
+
     Attributes:
         spare: Most connections kept open while idle; None for all.
     """
 
-    def __init__(self, address, bound, clock, answers, answer_limit, tls=None):
+    def __init__(
+        self,
+        address,
+        bound,
+        clock,
+        answers,
+        answer_limit,
+        tls=None,
+        echo=None,
+        unframed=False,
+    ):
         self.spare = None
+        self.echo = echo
+        self.unframed = unframed
         self.address = address
         self.answers = answers
         self.answer_limit = answer_limit
@@ -423,13 +497,20 @@
         """How many exchanges are under way."""
         return sum(connection.busy for connection in self._open)
 
-    def take(self):
-        """Return an idle connection, or None."""
+    def take(self, rested=math.inf):
+        """Return an idle connection, or None.
+
+        Args:
+            rested: Seconds; one that was idle for longer is closed instead.
+        """
         # Sweeps may be far apart before the first exchange after a rest.
         self.now = self._clock.monotonic()
         while self._idle:
             connection = self._idle.pop()
-            if connection.usable:
+            limit = min(rested, connection.idle_limit)
+            if self.now - connection.moved_at > limit:
+                connection.abort()
+            elif connection.usable:
                 return connection
         return None
 
@@ -500,7 +581,7 @@
         for connection in tuple(self._open):
             waited = self.now - connection.moved_at
             if not connection.busy:
-                if waited > IDLE_TIMEOUT_S:
+                if waited > connection.idle_limit:
                     connection.abort()
             elif (
                 waited > connection.bounds.progress
--- a/jujubefold/calls.py
+++ b/jujubefold/calls.py
@@ -51,6 +51,8 @@
     UPSTREAM_SHED = 'upstream-shed'
     UPSTREAM_CUT = 'upstream-cut'
     UPSTREAM_SILENT = 'upstream-silent'
+    UPSTREAM_GARBLED = 'upstream-garbled'
+    UPSTREAM_FAILED = 'upstream-failed'
     PEER_LOST = 'peer-lost'
 
 
--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -369,7 +369,7 @@
             allowed = self._request.size * FRAMING_FACTOR + MAX_FRAMING_BYTES
             if self._raw_bytes > allowed:
                 raise _Refused(malformed('request framing too large'))
-        elif self._started and self._raw_bytes > MAX_HEAD_BYTES:
+        elif self._started and self._raw_bytes > self._server.head_bytes:
             raise _Refused(_too_large('request headers too large', 431))
 
     def _break(self, answer):
@@ -571,9 +571,12 @@
         clock: A `clock.Clock`.
         requests: `bodies.Budget` for request bodies.
         answers: `bodies.Budget` that answers were reserved in.
-        timeouts: A `Timeouts`.
+        timeouts: A `Timeouts`; may be replaced while it runs.
         heartbeat: Whether senders that wait are told every moment, by an
             interim answer, that the connection still works.
+
+    Attributes:
+        head_bytes: Most bytes of a request's head.
     """
 
     def __init__(
@@ -592,8 +595,9 @@
         self.stopping = False
         # Coarse time, so that no request pays for reading the clock.
         self.now = clock.monotonic()
+        self.head_bytes = MAX_HEAD_BYTES
+        self.timeouts = timeouts or Timeouts()
         self._clock = clock
-        self._timeouts = timeouts or Timeouts()
         self._connections = set()
         self._server = None
         self._timer = None
@@ -654,7 +658,7 @@
         """Apply the time bounds to every connection."""
         self.now = self._clock.monotonic()
         for connection in tuple(self._connections):
-            connection.sweep(self.now, self._timeouts)
+            connection.sweep(self.now, self.timeouts)
 
     def drain(self, listening=False):
         """Close each connection behind its next answer.
--- a/jujubefold/crashes.py
+++ b/jujubefold/crashes.py
@@ -211,12 +211,26 @@
     if _answered_lately(table, item.fingerprint, context.now):
         _owe(table, item.upstream, item.fingerprint)
         return
+    yield from learn(table, item, context.now)
+
+
+def learn(table, report, now):
+    """Take another daemon's evidence.
+
+    Args:
+        table: A `CrashTable`.
+        report: A `messages.CrashReport` with a count.
+        now: Monotonic seconds.
+
+    Returns:
+        Iterator of `effects.Effect`.
+    """
     evidence = Evidence(
-        min(item.count, MAX_COUNT_A_UPSTREAM),
-        min(item.blame_milli, item.count * _MILLI),
+        min(report.count, MAX_COUNT_A_UPSTREAM),
+        min(report.blame_milli, report.count * _MILLI),
     )
     yield from _take(
-        table, item.fingerprint, item.upstream, evidence, context.now
+        table, report.fingerprint, report.upstream, evidence, now
     )
 
 
--- a/jujubefold/mesh.py
+++ b/jujubefold/mesh.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+_ENDS = ('', '/')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryPolicy:
@@ -115,6 +117,8 @@
             method (RFC 9110 section 9.2.2).
         keyed: Whether a non-idempotent request must name a key.
         priority: 0 to 9; higher survives overload longer.
+        objective: Seconds within which an answer serves the caller fully;
+            0 for none stated.
     """
 
     name: str
@@ -129,6 +133,7 @@
     idempotent: bool | None = None
     keyed: bool = False
     priority: int = 5
+    objective: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,11 +144,14 @@
         number: Version number it came from; 0 for the empty mesh.
         routes: Most specific first.
         services: By name.
+        literal: Whether a prefix matches by its very bytes, the slash at
+            its end included, instead of at `/` boundaries.
     """
 
     number: int = 0
     routes: tuple[Route, ...] = ()
     services: dict[str, Service] = dataclasses.field(default_factory=dict)
+    literal: bool = False
     _places: dict[str, '_Places'] = dataclasses.field(
         init=False, repr=False, compare=False
     )
@@ -151,7 +159,9 @@
     def __post_init__(self):
         places = {}
         for route in self.routes:
-            places.setdefault(route.host, _Places()).add(route)
+            places.setdefault(route.host, _Places(self.literal)).add(
+                route
+            )
         object.__setattr__(self, '_places', places)
 
     def match(self, host, path, method):
@@ -178,15 +188,17 @@
     """Routes of one host by path prefix.
 
     Args:
-        prefixes: Routes by path without a slash at its end.
+        literal: As in `Mesh`.
+        prefixes: Routes by path, without a slash at its end if not literal.
         lengths: Lengths of the prefixes, longest first.
     """
 
+    literal: bool = False
     prefixes: dict[str, list[Route]] = dataclasses.field(default_factory=dict)
     lengths: list[int] = dataclasses.field(default_factory=list)
 
     def add(self, route):
-        prefix = route.path.rstrip('/')
+        prefix = route.path if self.literal else route.path.rstrip('/')
         self.prefixes.setdefault(prefix, []).append(route)
         if len(prefix) not in self.lengths:
             self.lengths.append(len(prefix))
@@ -194,7 +206,7 @@
 
     def find(self, path, method):
         for length in self.lengths:
-            if path[length : length + 1] not in ('', '/'):
+            if not self.literal and path[length : length + 1] not in _ENDS:
                 continue
             for route in self.prefixes.get(path[:length], ()):
                 if not route.methods or method in route.methods:
--- /dev/null
+++ b/jujubefold/platform/announcements.py
@@ -0,0 +1,139 @@
+"""Calls that arrive here: announcements, readiness and metrics."""
+
+import urllib.parse
+
+import msgspec
+
+from jujubefold import callserver
+from jujubefold.sidecar import instance
+
+PATH = '/api/rpc'
+READINESS_PATH = '/api/readiness'
+METRICS_PATH = '/metrics'
+HEARTBEAT = 'instances.heartbeat'
+DEREGISTER = 'instances.deregister'
+_MAX_BODY_BYTES = 64 * 1024
+
+
+class _Info(msgspec.Struct):
+    service: str
+    slots: int
+
+
+class _Status(msgspec.Struct):
+    state: instance.State
+    sequence: int
+    cold_remaining_s: float = 0.0
+
+
+class _Heartbeat(msgspec.Struct):
+    address: str
+    info: _Info
+    status: _Status
+    # Unix milliseconds of the instance's start.
+    born: int = 0
+
+
+_decoder = msgspec.json.Decoder(_Heartbeat)
+
+
+class Announcements:
+    """Takes what the upstream says of itself.
+
+    Args:
+        egress: The `egress.Egress`.
+        service: Service of the upstream on this VM.
+        address: Where it listens.
+    """
+
+    def __init__(self, egress, service, address):
+        self._egress = egress
+        self._service = service
+        self._address = address
+
+    def body_limit(self, request):
+        """Return the most bytes that a body may have."""
+        return _MAX_BODY_BYTES
+
+    def take(self, exchange):
+        """Serve one call."""
+        request = exchange.request
+        query = dict(
+            urllib.parse.parse_qsl(
+                request.target.partition(b'?')[2].decode('latin-1')
+            )
+        )
+        name = query.get('of', '')
+        call = query.get('call')
+        if request.path != PATH or not name:
+            exchange.reply(_json(404))
+        elif call == HEARTBEAT:
+            exchange.reply(self._announced(name, b''.join(request.pieces)))
+        elif call == DEREGISTER:
+            self._egress.deregistered(name)
+            exchange.reply(_json(200))
+        else:
+            exchange.reply(_json(404))
+
+    def _announced(self, name, body):
+        try:
+            said = _decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeError):
+            return _json(400)
+        if said.info.service != self._service or said.info.slots < 1:
+            return _json(400)
+        if said.address != self._address:
+            return _json(400)
+        self._egress.announced(
+            instance.Announcement(
+                name,
+                said.address,
+                said.info.service,
+                said.info.slots,
+                said.status.state,
+                said.status.sequence,
+                said.born,
+                max(0.0, said.status.cold_remaining_s),
+            )
+        )
+        return _json(200)
+
+
+class Page:
+    """Serves one path.
+
+    Args:
+        path: The path.
+        answer: Called without arguments, returns status and body.
+    """
+
+    def __init__(self, path, answer):
+        self._path = path
+        self._answer = answer
+
+    def body_limit(self, request):
+        """Return the most bytes that a body may have."""
+        return _MAX_BODY_BYTES
+
+    def take(self, exchange):
+        """Serve one call."""
+        if exchange.request.path != self._path:
+            exchange.reply(_json(404))
+            return
+        status, body = self._answer()
+        exchange.reply(callserver.Answer(status, [], [body], len(body)))
+
+
+def readiness(is_ready):
+    """Return the handler of the platform's question for readiness."""
+    return Page(READINESS_PATH, lambda: (200 if is_ready() else 503, b''))
+
+
+def metrics(render):
+    """Return the handler of scrapers."""
+    return Page(METRICS_PATH, lambda: (200, render()))
+
+
+def _json(status):
+    headers = [(b'content-type', b'application/json')]
+    return callserver.Answer(status, headers, [b'{}'], 2)
--- /dev/null
+++ b/jujubefold/platform/configuration.py
@@ -0,0 +1,140 @@
+"""The operator's configuration, decoded into the mesh model."""
+
+import expression
+import msgspec
+
+from jujubefold import errors
+from jujubefold import mesh
+from jujubefold.sidecar import versions
+
+TABLE = 'op'
+KEY = 'config'
+
+# Ranks run from 0 upwards on the wire; the model's priorities fall.
+_IDEMPOTENT = {'idempotent': True, 'non_idempotent': False}
+
+
+class _Table(msgspec.Struct):
+    """Rows as lists of values, in the order of `columns`."""
+
+    columns: list[str]
+    rows: list[list[object]]
+
+    def records(self):
+        """Yield each row as a map without its missing values."""
+        for row in self.rows:
+            yield {
+                name: value
+                for name, value in zip(self.columns, row, strict=False)
+                if value is not None
+            }
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: int = 1
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_s: float
+    # The time within which an answer earns its full worth; no bound.
+    target_latency_s: float = 0.0
+    # A rank: 0 is the most urgent.
+    priority: int = 0
+    service: str | None = None
+    # Upstreams that a request may be sent to, the first one included.
+    max_attempts: int = 1
+    traffic_split: list[_Part] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = ''
+    # Connections that one upstream takes from all daemons together.
+    max_connections: int = 0
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class _Document(msgspec.Struct):
+    version: int
+    routes: _Table
+    services: _Table
+    limits: _Limits
+
+
+_decoder = msgspec.json.Decoder(_Document)
+
+
+def decode(body):
+    """Return the configuration in the operator's row.
+
+    Args:
+        body: The row's bytes.
+
+    Returns:
+        `Ok(versions.Configuration)` or `Error(errors.Invalid)`.
+    """
+    try:
+        document = _decoder.decode(body)
+        services = {
+            item.name: mesh.Service(item.name, item.health_path)
+            for item in msgspec.convert(
+                list(document.services.records()), list[_Service]
+            )
+        }
+        routes = msgspec.convert(
+            list(document.routes.records()), list[_Route]
+        )
+        found = mesh.Mesh(
+            document.version,
+            tuple(_route(item) for item in routes),
+            services,
+            literal=True,
+        )
+    except (msgspec.DecodeError, UnicodeError, KeyError) as error:
+        return expression.Error(errors.Invalid(str(error), KEY))
+    limits = document.limits
+    return expression.Ok(
+        versions.Configuration(
+            found,
+            versions.CallerLimits(
+                limits.max_header_bytes,
+                limits.max_body_bytes,
+                limits.header_timeout_s,
+                limits.idle_timeout_s,
+            ),
+        )
+    )
+
+
+def _route(item):
+    parts = item.traffic_split or [_Part(item.service or '')]
+    return mesh.Route(
+        name=item.name,
+        host=item.host.lower(),
+        path=item.prefix,
+        methods=(),
+        targets=tuple(
+            mesh.Target(
+                mesh.EndpointGroup(part.service, part.service), part.weight
+            )
+            for part in parts
+        ),
+        retry=mesh.RetryPolicy(max(1, item.max_attempts)),
+        limit=mesh.LimitPolicy(),
+        timeout=mesh.TimeoutPolicy(item.timeout_s, item.timeout_s),
+        headers=mesh.HeaderRule(),
+        idempotent=_IDEMPOTENT[item.kind],
+        priority=-item.priority,
+        objective=item.target_latency_s,
+    )
--- /dev/null
+++ b/jujubefold/platform/headers.py
@@ -0,0 +1,13 @@
+"""Header names on the wire."""
+
+from jujubefold.sidecar import attempt
+
+NAMES = attempt.HeaderNames(
+    request=b'x-request-id',
+    deadline=b'x-deadline-ms',
+    seal=b'x-server-seal',
+    expected=b'x-expect-instance',
+    not_run=b'x-not-executed',
+    caller=b'x-caller-service',
+    retry_after=b'retry-after',
+)
--- /dev/null
+++ b/jujubefold/platform/store.py
@@ -0,0 +1,192 @@
+"""The platform's store, as a row feed over its published calls."""
+
+import asyncio
+import base64
+import urllib.parse
+
+import expression
+import msgspec
+
+from jujubefold import bodies
+from jujubefold import callclient
+from jujubefold import errors
+from jujubefold.sidecar import rowfeed
+
+WRITE = b'/api/rows-tx'
+READ = b'/api/rows-get'
+FEED = b'/api/rows-feed'
+# Seconds for which a feed call waits for changes; each costs a call.
+WAIT_S = 10.0
+# Connections: two feeds, a read, a write, and one being replaced.
+CONNECTIONS = 6
+ANSWER_BYTES = 16 * 1024 * 1024
+_MS = 1000
+
+
+class _Row(msgspec.Struct):
+    key: str
+    # Missing on rows that were dropped.
+    value: str = ''
+    deleted: bool = False
+    row_version: int = 0
+
+
+class _Rows(msgspec.Struct):
+    rows: list[_Row]
+    row_version: int
+    has_more: bool = False
+
+
+_decoder = msgspec.json.Decoder(_Rows)
+
+
+class StoreFeed(rowfeed.RowFeed):
+    """Rows of the platform's store.
+
+    Args:
+        options: `options.Store`.
+        clock: A `clock.Clock`.
+        called: Called with operation, outcome and seconds of each call.
+    """
+
+    def __init__(self, options, clock, called):
+        self._options = options
+        self._clock = clock
+        self._called = called
+        self._pool = None
+
+    async def read(self, table):
+        rows = []
+        start = ''
+        while True:
+            query = {'table': table, 'part': '', 'limit': 500}
+            if start:
+                query['from'] = start
+            result = await self._get('read', READ, query, 0.0)
+            if result.is_error():
+                return result
+            page = result.ok
+            rows.extend(_row(item) for item in page.rows)
+            if not page.has_more or not page.rows:
+                return expression.Ok(
+                    rowfeed.Rows(tuple(rows), page.row_version)
+                )
+            # The range begins with this key; the smallest one behind it.
+            start = page.rows[-1].key + '\0'
+
+    async def changes(self, table, after):
+        query = {
+            'table': table,
+            'after': after,
+            'wait_ms': int(WAIT_S * _MS),
+        }
+        result = await self._get('feed', FEED, query, WAIT_S)
+        if result.is_error():
+            return result
+        return expression.Ok(
+            rowfeed.Rows(
+                tuple(_row(item) for item in result.ok.rows),
+                result.ok.row_version,
+            )
+        )
+
+    async def put(self, table, key, value):
+        entry = {
+            'table': table,
+            'part': '',
+            'key': key,
+            'value': base64.b64encode(value).decode(),
+        }
+        return await self._write({'puts': [entry]})
+
+    async def remove(self, table, key):
+        entry = {'table': table, 'part': '', 'key': key}
+        return await self._write({'remove': [entry]})
+
+    async def _get(self, operation, path, query, wait):
+        target = path + b'?' + urllib.parse.urlencode(query).encode()
+        answer = await self._call(operation, 'GET', target, b'', wait)
+        if answer.is_error():
+            return answer.map_error(lambda error: _not_run(error.reason))
+        if answer.ok.status == 410:
+            return expression.Error(rowfeed.Forgotten('history is gone'))
+        if answer.ok.status != 200:
+            return expression.Error(_not_run(f'status {answer.ok.status}'))
+        try:
+            return expression.Ok(_decoder.decode(b''.join(answer.ok.pieces)))
+        except (msgspec.DecodeError, UnicodeError) as error:
+            return expression.Error(_not_run(str(error)))
+
+    async def _write(self, body):
+        encoded = msgspec.json.encode(
+            {'expected_rev': [], 'puts': [], 'remove': [], **body}
+        )
+        answer = await self._call('write', 'POST', WRITE, encoded, 0.0)
+        if answer.is_error():
+            return answer
+        if answer.ok.status == 200:
+            return expression.Ok(None)
+        return expression.Error(_not_run(f'status {answer.ok.status}'))
+
+    async def _call(self, operation, method, target, body, wait):
+        began = self._clock.monotonic()
+        result = await self._exchange(method, target, body, wait)
+        now = self._clock.monotonic()
+        if isinstance(result, callclient.Failure):
+            self._called(operation, result.how.value, now - began)
+            known = not result.sent
+            kind = errors.StoreNotRun if known else errors.StoreUnknown
+            detail = result.detail or result.how.value
+            return expression.Error(kind(detail))
+        self._called(operation, str(result.status), now - began)
+        self._pool.answers.release(result.memory)
+        return expression.Ok(result)
+
+    async def _exchange(self, method, target, body, wait):
+        if self._pool is None:
+            self._pool = callclient.Pool(
+                self._options.address,
+                CONNECTIONS,
+                self._clock,
+                bodies.Budget(ANSWER_BYTES),
+                ANSWER_BYTES,
+            )
+        timeout = self._options.timeout
+        connection = await self._pool.acquire(timeout)
+        if isinstance(connection, callclient.Failure):
+            return connection
+        headers = [(b'host', self._options.address.encode())]
+        if body:
+            headers.append((b'content-type', b'application/json'))
+        message = callclient.Message(
+            method, target, headers, [body] if body else [], len(body)
+        )
+        until = self._clock.monotonic() + wait + timeout
+        bounds = callclient.Bounds(until, wait + timeout)
+        head = callclient.encode_head(message)
+        return await self._within(
+            connection, message, head, bounds, wait + timeout
+        )
+
+    async def _within(self, connection, message, head, bounds, seconds):
+        """Exchange, closing the connection when its time is up."""
+        timer = self._pool.loop.call_later(
+            seconds, connection.abort, callclient.Failed.SILENT
+        )
+        try:
+            return await connection.start(message, head, bounds)
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        finally:
+            timer.cancel()
+
+
+def _row(item):
+    if item.deleted:
+        return rowfeed.Row(item.key, None)
+    return rowfeed.Row(item.key, base64.b64decode(item.value))
+
+
+def _not_run(reason):
+    return errors.StoreNotRun(reason)
--- a/jujubefold/problems.py
+++ b/jujubefold/problems.py
@@ -25,6 +25,8 @@
     calls.Reason.DEADLINE: 504,
     calls.Reason.UPSTREAM_CUT: 502,
     calls.Reason.UPSTREAM_SILENT: 504,
+    calls.Reason.UPSTREAM_GARBLED: 502,
+    calls.Reason.UPSTREAM_FAILED: 502,
     calls.Reason.PEER_LOST: 502,
     calls.Reason.CANCELLED: 499,
 }
--- /dev/null
+++ b/jujubefold/sidecar/daemon.py
@@ -0,0 +1,461 @@
+"""Daemon: wires a sidecar together, starts it, and stops it gracefully."""
+
+import asyncio
+import dataclasses
+import gc
+import os
+import pathlib
+import random
+import signal
+
+from jujubefold import bodies
+from jujubefold import callserver
+from jujubefold import clock
+from jujubefold import identity
+from jujubefold import logs
+from jujubefold import runtimeloop
+from jujubefold.sidecar import attempt as attempts
+from jujubefold.sidecar import egress
+from jujubefold.sidecar import fleet
+from jujubefold.sidecar import follower
+from jujubefold.sidecar import ingress
+from jujubefold.sidecar import journal
+from jujubefold.sidecar import metrics
+from jujubefold.sidecar import options as settings
+from jujubefold.sidecar import retries
+from jujubefold.sidecar import roster
+from jujubefold.sidecar import versions
+
+MEMBERS_TABLE = 'jujubefold-members'
+# Seconds between two reads of a feed: members may come in herds, a version
+# is wanted at once.
+MEMBERS_REST_S = 0.4
+VERSIONS_REST_S = 0.02
+SWEEP_S = 0.1
+SETTINGS_POLL_S = 1.0
+# Bytes of request bodies, and of answers to callers, buffered at once.
+REQUEST_BYTES = 48 * 1024 * 1024
+ANSWER_BYTES = 32 * 1024 * 1024
+MAX_BODY_BYTES = 32 * 1024 * 1024
+# Seconds after SIGTERM until callers are known to have turned away: the
+# platform asks for readiness each second and wants two misses.
+TURNED_AWAY_S = 2.3
+# Seconds after SIGTERM at which other daemons are told to offer no more.
+GOODBYE_S = 1.2
+# Share of the grace after which what still runs is cut: the platform does
+# not hold a request against a stop that lasts into the last sixth.
+CUT_SHARE = 0.85
+# Seconds for which a connection with an answer on its way may linger.
+CLOSING_S = 0.2
+STOP_POLL_S = 0.02
+WRITE_PAUSE_S = 0.5
+# Objects allocated between two collections; most of a request's die by
+# reference counting.
+GC_THRESHOLD = 20_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """What an adapter brings.
+
+    Args:
+        names: `attempt.HeaderNames`.
+        configuration_table: Table of the row with the configuration.
+        configuration_key: Key of that row.
+        decode: Turns that row's bytes into `versions.Configuration`.
+        new_feed: Called with `options.Store`, a clock and a callback for
+            each call, returns a `rowfeed.RowFeed`.
+        new_announcements: Called with an `egress.Egress` and the service
+            and address of the upstream, returns a request handler.
+        new_readiness: Called with a function that tells whether the daemon
+            is ready, returns a request handler.
+        new_metrics: Called with a function that renders metrics, returns a
+            request handler.
+    """
+
+    names: attempts.HeaderNames
+    configuration_table: str
+    configuration_key: str
+    decode: object
+    new_feed: object
+    new_announcements: object
+    new_readiness: object
+    new_metrics: object
+
+
+class Daemon:
+    """One sidecar.
+
+    Args:
+        options: An `options.Options`.
+        platform: A `Platform`.
+        time_source: A `clock.Clock`.
+        output: A `journal.Output`.
+    """
+
+    def __init__(self, options, platform, time_source, output):
+        self._options = options
+        self._platform = platform
+        self._clock = time_source
+        self._rng = random.Random()
+        place = options.daemon
+        self._me = roster.Member(
+            place.vm,
+            identity.new_incarnation(time_source, self._rng),
+            options.listen.peers,
+            options.upstream.service,
+            place.region,
+            place.failure_domain,
+        )
+        self._journal = journal.Journal(time_source, output)
+        self._metrics = metrics.SidecarMetrics()
+        self._stopping = False
+        self.stop_wanted = asyncio.Event()
+        self.versions = versions.Versions(
+            platform.decode, self._version_changed, self._journal
+        )
+        self.egress = egress.Egress(
+            platform.names,
+            time_source,
+            f'{place.vm}/{self._me.incarnation}',
+            options.upstream.drain,
+            MAX_BODY_BYTES,
+            self._slots_changed,
+            self._journal,
+        )
+        self.fleet = fleet.Fleet(
+            self._me,
+            self.egress,
+            self.versions,
+            time_source,
+            self._rng,
+            self._journal,
+        )
+        self.ingress = ingress.Ingress(
+            names=platform.names,
+            service=options.upstream.service,
+            fleet=self.fleet,
+            versions=self.versions,
+            retry_table=retries.RetryTable(
+                retries.Policy(
+                    options.retries.ratio,
+                    options.retries.window,
+                    options.retries.slack,
+                )
+            ),
+            clock=time_source,
+            rng=self._rng,
+            journal=self._journal,
+            metrics=self._metrics,
+        )
+        self._feed = platform.new_feed(
+            options.store, time_source, self._metrics.store_called
+        )
+        self._callers = self._new_server(self.ingress)
+        self._servers = (
+            (
+                self._new_server(platform.new_readiness(self.is_ready)),
+                options.listen.readiness,
+            ),
+            (
+                self._new_server(
+                    platform.new_announcements(
+                        self.egress,
+                        options.upstream.service,
+                        options.upstream.address,
+                    )
+                ),
+                options.listen.announcements,
+            ),
+            (
+                self._new_server(platform.new_metrics(self._render)),
+                options.listen.metrics,
+            ),
+        )
+        self._tasks = []
+        self._timer = None
+
+    @property
+    def journal(self):
+        """The `journal.Journal`."""
+        return self._journal
+
+    def is_ready(self):
+        """Return whether callers are to send requests here."""
+        return bool(self.versions.number) and not self._stopping
+
+    async def start(self):
+        """Listen, join the fleet, and follow the configuration."""
+        for server, bind in self._servers:
+            await server.start(bind)
+        await self.fleet.port.start(self._options.listen.peers)
+        await self._callers.start(self._options.listen.callers)
+        self.egress.start()
+        self._journal.note(
+            'daemon.start',
+            service=self._me.service,
+            address=self._me.address,
+            failure_domain=self._me.failure_domain,
+        )
+        self._tasks = [
+            runtimeloop.spawn(self._new_follower(*what).run())
+            for what in (
+                (
+                    self._platform.configuration_table,
+                    self._configuration_rows,
+                    self._configuration_rows,
+                    VERSIONS_REST_S,
+                ),
+                (
+                    MEMBERS_TABLE,
+                    self._all_members,
+                    self._changed_members,
+                    MEMBERS_REST_S,
+                ),
+            )
+        ]
+        self._tasks.append(runtimeloop.spawn(self._enlist()))
+        self._sweep()
+
+    async def stop(self):
+        """Turn callers away, finish what runs, and end.
+
+        Returns:
+            Ids of the requests that were cut.
+        """
+        began = self._clock.monotonic()
+        grace = self._options.stop.grace
+        self._stopping = True
+        self._journal.note('daemon.stop', in_flight=len(self._tasks_now()))
+        self._callers.drain(listening=True)
+        for task in self._tasks:
+            task.cancel()
+        leaving = runtimeloop.spawn(
+            self._feed.remove(MEMBERS_TABLE, self._me.vm)
+        )
+        said = False
+        while True:
+            await asyncio.sleep(STOP_POLL_S)
+            lasted = self._clock.monotonic() - began
+            if not said and lasted >= GOODBYE_S:
+                said = True
+                self.fleet.goodbye()
+            if lasted >= grace * CUT_SHARE:
+                break
+            if lasted >= TURNED_AWAY_S and not self._is_busy():
+                break
+        cut = self.ingress.cut()
+        self._callers.drain()
+        await asyncio.sleep(CLOSING_S)
+        leaving.cancel()
+        await self._close()
+        self._journal.note('daemon.stopped', cut=cut)
+        self._journal.flush()
+        return cut
+
+    def reload(self, options):
+        """Take other settings; what can't change while running is named.
+
+        Args:
+            options: `Ok(options.Options)` or `Error(errors.Invalid)`.
+        """
+        if options.is_error():
+            self._journal.note(
+                'settings.invalid',
+                where=options.error.where,
+                detail=options.error.reason,
+            )
+            return
+        if options.ok == self._options:
+            return
+        fixed = [
+            name
+            for name in ('daemon', 'listen', 'upstream', 'store')
+            if getattr(options.ok, name) != getattr(self._options, name)
+        ]
+        self._options = options.ok
+        self._journal.note('settings.changed', needs_restart=fixed)
+
+    # Wiring
+
+    def _new_server(self, handler):
+        return callserver.Server(
+            handler,
+            self._clock,
+            bodies.Budget(REQUEST_BYTES),
+            bodies.Budget(ANSWER_BYTES),
+        )
+
+    def _new_follower(self, table, whole, changed, rest):
+        return follower.Follower(
+            self._feed,
+            table,
+            whole,
+            changed,
+            rest,
+            self._rng,
+            self._journal,
+        )
+
+    def _configuration_rows(self, rows):
+        for row in rows:
+            if row.key == self._platform.configuration_key and row.value:
+                self.versions.take(row.value, 'store')
+
+    def _all_members(self, rows):
+        self._changed_members(rows)
+        named = {row.key for row in rows}
+        for vm in tuple(self.fleet.roster.members):
+            if vm not in named and not self.fleet.is_linked(vm):
+                self.fleet.forget(vm)
+
+    def _changed_members(self, rows):
+        for row in rows:
+            if row.value is None:
+                self.fleet.forget(row.key)
+                continue
+            member = roster.decode(row.value)
+            if member.is_ok():
+                self.fleet.learn(member.ok)
+            else:
+                self._journal.note(
+                    'member.invalid', vm=row.key, detail=member.error.reason
+                )
+
+    def _version_changed(self, configuration):
+        limits = configuration.limits
+        self._metrics.version.set({}, configuration.mesh.number)
+        self._callers.head_bytes = limits.head_bytes
+        self._callers.timeouts = callserver.Timeouts(
+            head=limits.head, idle=limits.idle
+        )
+        self.fleet.announce_version()
+
+    def _slots_changed(self):
+        self._journal.note('gate.slots', slots=self.egress.slots.slots)
+        self.fleet.tell_load()
+
+    async def _enlist(self):
+        """Write this daemon's own row, until it is written."""
+        while True:
+            result = await self._feed.put(
+                MEMBERS_TABLE, self._me.vm, roster.encode(self._me)
+            )
+            if result.is_ok():
+                self._journal.note('member.enlisted')
+                return
+            await asyncio.sleep(WRITE_PAUSE_S * self._rng.uniform(0.5, 1.5))
+
+    def _sweep(self):
+        now = self._clock.monotonic()
+        self.fleet.sweep()
+        self.ingress.expire(now)
+        self._journal.flush()
+        self._timer = asyncio.get_running_loop().call_later(
+            SWEEP_S, self._sweep
+        )
+
+    def _render(self):
+        load = self.egress.load()
+        self._metrics.running.set({}, load.running)
+        self._metrics.waiting.set({}, load.waiting)
+        self._metrics.slots.set({}, load.slots)
+        self._metrics.links.set({}, self.fleet.linked)
+        return self._metrics.render()
+
+    # Stopping
+
+    def _tasks_now(self):
+        return self.ingress.in_flight
+
+    def _is_busy(self):
+        return (
+            bool(self.ingress.in_flight)
+            or self.egress.busy
+            or self.fleet.port.busy
+            or self._callers.busy
+        )
+
+    async def _close(self):
+        if self._timer is not None:
+            self._timer.cancel()
+        self.egress.close()
+        self.fleet.close()
+        for server, _ in self._servers:
+            await server.close()
+        await self._callers.close()
+
+
+async def serve(path, platform):
+    """Run a sidecar until it is asked to stop.
+
+    Args:
+        path: Of the settings file.
+        platform: A `Platform`.
+
+    Returns:
+        Exit status.
+    """
+    loaded = settings.load(path)
+    output = journal.Output(1)
+    if loaded.is_error():
+        output.write(f'{loaded.error.where}: {loaded.error.reason}\n')
+        output.drain()
+        return 3
+    daemon = Daemon(loaded.ok, platform, clock.SystemClock(), output)
+    logs.configure(
+        loaded.ok.logs.level, loaded.ok.daemon.vm, os.getpid(), output
+    )
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(
+        lambda _, context: daemon.journal.note(
+            'daemon.error',
+            detail=context['message'],
+            error=repr(context.get('exception')),
+        )
+    )
+    await daemon.start()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.stop_wanted.set)
+    watcher = SettingsWatcher(path, daemon)
+    loop.add_signal_handler(signal.SIGHUP, watcher.look)
+    runtimeloop.spawn(watcher.run())
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+    await daemon.stop_wanted.wait()
+    await daemon.stop()
+    return 0
+
+
+class SettingsWatcher:
+    """Sees when the settings file changes.
+
+    Args:
+        path: Of the file.
+        daemon: The `Daemon` to tell.
+    """
+
+    def __init__(self, path, daemon):
+        self._path = pathlib.Path(path)
+        self._daemon = daemon
+        self._stamp = self._stat()
+
+    def look(self):
+        """Read the file again."""
+        self._stamp = self._stat()
+        self._daemon.reload(settings.load(self._path))
+
+    async def run(self):
+        """Look whenever the file's time or size changes."""
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_S)
+            if self._stat() != self._stamp:
+                self.look()
+
+    def _stat(self):
+        try:
+            found = self._path.stat()
+        except OSError:
+            return None
+        return found.st_mtime_ns, found.st_size
--- /dev/null
+++ b/jujubefold/sidecar/fleet.py
@@ -0,0 +1,397 @@
+"""Fleet: this daemon's links to the others, and what it sees of them."""
+
+import dataclasses
+
+from jujubefold import calls
+from jujubefold import callserver
+from jujubefold import crashes
+from jujubefold import errors
+from jujubefold import messages
+from jujubefold.sidecar import attempt as attempts
+from jujubefold.sidecar import frames
+from jujubefold.sidecar import gateport
+from jujubefold.sidecar import link
+from jujubefold.sidecar import placement
+from jujubefold.sidecar import roster
+from jujubefold.sidecar import slots
+
+_MS = 1000
+# Seconds between two words on this gate's load when it changed much.
+LOAD_INTERVAL_S = 0.4
+# Seconds that a version may take over the platform's feed before it is
+# fetched from the daemon that told of it.
+FEED_LEAD_S = 0.3
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Peer:
+    """Another daemon.
+
+    Args:
+        link: The `link.Outgoing` to it.
+        candidate: Its upstream, for `placement`.
+    """
+
+    link: link.Outgoing
+    candidate: placement.Candidate
+
+
+class Fleet:
+    """All daemons as this one sees them.
+
+    Args:
+        me: This daemon's `roster.Member`.
+        egress: The `egress.Egress` of the own upstream.
+        versions: The `versions.Versions` holder.
+        clock: A `clock.Clock`.
+        rng: A `random.Random`.
+        journal: A `journal.Journal`.
+    """
+
+    def __init__(self, me, egress, versions, clock, rng, journal):
+        self.roster = roster.RosterTable(me)
+        self._me = me
+        self._egress = egress
+        self._versions = versions
+        self._clock = clock
+        self._rng = rng
+        self._journal = journal
+        self._peers = {}
+        self._own = placement.Candidate(
+            me.vm, me.service, 'own', reachable=True
+        )
+        self._told = slots.Load()
+        self._told_at = 0.0
+        self._wanted = None
+        self.port = gateport.GatePort(
+            egress, clock, self.hello, self._heard_at_port
+        )
+
+    @property
+    def linked(self):
+        """How many other daemons can be offered something now."""
+        return sum(peer.link.up for peer in self._peers.values())
+
+    def is_linked(self, vm):
+        """Return whether a daemon can be reached now."""
+        peer = self._peers.get(vm)
+        return peer is not None and peer.link.up
+
+    # Members
+
+    def learn(self, member):
+        """Take a member that a row or a link told of."""
+        known = self.roster.members.get(member.vm)
+        if not roster.learn(self.roster, member):
+            return
+        self._journal.note(
+            'member.learned',
+            vm=member.vm,
+            address=member.address,
+            incarnation=member.incarnation,
+        )
+        if known is not None and known.address == member.address:
+            self._peers[member.vm].link.hurry()
+            self._peers[member.vm].candidate.service = member.service
+            return
+        if known is not None:
+            self._peers.pop(member.vm).link.close()
+        outgoing = link.Outgoing(
+            member.address,
+            self._clock,
+            self._rng,
+            self.hello,
+            self._heard_on_link,
+            self._link_changed,
+        )
+        outgoing.vm = member.vm
+        self._peers[member.vm] = Peer(
+            outgoing,
+            placement.Candidate(
+                member.vm,
+                member.service,
+                roster.distance(self._me, member),
+            ),
+        )
+        outgoing.start()
+
+    def forget(self, vm):
+        """Drop a member whose row was taken out."""
+        if not roster.forget(self.roster, vm):
+            return
+        self._journal.note('member.forgotten', vm=vm)
+        peer = self._peers.pop(vm, None)
+        if peer is not None:
+            peer.link.close()
+
+    def hello(self, resume=()):
+        """Return this daemon's `frames.Hello`."""
+        me = self._me
+        return frames.Hello(
+            me.vm,
+            me.incarnation,
+            me.address,
+            me.service,
+            me.region,
+            me.failure_domain,
+            self._versions.number,
+            gateport.load_of(self._egress),
+            tuple(resume),
+        )
+
+    # Offers
+
+    def candidates(self, service):
+        """Return the `placement.Candidate` list of a service."""
+        found = [
+            peer.candidate
+            for peer in self._peers.values()
+            if peer.candidate.service == service
+        ]
+        if self._own.service == service:
+            placement.report(
+                self._own, self._egress.load(), self._clock.monotonic()
+            )
+            found.append(self._own)
+        return found
+
+    async def offer(self, candidate, attempt):
+        """Offer a request to a candidate's gate.
+
+        Args:
+            candidate: A `placement.Candidate`.
+            attempt: An `attempt.Attempt`.
+
+        Returns:
+            An `attempt.Outcome`.
+        """
+        if candidate is self._own:
+            return await self._egress.run(attempt)
+        peer = self._peers.get(candidate.vm)
+        if peer is None:
+            return _gone()
+        candidate.unreported += 1
+        now = self._clock.monotonic()
+        offer = frames.Offer(
+            peer.link.next_sequence(),
+            attempt.request,
+            attempt.route,
+            attempt.version,
+            attempt.rank,
+            attempt.idempotent,
+            max(0, int((attempt.deadline - now) * _MS)),
+            int((attempt.objective_at - now) * _MS),
+            max(0, int((now - attempt.arrived) * _MS)),
+            attempt.method,
+            attempt.target,
+            attempt.headers,
+            attempt.body,
+        )
+        ended = await peer.link.offer(offer)
+        return self._outcome(candidate, ended)
+
+    def _outcome(self, candidate, ended):
+        now = self._clock.monotonic()
+        message = ended.message
+        if message is None:
+            placement.avoid(candidate, now)
+            return attempts.Outcome(refusal=ended.refusal, sent=ended.sent)
+        placement.report(candidate, _load(message.load), now)
+        if isinstance(message, frames.Answered):
+            body = message.body
+            answer = callserver.Answer(
+                message.status, message.headers, [body], len(body)
+            )
+            return attempts.Outcome(answer=answer, sent=True)
+        refusal = calls.Refusal(
+            message.ran,
+            calls.Reason(message.reason),
+            message.retry_ms / _MS,
+            message.detail,
+        )
+        if refusal.reason is calls.Reason.NO_UPSTREAM:
+            placement.avoid(candidate, now)
+        return attempts.Outcome(refusal=refusal, sent=message.sent)
+
+    # What others say
+
+    def _heard_on_link(self, outgoing, message):
+        peer = self._peers.get(outgoing.vm)
+        if isinstance(message, frames.Hello):
+            self._greeted(message)
+            peer = self._peers.get(message.vm)
+            if peer is not None:
+                self._report(peer, message.load)
+        elif isinstance(message, frames.Load) and peer is not None:
+            self._report(peer, message)
+        elif isinstance(message, frames.Goodbye) and peer is not None:
+            peer.candidate.reachable = False
+            self._journal.note('member.leaving', vm=outgoing.vm)
+        else:
+            self._heard(message, outgoing)
+
+    def _heard_at_port(self, connection, message):
+        if isinstance(message, frames.Hello):
+            self._greeted(message)
+            peer = self._peers.get(message.vm)
+            if peer is not None:
+                peer.link.hurry()
+        else:
+            self._heard(message, connection)
+
+    def _heard(self, message, channel):
+        """Act on a message that came over either kind of connection."""
+        match message:
+            case frames.Newer():
+                self._hear_of_version(message.version, channel)
+            case frames.Fetch():
+                if self._versions.number > message.version:
+                    channel.send(
+                        frames.Document(
+                            self._versions.number, self._versions.body
+                        )
+                    )
+            case frames.Document():
+                self._versions.take(message.body, 'peer')
+            case frames.Crash():
+                self._hear_of_crash(message)
+
+    def _greeted(self, hello):
+        self.learn(
+            roster.Member(
+                hello.vm,
+                hello.incarnation,
+                hello.address,
+                hello.service,
+                hello.region,
+                hello.failure_domain,
+            )
+        )
+        if hello.version > self._versions.number:
+            peer = self._peers.get(hello.vm)
+            if peer is not None:
+                self._hear_of_version(hello.version, peer.link)
+
+    def _report(self, peer, load):
+        placement.report(
+            peer.candidate, _load(load), self._clock.monotonic()
+        )
+
+    def _link_changed(self, outgoing):
+        peer = self._peers.get(outgoing.vm)
+        if peer is None or peer.link is not outgoing:
+            return
+        up = outgoing.up
+        if peer.candidate.reachable != up:
+            self._journal.note(
+                'link.up' if up else 'link.down',
+                vm=outgoing.vm,
+                address=outgoing.address,
+                pending=outgoing.pending,
+            )
+        peer.candidate.reachable = up and not outgoing.leaving
+
+    # Versions
+
+    def announce_version(self):
+        """Tell the others that a version is in force here."""
+        self.port.broadcast(frames.Newer(self._versions.number))
+
+    def _hear_of_version(self, number, channel):
+        if number <= self._versions.number:
+            return
+        at = self._clock.monotonic() + FEED_LEAD_S
+        if self._versions.number == 0:
+            at -= FEED_LEAD_S
+        if self._wanted is None or number > self._wanted[0]:
+            self._wanted = (number, at, channel)
+
+    # Crashes
+
+    def _hear_of_crash(self, message):
+        report = messages.CrashReport(
+            message.fingerprint,
+            message.upstream,
+            message.count,
+            message.blame_milli,
+        )
+        now = self._clock.monotonic()
+        for effect in crashes.learn(self._egress.crashes, report, now):
+            self._journal.note(effect.event.name, detail=effect.event.detail)
+
+    def _tell_crashes(self):
+        table = self._egress.crashes
+        reports = tuple(table.outbox.values())
+        table.outbox.clear()
+        table.owed.clear()
+        for report in reports:
+            if report.count and report.upstream.startswith(
+                f'{self._me.vm}/'
+            ):
+                self.port.broadcast(
+                    frames.Crash(
+                        report.fingerprint,
+                        report.upstream,
+                        report.count,
+                        report.blame_milli,
+                    )
+                )
+
+    # Time
+
+    def tell_load(self):
+        """Tell the others this gate's load now."""
+        self._told = self._egress.load()
+        self._told_at = self._clock.monotonic()
+        self.port.broadcast(gateport.load_of(self._egress))
+
+    def sweep(self):
+        """Look after links, and tell the others what changed."""
+        now = self._clock.monotonic()
+        for peer in tuple(self._peers.values()):
+            peer.link.sweep(now)
+        self.port.sweep(now)
+        self._tell_crashes()
+        if now - self._told_at > LOAD_INTERVAL_S and self._changed_much():
+            self.tell_load()
+        if self._wanted is not None and now >= self._wanted[1]:
+            number, _, channel = self._wanted
+            self._wanted = None
+            if number > self._versions.number:
+                channel.send(frames.Fetch(self._versions.number))
+
+    def _changed_much(self):
+        load = self._egress.load()
+        told = self._told
+        moved = load.running + load.waiting - told.running - told.waiting
+        return abs(moved) > max(1, load.slots // 2)
+
+    def goodbye(self):
+        """Tell the others to offer nothing more here."""
+        self.port.broadcast(frames.Goodbye())
+
+    def close(self):
+        """End all links."""
+        for peer in self._peers.values():
+            peer.link.close()
+        self.port.close()
+
+
+def _load(message):
+    return slots.Load(
+        message.running,
+        message.waiting,
+        message.slots,
+        message.hold_ms / _MS,
+        message.failing_percent / 100,
+    )
+
+
+def _gone():
+    return attempts.Outcome(
+        refusal=calls.Refusal(
+            errors.Ran.DID_NOT_RUN,
+            calls.Reason.PEER_LOST,
+            detail='the daemon has left the fleet',
+        )
+    )
--- /dev/null
+++ b/jujubefold/sidecar/follower.py
@@ -0,0 +1,80 @@
+"""Follower: keeps up with one table of the platform, whatever it does."""
+
+import asyncio
+
+from jujubefold import errors
+from jujubefold.sidecar import rowfeed
+
+MIN_PAUSE_S = 0.1
+# Seconds between tries while the platform is away; its return is to be
+# noticed within about two.
+MAX_PAUSE_S = 0.8
+
+
+class Follower:
+    """Follows a table.
+
+    Args:
+        feed: A `rowfeed.RowFeed`.
+        table: Its name.
+        whole: Called with all rows, after a start or a gap.
+        changed: Called with rows that changed.
+        rest: Seconds between two reads of changes, so that changes which
+            come close together cost one call.
+        rng: A `random.Random`.
+        journal: A `journal.Journal`.
+    """
+
+    def __init__(self, feed, table, whole, changed, rest, rng, journal):
+        self._feed = feed
+        self._table = table
+        self._whole = whole
+        self._changed = changed
+        self._rest = rest
+        self._rng = rng
+        self._journal = journal
+        self._version = None
+        self._failing = False
+
+    async def run(self):
+        """Follow until cancelled."""
+        pause = MIN_PAUSE_S
+        while True:
+            result = await self._step()
+            if result.is_ok():
+                pause = MIN_PAUSE_S
+                self._regained()
+                await asyncio.sleep(self._rest)
+                continue
+            self._lost(result.error)
+            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
+            pause = min(MAX_PAUSE_S, pause * 2)
+
+    async def _step(self):
+        if self._version is None:
+            result = await self._feed.read(self._table)
+            take = self._whole
+        else:
+            result = await self._feed.changes(self._table, self._version)
+            take = self._changed
+        if result.is_ok():
+            self._version = result.ok.version
+            if result.ok.rows or take is self._whole:
+                take(result.ok.rows)
+        elif isinstance(result.error, rowfeed.Forgotten):
+            self._version = None
+        return result
+
+    def _lost(self, failure):
+        if isinstance(failure, errors.StoreNotRun) and not self._failing:
+            self._failing = True
+            self._journal.note(
+                'store.lost', table=self._table, detail=failure.reason
+            )
+        elif isinstance(failure, rowfeed.Forgotten):
+            self._journal.note('store.history_gone', table=self._table)
+
+    def _regained(self):
+        if self._failing:
+            self._failing = False
+            self._journal.note('store.regained', table=self._table)
--- /dev/null
+++ b/jujubefold/sidecar/ingress.py
@@ -0,0 +1,373 @@
+"""Ingress: takes the requests that begin on this VM, and answers them."""
+
+import asyncio
+import dataclasses
+import functools
+import itertools
+
+from jujubefold import callclient
+from jujubefold import calls
+from jujubefold import callserver
+from jujubefold import eagertask
+from jujubefold import errors
+from jujubefold import problems
+from jujubefold import runtimeloop
+from jujubefold.sidecar import attempt as attempts
+from jujubefold.sidecar import egress
+from jujubefold.sidecar import placement
+from jujubefold.sidecar import retries
+from jujubefold.sidecar import shares
+from jujubefold.sidecar import slots
+
+# Gates that a request is offered to at most; each refusal costs a round
+# trip, and the first two were the least loaded.
+MAX_OFFERS = 3
+# Seconds after a deadline in which the gate's own word may still come.
+LAST_WORD_S = egress.ANSWER_GRACE_S + 0.05
+# Seconds; an upstream that nobody knows needs about this long to start.
+NO_UPSTREAM_RETRY_S = 0.3
+NO_VERSION_RETRY_S = 0.5
+# Spread of the time at which refused callers come back.
+RETRY_SPREAD = (0.8, 1.6)
+
+_FAILURES = range(500, 600)
+_MS = 1000
+_MAX_DIGITS = 9
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Call:
+    """A request under way.
+
+    Args:
+        attempt: What is offered to gates.
+        service: Whose upstreams it goes to.
+        most: Upstreams that it may be sent to.
+        tries: Offers made.
+        sent: Upstreams that it was sent to.
+        trail: One entry an offer, for the log.
+        offered: VM whose gate has it now, '' for none.
+    """
+
+    attempt: attempts.Attempt
+    service: str
+    most: int
+    tries: int = 0
+    sent: int = 0
+    trail: list = dataclasses.field(default_factory=list)
+    offered: str = ''
+
+
+class Ingress:
+    """Serves callers.
+
+    Args:
+        names: `attempt.HeaderNames`.
+        service: Service that runs on this VM.
+        fleet: The `fleet.Fleet`.
+        versions: The `versions.Versions`.
+        retry_table: A `retries.RetryTable`.
+        clock: A `clock.Clock`.
+        rng: A `random.Random`.
+        journal: A `journal.Journal`.
+        metrics: A `metrics.SidecarMetrics`.
+    """
+
+    def __init__(
+        self,
+        *,
+        names,
+        service,
+        fleet,
+        versions,
+        retry_table,
+        clock,
+        rng,
+        journal,
+        metrics,
+    ):
+        self._names = names
+        self._service = service.encode('latin-1')
+        self._fleet = fleet
+        self._versions = versions
+        self._retries = retry_table
+        self._shares = shares.ShareTable()
+        self._clock = clock
+        self._rng = rng
+        self._journal = journal
+        self._metrics = metrics
+        self._numbers = itertools.count(1)
+        self._tasks = {}
+
+    @property
+    def in_flight(self):
+        """Request ids under way."""
+        return tuple(call.attempt.request for call in self._tasks.values())
+
+    def body_limit(self, request):
+        """Return the most bytes that a request's body may have."""
+        return self._versions.current.limits.body_bytes
+
+    def take(self, exchange):
+        """Serve one whole request."""
+        now = self._clock.monotonic()
+        request = exchange.request
+        mesh = self._versions.current.mesh
+        if not mesh.number:
+            self._refuse(exchange, calls.Reason.NO_VERSION, NO_VERSION_RETRY_S)
+            return
+        route = mesh.match(request.host, request.path, request.method)
+        if route is None:
+            self._refuse(exchange, calls.Reason.NO_ROUTE, 0.0)
+            return
+        left = self._left(request, route)
+        if left is None:
+            self._refuse(exchange, calls.Reason.MALFORMED, 0.0)
+            return
+        call = self._new_call(request, route, mesh.number, left, now)
+        retries.first_try(self._retries, call.service, now)
+        task = eagertask.EagerTask(
+            self._serve(call), functools.partial(self._served, exchange)
+        )
+        self._tasks[task] = call
+        exchange.gone = task.cancel
+        task.start()
+
+    def expire(self, now):
+        """End requests whose last moment has passed.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        for task, call in tuple(self._tasks.items()):
+            if now > call.attempt.deadline + LAST_WORD_S:
+                task.cancel()
+
+    def cut(self):
+        """End all requests under way; return their ids."""
+        names = self.in_flight
+        for task in tuple(self._tasks):
+            task.cancel()
+        return names
+
+    def _left(self, request, route):
+        """Return the seconds that the caller waits, or None if malformed."""
+        value = request.fields.get(self._names.deadline)
+        if value is None:
+            return route.timeout.request
+        if not value.isdigit() or len(value) > _MAX_DIGITS:
+            return None
+        return min(int(value) / _MS, route.timeout.request)
+
+    def _new_call(self, request, route, version, left, now):
+        names = self._names
+        name = request.fields.get(names.request)
+        headers = callclient.end_to_end(request.headers, names.ours)
+        if name is None:
+            name = b'%016x' % self._rng.getrandbits(64)
+            headers.append((names.request, name))
+        headers.append((names.caller, self._service))
+        return _Call(
+            attempts.Attempt(
+                name=next(self._numbers),
+                request=name.decode('latin-1'),
+                route=route.name,
+                version=version,
+                rank=-route.priority,
+                idempotent=calls.is_idempotent(route, request.method),
+                arrived=now,
+                objective_at=now + route.objective,
+                deadline=now + left,
+                method=request.method,
+                target=request.target,
+                headers=headers,
+                body=b''.join(request.pieces),
+            ),
+            shares.choose(self._shares, route),
+            route.retry.attempts,
+        )
+
+    # Offers
+
+    async def _serve(self, call):
+        """Offer a request until an outcome is final; return it."""
+        tried = set()
+        best = None
+        while True:
+            now = self._clock.monotonic()
+            candidate = placement.choose(
+                self._fleet.candidates(call.service), tried, now, self._rng
+            )
+            if candidate is None:
+                return best or attempts.Outcome(
+                    refusal=calls.Refusal(
+                        errors.Ran.DID_NOT_RUN,
+                        calls.Reason.NO_UPSTREAM,
+                        NO_UPSTREAM_RETRY_S,
+                        'no upstream of the service takes requests',
+                    )
+                )
+            tried.add(candidate.vm)
+            outcome = await self._offer(call, candidate, now)
+            best = _better(best, outcome)
+            if not self._goes_on(call, outcome):
+                return best
+
+    async def _offer(self, call, candidate, now):
+        call.tries += 1
+        call.offered = candidate.vm
+        age = now - candidate.reported_at
+        outcome = await self._fleet.offer(candidate, call.attempt)
+        call.offered = ''
+        call.sent += outcome.sent
+        call.trail.append(
+            {
+                'vm': candidate.vm,
+                'load': str(candidate.load.running + candidate.load.waiting),
+                'age': round(age, 3),
+                'took': round(self._clock.monotonic() - now, 4),
+                'end': _end_of(outcome),
+            }
+        )
+        return outcome
+
+    def _goes_on(self, call, outcome):
+        """Return whether another offer is safe, in time and paid for."""
+        attempt = call.attempt
+        if not self._is_worth_another(attempt, outcome):
+            return False
+        now = self._clock.monotonic()
+        if now >= attempt.deadline:
+            return False
+        if not call.sent:
+            return call.tries < MAX_OFFERS or _is_unreached(outcome)
+        if call.sent >= call.most:
+            return False
+        daemons = self._fleet.roster.size
+        return retries.allow(self._retries, call.service, daemons, now)
+
+    @staticmethod
+    def _is_worth_another(attempt, outcome):
+        if outcome.answer is not None:
+            return (
+                attempt.idempotent and outcome.answer.status in _FAILURES
+            )
+        if outcome.refusal.reason in (
+            calls.Reason.DEADLINE,
+            calls.Reason.SUSPECT_REQUEST,
+        ):
+            return False
+        return outcome.not_run or attempt.idempotent
+
+    # Answers
+
+    def _served(self, exchange, task):
+        call = self._tasks.pop(task)
+        outcome = task.result
+        if isinstance(task.error, asyncio.CancelledError):
+            outcome = attempts.Outcome(refusal=self._overdue(call))
+        elif task.error is not None:
+            runtimeloop.fail(task.error)
+            outcome = attempts.Outcome(
+                refusal=calls.Refusal(
+                    errors.Ran.UNKNOWN, calls.Reason.CANCELLED
+                )
+            )
+        left = not exchange.open
+        status = self._reply(exchange, outcome)
+        self._log(call, outcome, status, left)
+
+    def _overdue(self, call):
+        unknown = call.offered or call.sent
+        ran = errors.Ran.UNKNOWN if unknown else errors.Ran.DID_NOT_RUN
+        return calls.Refusal(
+            ran,
+            calls.Reason.DEADLINE,
+            detail='the deadline passed before the answer came',
+        )
+
+    def _reply(self, exchange, outcome):
+        answer = outcome.answer
+        if answer is None:
+            answer = self._refusal(outcome.refusal)
+        exchange.reply(answer)
+        return answer.status
+
+    def _refuse(self, exchange, reason, retry_after):
+        refusal = calls.Refusal(errors.Ran.DID_NOT_RUN, reason, retry_after)
+        answer = self._refusal(refusal)
+        exchange.reply(answer)
+        self._metrics.refused(reason)
+        self._journal.request(
+            'call.refused',
+            request=exchange.request.fields.get(
+                self._names.request, b''
+            ).decode('latin-1'),
+            reason=reason,
+            status=answer.status,
+            host=exchange.request.host,
+            path=exchange.request.path,
+            version=self._versions.number,
+        )
+
+    def _refusal(self, refusal):
+        """Return the answer for a refusal, told when to come back."""
+        plain = dataclasses.replace(refusal, retry_after=0.0)
+        status, headers, body = problems.encode(
+            plain, problems.Subject(version=self._versions.number), _status(refusal)
+        )
+        if status == 503:
+            after = max(slots.MIN_RETRY_AFTER_S, refusal.retry_after)
+            after *= self._rng.uniform(*RETRY_SPREAD)
+            headers.append((self._names.retry_after, b'%.3f' % after))
+        return callserver.Answer(status, headers, [body], len(body))
+
+    def _log(self, call, outcome, status, left):
+        attempt = call.attempt
+        seconds = self._clock.monotonic() - attempt.arrived
+        self._metrics.served(call.service, attempt.route, status, seconds)
+        refusal = outcome.refusal
+        self._journal.request(
+            'call.left' if left else 'call.ended',
+            request=attempt.request,
+            route=attempt.route,
+            service=call.service,
+            version=attempt.version,
+            status=status,
+            seconds=round(seconds, 4),
+            budget=round(attempt.deadline - attempt.arrived, 3),
+            reason='' if refusal is None else refusal.reason,
+            ran='' if refusal is None else refusal.ran,
+            offers=call.trail,
+        )
+
+
+def _better(best, outcome):
+    """Return which of two outcomes tells the caller more of the truth."""
+    if best is None or outcome.answer is not None:
+        return outcome
+    if best.answer is not None or not best.not_run:
+        return best
+    return outcome
+
+
+def _is_unreached(outcome):
+    refusal = outcome.refusal
+    return refusal is not None and refusal.reason is calls.Reason.PEER_LOST
+
+
+def _end_of(outcome):
+    if outcome.answer is not None:
+        return str(outcome.answer.status)
+    return outcome.refusal.reason.value
+
+
+def _status(refusal):
+    """Return the HTTP status: 503 says that the request did not run."""
+    if refusal.reason in (calls.Reason.NO_ROUTE, calls.Reason.MALFORMED):
+        return problems.status_of(refusal)
+    if refusal.ran is errors.Ran.DID_NOT_RUN:
+        return 503
+    if refusal.reason is calls.Reason.DEADLINE:
+        return 504
+    return 502
--- /dev/null
+++ b/jujubefold/sidecar/metrics.py
@@ -0,0 +1,94 @@
+"""Metrics of a sidecar, in the Prometheus text format."""
+
+import math
+
+import aioprometheus
+from aioprometheus import renderer
+
+from jujubefold import metrics
+
+REQUEST_BUCKETS_S = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.8,
+    1.6,
+    3.2,
+    math.inf,
+)
+
+
+class SidecarMetrics:
+    """All metrics of one sidecar, in a registry of their own."""
+
+    def __init__(self):
+        self._registry = aioprometheus.Registry()
+        self._requests = aioprometheus.Counter(
+            'jujubefold_requests_total',
+            'Requests answered, by service, route and status.',
+            registry=self._registry,
+        )
+        self._refused = aioprometheus.Counter(
+            'jujubefold_requests_unrouted_total',
+            'Requests refused before a route was chosen, by reason.',
+            registry=self._registry,
+        )
+        self._seconds = aioprometheus.Histogram(
+            'jujubefold_request_seconds',
+            'Time from a whole request to its answer, by service.',
+            registry=self._registry,
+            buckets=REQUEST_BUCKETS_S,
+        )
+        self._store_calls = aioprometheus.Counter(
+            'jujubefold_store_calls_total',
+            'Calls to the platform by operation and outcome.',
+            registry=self._registry,
+        )
+        self._store_seconds = aioprometheus.Histogram(
+            'jujubefold_store_seconds',
+            'Time of a call to the platform.',
+            registry=self._registry,
+            buckets=metrics.STORE_BUCKETS_S,
+        )
+        self.version = self._gauge(
+            'jujubefold_version_in_force', 'Configuration version in force.'
+        )
+        self.links = self._gauge(
+            'jujubefold_links', 'Other daemons that can be offered requests.'
+        )
+        self.running = self._gauge(
+            'jujubefold_gate_running', 'Requests in slots of the upstream.'
+        )
+        self.waiting = self._gauge(
+            'jujubefold_gate_waiting', 'Requests waiting for a slot.'
+        )
+        self.slots = self._gauge(
+            'jujubefold_gate_slots', 'Slots of the upstream usable now.'
+        )
+
+    def served(self, service, route, status, seconds):
+        """Count an answer to a routed request."""
+        self._requests.inc(
+            {'service': service, 'route': route, 'status': str(status)}
+        )
+        self._seconds.observe({'service': service}, seconds)
+
+    def refused(self, reason):
+        """Count a request that no route was chosen for."""
+        self._refused.inc({'reason': reason.value})
+
+    def store_called(self, operation, outcome, seconds):
+        """Count a call to the platform."""
+        self._store_calls.inc({'operation': operation, 'outcome': outcome})
+        self._store_seconds.observe({'operation': operation}, seconds)
+
+    def render(self):
+        """Return the exposition text as bytes."""
+        body, _ = renderer.render(self._registry, ['text/plain'])
+        return body
+
+    def _gauge(self, name, doc):
+        return aioprometheus.Gauge(name, doc, registry=self._registry)
--- /dev/null
+++ b/jujubefold/sidecar/retries.py
@@ -0,0 +1,85 @@
+"""Retries: the part of a fleet's retry budget that one daemon may use.
+
+The bound holds for the sum of all daemons and over any window, so each
+keeps to the ratio of its own requests and to an equal part of the slack.
+"""
+
+import collections
+import dataclasses
+import math
+
+# Share of the ratio that is used: calls below a repeated request count as
+# repeats too, and nobody here sees them.
+RATIO_SHARE = 0.5
+# Share of the slack that is used, for the same reason.
+SLACK_SHARE = 0.5
+# Parts of a window that are counted apart.
+PARTS = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """What all daemons together may spend.
+
+    Args:
+        ratio: Repeats allowed for each first try.
+        window: Seconds; any span of this length counts.
+        slack: Repeats allowed besides, in a window.
+    """
+
+    ratio: float
+    window: float
+    slack: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Counts:
+    part: int
+    firsts: int = 0
+    repeats: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class RetryTable:
+    """First tries and repeats of the last window, by service."""
+
+    policy: Policy
+    counts: dict[str, collections.deque] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def first_try(table, service, now):
+    """Count a caller's request for a service."""
+    _newest(table, service, now).firsts += 1
+
+
+def allow(table, service, daemons, now):
+    """Return whether a request may be sent once more, and count it.
+
+    Args:
+        table: A `RetryTable`.
+        service: Service that it is sent to.
+        daemons: Most daemons that may be sending at this time.
+        now: Monotonic seconds.
+    """
+    newest = _newest(table, service, now)
+    counts = table.counts[service]
+    firsts = sum(item.firsts for item in counts)
+    repeats = sum(item.repeats for item in counts)
+    policy = table.policy
+    part = math.floor(policy.slack * SLACK_SHARE / max(1, daemons))
+    if repeats + 1 > firsts * policy.ratio * RATIO_SHARE + part:
+        return False
+    newest.repeats += 1
+    return True
+
+
+def _newest(table, service, now):
+    part = math.floor(now / table.policy.window * PARTS)
+    counts = table.counts.setdefault(service, collections.deque())
+    while counts and counts[0].part < part - PARTS:
+        counts.popleft()
+    if not counts or counts[-1].part != part:
+        counts.append(_Counts(part))
+    return counts[-1]
--- a/jujubefold/trust.py
+++ b/jujubefold/trust.py
@@ -5,7 +5,6 @@
 import ssl
 
 import expression
-import grpc
 
 from jujubefold import errors
 
@@ -48,6 +47,8 @@
 
     def server(self):
         """Return server credentials that fetch changed keys by themselves."""
+        import grpc
+
         return grpc.dynamic_ssl_server_credentials(
             _configuration(self._keys),
             self._fetch,
@@ -56,6 +57,8 @@
 
     def channel(self):
         """Return channel credentials of the keys read last."""
+        import grpc
+
         return grpc.ssl_channel_credentials(
             root_certificates=self._keys.authority,
             private_key=self._keys.key,
@@ -232,6 +235,8 @@
 
 
 def _configuration(keys):
+    import grpc
+
     return grpc.ssl_server_certificate_configuration(
         ((keys.key, keys.certificate),),
         root_certificates=keys.authority,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -16,7 +16,7 @@
 from jujubefold import faults
 from jujubefold import objects
 from jujubefold import objectservice
-from jujubefold import platform
+from jujubefold import standin
 from jujubefold import table
 from jujubefold import tableservice
 from tests import pausedloop
@@ -425,7 +425,7 @@
 
     def setUp(self):
         super().setUp()
-        self.platform = platform.Platform()
+        self.platform = standin.Platform()
         self.platform.start()
         self.addCleanup(self.platform.stop)
         self.executions = collections.Counter()
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -10,7 +10,7 @@
 from jujubefold import faults
 from jujubefold import objects
 from jujubefold import objectservice
-from jujubefold import platform
+from jujubefold import standin
 from tests import test_table
 
 LARGE_BYTES = 10 * 1024 * 1024
@@ -66,7 +66,7 @@
 
 class TestObjectService(ObjectsContract, testtools.TestCase):
     def make(self):
-        served = platform.Platform(time_source=self.clock)
+        served = standin.Platform(time_source=self.clock)
         served.start()
         self.addCleanup(served.stop)
         made = objectservice.ObjectService(
--- a/tests/test_platform.py
+++ b/tests/test_standin.py
@@ -13,7 +13,7 @@
 from jujubefold import clock
 from jujubefold import errors
 from jujubefold import objectservice
-from jujubefold import platform
+from jujubefold import standin
 from jujubefold import storeclient
 from jujubefold import table
 from jujubefold import tableprotocol
@@ -41,7 +41,7 @@
     @classmethod
     def setUpClass(cls):
         super().setUpClass()
-        cls.platform = platform.Platform()
+        cls.platform = standin.Platform()
         cls.platform.start()
         cls.addClassCleanup(cls.platform.stop)
 
@@ -129,7 +129,7 @@
             self.assertEqual(expected, found, mode)
 
     def test_nobody_listens(self):
-        served = platform.Platform()
+        served = standin.Platform()
         served.start()
         rows, blobs = self.services(served=served)
         served.stop()
@@ -138,7 +138,7 @@
             self.assertEqual(NOT_RUN, told(asyncio.run(call)))
 
     def test_capacity(self):
-        served = platform.Platform(writes_per_second=1.0)
+        served = standin.Platform(writes_per_second=1.0)
         served.start()
         self.addCleanup(served.stop)
         rows, _ = self.services(10.0, served)
@@ -317,7 +317,7 @@
 class TestProgram(testtools.TestCase):
     def test_prints_address_and_ends_on_sigterm(self):
         process = subprocess.Popen(
-            [sys.executable, '-m', 'jujubefold.platform'],
+            [sys.executable, '-m', 'jujubefold.standin'],
             stdout=subprocess.PIPE,
         )
         self.addCleanup(process.stdout.close)
@@ -334,7 +334,7 @@
                 [
                     sys.executable,
                     '-m',
-                    'jujubefold.platform',
+                    'jujubefold.standin',
                     '--listen',
                     listen,
                 ],
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -9,7 +9,7 @@
 from jujubefold import clock
 from jujubefold import errors
 from jujubefold import faults
-from jujubefold import platform
+from jujubefold import standin
 from jujubefold import storelimit
 from jujubefold import table
 from jujubefold import tableservice
@@ -149,7 +149,7 @@
     @classmethod
     def setUpClass(cls):
         super().setUpClass()
-        cls.platform = platform.Platform()
+        cls.platform = standin.Platform()
         cls.platform.start()
         cls.addClassCleanup(cls.platform.stop)
 
