--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -447,7 +447,7 @@
         head = callheads.encode(answer, 'GET', True)
         self._current = None
         self._transport.write(head + whole[: len(whole) // 2])
-        self._finish()
+        self.finish()
 
     def _send(self, answer, method, keep_alive):
         keep_alive = keep_alive and not self._server.stopping
@@ -482,9 +482,9 @@
 
     def _sent(self, keep_alive):
         if not keep_alive:
-            self._finish()
+            self.finish()
 
-    def _finish(self):
+    def finish(self):
         """Close so that the caller can still read what was written."""
         self._broken = True
         self._drop_requests()
@@ -673,6 +673,12 @@
         if self._server is not None and not listening:
             self._server.close()
 
+    def close_idle(self):
+        """Close the connections that carry no request now."""
+        for connection in tuple(self._connections):
+            if connection.idle:
+                connection.finish()
+
     async def close(self):
         """Close everything at once."""
         self.drain()
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -233,19 +233,18 @@
         leaving = runtimeloop.spawn(
             self._feed.remove(MEMBERS_TABLE, self._me.vm)
         )
-        said = False
-        while True:
+        await asyncio.sleep(GOODBYE_S)
+        self.fleet.goodbye()
+        await asyncio.sleep(TURNED_AWAY_S - GOODBYE_S)
+        # Whoever still comes is refused at once, so that what runs can end.
+        self.ingress.closing = True
+        self._callers.drain()
+        self._callers.close_idle()
+        while self._is_busy():
             await asyncio.sleep(STOP_POLL_S)
-            lasted = self._clock.monotonic() - began
-            if not said and lasted >= GOODBYE_S:
-                said = True
-                self.fleet.goodbye()
-            if lasted >= grace * CUT_SHARE:
-                break
-            if lasted >= TURNED_AWAY_S and not self._is_busy():
+            if self._clock.monotonic() - began >= grace * CUT_SHARE:
                 break
         cut = self.ingress.cut()
-        self._callers.drain()
         await asyncio.sleep(CLOSING_S)
         leaving.cancel()
         await self._close()
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -71,6 +71,9 @@
         rng: A `random.Random`.
         journal: A `journal.Journal`.
         metrics: A `metrics.SidecarMetrics`.
+
+    Attributes:
+        closing: Whether new requests are refused, because the daemon ends.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         self._metrics = metrics
         self._numbers = itertools.count(1)
         self._tasks = {}
+        self.closing = False
 
     @property
     def in_flight(self):
@@ -113,6 +117,9 @@
         now = self._clock.monotonic()
         request = exchange.request
         mesh = self._versions.current.mesh
+        if self.closing:
+            self._refuse(exchange, calls.Reason.DRAINING, 0.0)
+            return
         if not mesh.number:
             self._refuse(exchange, calls.Reason.NO_VERSION, NO_VERSION_RETRY_S)
             return
@@ -196,7 +203,11 @@
         while True:
             now = self._clock.monotonic()
             candidate = placement.choose(
-                self._fleet.candidates(call.service), tried, now, self._rng
+                self._fleet.candidates(call.service),
+                tried,
+                call.attempt.objective_at - now,
+                now,
+                self._rng,
             )
             if candidate is None:
                 return best or attempts.Outcome(
--- a/jujubefold/sidecar/placement.py
+++ b/jujubefold/sidecar/placement.py
@@ -1,16 +1,21 @@
 """Placement: which daemon's upstream a request is offered to.
 
 Answers uneven load and uneven upstreams: the least expected time to an
-answer wins, worked out from reports that are a little old.
+answer wins, worked out from reports that are a little old. Bytes between
+failure domains are charged, so a request leaves its own only when it would
+be late there.
 """
 
 import dataclasses
 
 from jujubefold.sidecar import slots
 
-# Seconds of expected time that a request may lose to stay near: bytes
-# between failure domains are charged, and those between regions wait too.
+# Seconds of expected time that a request may lose to stay nearer.
 DISTANCE_S = {'own': 0.0, 'domain': 0.001, 'region': 0.012, 'far': 0.08}
+NEAR = frozenset({'own', 'domain'})
+# Share of the time to the objective that an answer may be expected to take
+# for a request to stay near; the rest covers the spread of durations.
+NEAR_SHARE = 0.6
 # Seconds after which a report says nothing about the queue any more.
 REPORT_LIFE_S = 1.0
 # Seconds for which an upstream that was found gone is tried last.
@@ -47,12 +52,13 @@
     reachable: bool = False
 
 
-def choose(candidates, tried, now, rng):
+def choose(candidates, tried, left, now, rng):
     """Return the `Candidate` with the least expected time, or None.
 
     Args:
         candidates: Those of the service, in any order.
         tried: VM names that this request was offered to already.
+        left: Seconds until an answer is late.
         now: Monotonic seconds.
         rng: A `random.Random`.
     """
@@ -65,9 +71,12 @@
     ]
     if not open_ones:
         return None
-    return min(
-        open_ones, key=lambda item: expected(item, now) * _spread(rng)
-    )
+    near = [item for item in open_ones if item.distance in NEAR]
+    if near:
+        best = _least(near, now, rng)
+        if expected(best, now) <= left * NEAR_SHARE:
+            return best
+    return _least(open_ones, now, rng)
 
 
 def expected(candidate, now):
@@ -106,5 +115,11 @@
     candidate.avoid_until = now + AVOID_S
 
 
+def _least(candidates, now, rng):
+    return min(
+        candidates, key=lambda item: expected(item, now) * _spread(rng)
+    )
+
+
 def _spread(rng):
     return 1 + SPREAD * rng.random()
