Place by what a request needs, and only leave a failure domain for room

Placement took the mean of all durations for each request, so short inner calls never looked on time near by, and requests that were late anyway crossed too. Now durations are learned by route, a request crosses only to a gate that has room and would answer on time, callers that return late go behind those that can still be on time (patience), and the queue admits late ones for a quarter of their time instead of half.

--- a/jujubefold/sidecar/attempt.py
+++ b/jujubefold/sidecar/attempt.py
@@ -77,11 +77,13 @@
         answer: The upstream's whole `callserver.Answer`, or None.
         refusal: A `calls.Refusal` when there is no answer.
         sent: Whether an upstream may have been sent the request.
+        ran_for: Seconds that the upstream took for the answer.
     """
 
     answer: callserver.Answer | None = None
     refusal: calls.Refusal | None = None
     sent: bool = False
+    ran_for: float = 0.0
 
     @property
     def not_run(self):
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -296,7 +296,7 @@
         if isinstance(result, callclient.Failure):
             return self._failed(result)
         self._answers.release(result.memory)
-        return self._judge(attempt, result)
+        return self._judge(attempt, result, self._clock.monotonic() - now)
 
     async def _connection(self, attempt, now):
         rested = callclient.IDLE_TIMEOUT_S if attempt.idempotent else RESTED_S
@@ -306,7 +306,7 @@
         left = min(CONNECT_TIMEOUT_S, attempt.deadline - now)
         return await self._pool.acquire(max(0.0, left))
 
-    def _judge(self, attempt, answer):
+    def _judge(self, attempt, answer, ran_for):
         """Return what an answer on the upstream's connection means."""
         names = self._names
         fields = dict(answer.headers)
@@ -324,7 +324,7 @@
         if answer.status in _PROMISES and not attempt.idempotent:
             # To the caller these would promise that it did not run.
             return _doubt(calls.Reason.UPSTREAM_FAILED)
-        return attempts.Outcome(answer=answer, sent=True)
+        return attempts.Outcome(answer=answer, sent=True, ran_for=ran_for)
 
     def _failed(self, failure):
         if failure.how is callclient.Failed.REFUSED:
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -202,7 +202,9 @@
             answer = callserver.Answer(
                 message.status, message.headers, [body], len(body)
             )
-            return attempts.Outcome(answer=answer, sent=True)
+            return attempts.Outcome(
+                answer=answer, sent=True, ran_for=message.ran_ms / _MS
+            )
         refusal = calls.Refusal(
             message.ran,
             calls.Reason(message.reason),
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -94,10 +94,15 @@
 
 
 class Answered(Message, tag='answered'):
-    """The upstream's whole answer to an offer."""
+    """The upstream's whole answer to an offer.
+
+    Args:
+        ran_ms: Milliseconds that the upstream took.
+    """
 
     sequence: int
     status: int
+    ran_ms: int
     headers: Pairs
     body: bytes
     load: Load
--- a/jujubefold/sidecar/gateport.py
+++ b/jujubefold/sidecar/gateport.py
@@ -205,6 +205,7 @@
         return frames.Answered(
             sequence,
             answer.status,
+            round(outcome.ran_for * _MS),
             answer.headers,
             b''.join(answer.pieces),
             load,
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -14,6 +14,7 @@
 from jujubefold import runtimeloop
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import egress
+from jujubefold.sidecar import patience
 from jujubefold.sidecar import placement
 from jujubefold.sidecar import retries
 from jujubefold.sidecar import shares
@@ -101,6 +102,8 @@
         self._metrics = metrics
         self._numbers = itertools.count(1)
         self._tasks = {}
+        self._durations = {}
+        self._patience = patience.PatienceTable()
         self.closing = False
 
     @property
@@ -174,6 +177,9 @@
             name = b'%016x' % self._rng.getrandbits(64)
             headers.append((names.request, name))
         headers.append((names.caller, self._service))
+        waited = patience.waited(
+            self._patience, route.name, round(left * _MS)
+        )
         return _Call(
             attempts.Attempt(
                 name=next(self._numbers),
@@ -183,7 +189,7 @@
                 rank=-route.priority,
                 idempotent=calls.is_idempotent(route, request.method),
                 arrived=now,
-                objective_at=now + route.objective,
+                objective_at=now + route.objective - waited,
                 deadline=now + left,
                 method=request.method,
                 target=request.target,
@@ -198,14 +204,16 @@
 
     async def _serve(self, call):
         """Offer a request until an outcome is final; return it."""
-        tried = set()
+        tried = frozenset()
         best = None
+        seconds = self._durations.get(call.attempt.route, 0.0)
         while True:
             now = self._clock.monotonic()
             candidate = placement.choose(
                 self._fleet.candidates(call.service),
-                tried,
-                call.attempt.objective_at - now,
+                placement.Wish(
+                    call.attempt.objective_at - now, seconds, tried
+                ),
                 now,
                 self._rng,
             )
@@ -218,7 +226,7 @@
                         'no upstream of the service takes requests',
                     )
                 )
-            tried.add(candidate.vm)
+            tried |= {candidate.vm}
             outcome = await self._offer(call, candidate, now)
             best = _better(best, outcome)
             if not self._goes_on(call, outcome):
@@ -231,6 +239,12 @@
         outcome = await self._fleet.offer(candidate, call.attempt)
         call.offered = ''
         call.sent += outcome.sent
+        if outcome.ran_for:
+            route = call.attempt.route
+            known = self._durations.get(route, outcome.ran_for)
+            self._durations[route] = known + slots.NEWEST_WEIGHT * (
+                outcome.ran_for - known
+            )
         call.trail.append(
             {
                 'vm': candidate.vm,
--- a/jujubefold/sidecar/placement.py
+++ b/jujubefold/sidecar/placement.py
@@ -3,7 +3,8 @@
 Answers uneven load and uneven upstreams: the least expected time to an
 answer wins, worked out from reports that are a little old. Bytes between
 failure domains are charged, so a request leaves its own only when it would
-be late there.
+be late there and finds room elsewhere: under load everywhere, leaving only
+takes the place of others.
 """
 
 import dataclasses
@@ -14,8 +15,10 @@
 DISTANCE_S = {'own': 0.0, 'domain': 0.001, 'region': 0.012, 'far': 0.08}
 NEAR = frozenset({'own', 'domain'})
 # Share of the time to the objective that an answer may be expected to take
-# for a request to stay near; the rest covers the spread of durations.
-NEAR_SHARE = 0.6
+# to count as on time; the rest covers the spread of durations.
+ON_TIME_SHARE = 0.8
+# Least share of successes that is reckoned with.
+LEAST_SUCCESS = 0.1
 # Seconds after which a report says nothing about the queue any more.
 REPORT_LIFE_S = 1.0
 # Seconds for which an upstream that was found gone is tried last.
@@ -52,46 +55,69 @@
     reachable: bool = False
 
 
-def choose(candidates, tried, left, now, rng):
-    """Return the `Candidate` with the least expected time, or None.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """What a request needs of an upstream.
+
+    Args:
+        left: Seconds until an answer is late; negative if it is.
+        lasts: Seconds that the upstream needs, without waiting.
+        tried: VM names that it was offered to already.
+    """
+
+    left: float
+    lasts: float
+    tried: frozenset = frozenset()
+
+
+def choose(candidates, wish, now, rng):
+    """Return the `Candidate` to offer a request to, or None.
 
     Args:
         candidates: Those of the service, in any order.
-        tried: VM names that this request was offered to already.
-        left: Seconds until an answer is late.
+        wish: A `Wish`.
         now: Monotonic seconds.
         rng: A `random.Random`.
     """
-    open_ones = [
+    possible = [
         candidate
         for candidate in candidates
-        if candidate.reachable
-        and candidate.load.slots
-        and candidate.vm not in tried
+        if candidate.reachable and candidate.load.slots
+    ]
+    near = [item for item in possible if item.distance in NEAR]
+    far = [
+        item
+        for item in possible
+        if item.distance not in NEAR and item.vm not in wish.tried
     ]
-    if not open_ones:
-        return None
-    near = [item for item in open_ones if item.distance in NEAR]
+    untried = [item for item in near if item.vm not in wish.tried]
+    best = _least(untried, wish, now, rng)
+    if best is not None and _is_on_time(best, wish, now):
+        return best
     if near:
-        best = _least(near, now, rng)
-        if expected(best, now) <= left * NEAR_SHARE:
+        far = [item for item in far if _has_room(item, now)]
+        elsewhere = _least(far, wish, now, rng)
+        if elsewhere is not None and _is_on_time(elsewhere, wish, now):
+            return elsewhere
+        if best is not None:
             return best
-    return _least(open_ones, now, rng)
+        # All near ones refused it, so being late is no reason to stay.
+        return elsewhere
+    return _least(far, wish, now, rng)
 
 
-def expected(candidate, now):
+def expected(candidate, wish, now):
     """Return the seconds that an answer is expected to take.
 
     Args:
         candidate: A `Candidate`.
+        wish: A `Wish`.
         now: Monotonic seconds.
     """
     load = candidate.load
-    age = max(0.0, now - candidate.reported_at)
-    fresh = max(0.0, 1.0 - age / REPORT_LIFE_S)
-    ahead = (load.running + load.waiting) * fresh + candidate.unreported
-    excess = max(0.0, ahead + 1 - load.slots) / load.slots
-    seconds = load.hold * (1 + excess) / max(0.1, 1 - load.failing)
+    excess = max(0.0, _ahead(candidate, now) + 1 - load.slots) / load.slots
+    seconds = load.hold * excess + wish.lasts
+    seconds /= max(LEAST_SUCCESS, 1 - load.failing)
     if now < candidate.avoid_until:
         seconds += AVOIDED_S
     return seconds + DISTANCE_S[candidate.distance]
@@ -115,9 +141,27 @@
     candidate.avoid_until = now + AVOID_S
 
 
-def _least(candidates, now, rng):
+def _ahead(candidate, now):
+    """Return how many requests are expected to hold or want a slot."""
+    load = candidate.load
+    age = max(0.0, now - candidate.reported_at)
+    fresh = max(0.0, 1.0 - age / REPORT_LIFE_S)
+    return (load.running + load.waiting) * fresh + candidate.unreported
+
+
+def _has_room(candidate, now):
+    return _ahead(candidate, now) + 1 <= candidate.load.slots
+
+
+def _is_on_time(candidate, wish, now):
+    return expected(candidate, wish, now) <= wish.left * ON_TIME_SHARE
+
+
+def _least(candidates, wish, now, rng):
     return min(
-        candidates, key=lambda item: expected(item, now) * _spread(rng)
+        candidates,
+        key=lambda item: expected(item, wish, now) * _spread(rng),
+        default=None,
     )
 
 
--- a/jujubefold/sidecar/slots.py
+++ b/jujubefold/sidecar/slots.py
@@ -13,7 +13,7 @@
 
 # Share of the caller's time that a request may be predicted to take when
 # its objective is missed anyway; callers that wait longer mostly leave.
-LATE_SHARE = 0.5
+LATE_SHARE = 0.25
 # Share of the usual time that must be left for a start to make sense:
 # about one request in four ends in less.
 LEAST_SHARE = 0.7
