--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -144,23 +144,16 @@
 
 def malformed(detail, status=400):
     """Return the answer to a request that breaks the protocol."""
-    return refuse(
-        calls.Refusal(
-            errors.Ran.DID_NOT_RUN, calls.Reason.MALFORMED, detail=detail
-        ),
-        status=status,
-        close=True,
-    )
+    return _closing(calls.Reason.MALFORMED, detail, status)
 
 
 def _too_large(detail, status=413):
-    return refuse(
-        calls.Refusal(
-            errors.Ran.DID_NOT_RUN, calls.Reason.TOO_LARGE, detail=detail
-        ),
-        status=status,
-        close=True,
-    )
+    return _closing(calls.Reason.TOO_LARGE, detail, status)
+
+
+def _closing(reason, detail, status):
+    refusal = calls.Refusal(errors.Ran.DID_NOT_RUN, reason, detail=detail)
+    return refuse(refusal, status=status, close=True)
 
 
 class Connection(asyncio.Protocol):
--- a/jujubefold/sidecar/rowfeed.py
+++ b/jujubefold/sidecar/rowfeed.py
@@ -107,6 +107,11 @@
         self._changes.clear()
         self._changed.set()
 
+    async def wake(self):
+        """Have those that wait look again."""
+        self._changed.set()
+        await asyncio.sleep(0)
+
     async def read(self, table):
         if self.fault is not None:
             return expression.Error(self.fault)
--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,87 @@
+"""Tests of keeping up with a table."""
+
+import asyncio
+import random
+
+import testtools
+
+from jujubefold import errors
+from jujubefold.sidecar import follower
+from jujubefold.sidecar import rowfeed
+from tests import sidecars
+
+
+class TestFollower(testtools.TestCase):
+    def play(self, scene):
+        """Run a scene with a feed, what was seen of it, and the log."""
+
+        async def main():
+            feed = rowfeed.MemoryRowFeed()
+            seen = {}
+            book = sidecars.Book()
+
+            def whole(rows):
+                seen.clear()
+                changed(rows)
+
+            def changed(rows):
+                seen.update({row.key: row.value for row in rows})
+
+            item = follower.Follower(
+                feed, 't', whole, changed, 0.01, random.Random(1), book
+            )
+            task = asyncio.ensure_future(item.run())
+            try:
+                async with asyncio.timeout(20):
+                    await scene(feed, seen, book)
+            finally:
+                task.cancel()
+
+        asyncio.run(main())
+
+    async def until(self, condition):
+        """Wait until something holds."""
+        while not condition():
+            await asyncio.sleep(0.01)
+
+    def test_changes_arrive(self):
+        async def scene(feed, seen, _):
+            await feed.put('t', 'a', b'1')
+            await self.until(lambda: seen == {'a': b'1'})
+            await feed.put('t', 'a', b'2')
+            await self.until(lambda: seen == {'a': b'2'})
+            await feed.remove('t', 'a')
+            await self.until(lambda: seen == {'a': None})
+
+        self.play(scene)
+
+    def test_an_outage_is_said_once_and_survived(self):
+        async def scene(feed, seen, book):
+            await feed.put('t', 'a', b'1')
+            await self.until(lambda: seen == {'a': b'1'})
+            feed.fault = errors.StoreNotRun('away')
+            await feed.wake()
+            await asyncio.sleep(0.6)
+            feed.fault = None
+            await feed.put('t', 'b', b'2')
+            await self.until(lambda: 'b' in seen)
+            events = [event for event, _ in book.kept]
+            self.assertEqual(['store.lost', 'store.regained'], events)
+
+        self.play(scene)
+
+    def test_a_gap_in_the_history_is_read_over(self):
+        async def scene(feed, seen, book):
+            await feed.put('t', 'a', b'1')
+            await self.until(lambda: seen == {'a': b'1'})
+            feed.fault = errors.StoreNotRun('away')
+            await feed.wake()
+            await asyncio.sleep(0.1)
+            feed.fault = None
+            await feed.remove('t', 'a')
+            await feed.put('t', 'b', b'2')
+            feed.compact()
+            await self.until(lambda: seen == {'b': b'2'})
+            self.assertIn('store.history_gone', [e for e, _ in book.kept])
+
+        self.play(scene)
--- /dev/null
+++ b/tests/test_options.py
@@ -0,0 +1,65 @@
+"""Tests of a sidecar's settings file."""
+
+import pathlib
+import tempfile
+
+import testtools
+
+from jujubefold.sidecar import options
+
+GOOD = """
+[daemon]
+vm = "side-a-1"
+region = "r"
+failure_domain = "a"
+[listen]
+callers = "10.0.0.1:1"
+peers = "10.0.0.1:2"
+readiness = "10.0.0.1:3"
+announcements = "10.0.0.1:4"
+metrics = "10.0.0.1:5"
+[upstream]
+service = "pickups"
+address = "10.0.0.1:6"
+drain = 2
+[store]
+address = "10.0.0.9:7"
+[retries]
+ratio = 0.2
+window = 10
+slack = 56.0
+[stop]
+grace = 6
+"""
+
+
+class TestOptions(testtools.TestCase):
+    def load(self, text):
+        """Return what loading a file with this text gives."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'settings.toml'
+            path.write_text(text)
+            return options.load(path)
+
+    def test_a_whole_file(self):
+        found = self.load(GOOD).ok
+        self.assertEqual(2.0, found.upstream.drain)
+        self.assertEqual('INFO', found.logs.level)
+
+    def test_table_of_faults(self):
+        for old, new, where in (
+            ('vm = "side-a-1"', 'vm = 7', 'daemon.vm'),
+            ('vm = "side-a-1"', '', 'daemon'),
+            ('drain = 2', 'drain = -1', 'upstream.drain'),
+            ('10.0.0.1:6', 'nowhere', 'upstream.address'),
+            ('ratio = 0.2', 'ratio = 0.2\nextra = 1', 'retries'),
+            ('grace = 6', 'grace = "6"', 'stop.grace'),
+            ('[stop]', '[stop', 'settings.toml'),
+        ):
+            found = self.load(GOOD.replace(old, new))
+            self.assertTrue(found.is_error(), new)
+            self.assertIn(where, found.error.where, new)
+
+    def test_a_missing_file_is_named(self):
+        found = options.load('/nowhere/settings.toml')
+        self.assertIn('/nowhere/settings.toml', found.error.where)
--- /dev/null
+++ b/tests/test_rowfeed.py
@@ -0,0 +1,259 @@
+"""Contract of a row feed, on the twin and on the platform's store."""
+
+import asyncio
+import json
+import urllib.parse
+
+import testtools
+
+from jujubefold import callserver
+from jujubefold import clock
+from jujubefold import bodies
+from jujubefold import errors
+from jujubefold.platform import store
+from jujubefold.sidecar import options
+from jujubefold.sidecar import rowfeed
+from tests import sidecars
+
+# Rows in a page of the stand-in, fewer than a table of the tests has.
+PAGE = 3
+
+
+class StandIn:
+    """The platform's store in one event loop, as its page describes it."""
+
+    def __init__(self):
+        self.version = 0
+        self.rows = {}
+        self.changes = []
+        self.calls = []
+        self.mode = 'serve'
+        self.oldest = 0
+        self.address = ''
+        self._server = None
+        self._waiting = []
+
+    async def start(self):
+        """Listen."""
+        self._server = callserver.Server(
+            self,
+            clock.SystemClock(),
+            bodies.Budget(1 << 24),
+            bodies.Budget(1 << 24),
+        )
+        self.address = await self._server.start(f'{sidecars.LOOPBACK}:0')
+
+    async def close(self):
+        """End everything."""
+        await self._server.close()
+
+    def body_limit(self, request):
+        """Return the most bytes that a body may have."""
+        return 1 << 20
+
+    def compact(self):
+        """Drop the history."""
+        self.oldest = self.version
+        self.changes.clear()
+
+    def take(self, exchange):
+        """Serve one call."""
+        request = exchange.request
+        self.calls.append(request.path)
+        if self.mode == 'busy':
+            self._reply(exchange, 503, {})
+        elif self.mode == 'many':
+            self._reply(exchange, 429, {})
+        elif self.mode == 'reset':
+            exchange.drop()
+        elif self.mode == 'silent':
+            return
+        elif request.path == '/api/rows-tx':
+            self._write(json.loads(b''.join(request.pieces)))
+            if self.mode == 'lost':
+                exchange.drop()
+            else:
+                self._reply(exchange, 200, {})
+        else:
+            query = dict(
+                urllib.parse.parse_qsl(request.target.decode().split('?')[1])
+            )
+            if request.path == '/api/rows-get':
+                self._read(exchange, query)
+            else:
+                self._follow(exchange, query)
+
+    def _write(self, body):
+        self.version += 1
+        for entry in body['puts']:
+            row = {'key': entry['key'], 'value': entry['value']}
+            self.rows[entry['table'], entry['key']] = row
+            self._note(entry['table'], row)
+        for entry in body['remove']:
+            if self.rows.pop((entry['table'], entry['key']), None):
+                self._note(
+                    entry['table'], {'key': entry['key'], 'deleted': True}
+                )
+        for exchange, query in self._waiting[:]:
+            self._waiting.remove((exchange, query))
+            self._follow(exchange, query)
+
+    def _note(self, table, row):
+        row = {**row, 'row_version': self.version}
+        self.changes.append((self.version, table, row))
+
+    def _read(self, exchange, query):
+        found = sorted(
+            key
+            for table, key in self.rows
+            if table == query['table'] and key >= query.get('from', '')
+        )
+        rows = [self.rows[query['table'], key] for key in found[:PAGE]]
+        self._reply(
+            exchange, 200, {'rows': rows, 'has_more': len(found) > PAGE}
+        )
+
+    def _follow(self, exchange, query):
+        after = int(query['after'])
+        if after < self.oldest:
+            self._reply(exchange, 410, {})
+            return
+        rows = [
+            row
+            for version, table, row in self.changes
+            if version > after and table == query['table']
+        ]
+        if rows:
+            self._reply(exchange, 200, {'rows': rows})
+        else:
+            self._waiting.append((exchange, query))
+
+    def _reply(self, exchange, status, body):
+        body = {**body, 'row_version': self.version, 'now_s': 1.5}
+        encoded = json.dumps(body).encode()
+        exchange.reply(callserver.Answer(status, [], [encoded], len(encoded)))
+
+
+class Contract:
+    """What every row feed does."""
+
+    def play(self, scene):
+        """Run a coroutine function with a feed and what holds its rows."""
+        raise NotImplementedError
+
+    def test_a_table_is_read_whole(self):
+        async def scene(feed, _):
+            for number in range(8):
+                await feed.put('t', f'k{number}', b'%d' % number)
+            await feed.put('other', 'k', b'x')
+            found = (await feed.read('t')).ok
+            self.assertEqual(
+                {f'k{n}': b'%d' % n for n in range(8)},
+                {row.key: row.value for row in found.rows},
+            )
+            # Every byte of a value survives.
+            await feed.put('t', 'k0', bytes(range(256)))
+            found = (await feed.read('t')).ok
+            values = {row.key: row.value for row in found.rows}
+            self.assertEqual(bytes(range(256)), values['k0'])
+
+        self.play(scene)
+
+    def test_changes_are_waited_for_and_come_once(self):
+        async def scene(feed, _):
+            await feed.put('t', 'a', b'1')
+            start = (await feed.read('t')).ok.version
+            waiting = asyncio.ensure_future(feed.changes('t', start))
+            await asyncio.sleep(0.05)
+            self.assertFalse(waiting.done())
+            await feed.put('t', 'b', b'2')
+            found = (await waiting).ok
+            self.assertEqual((rowfeed.Row('b', b'2'),), found.rows)
+            await feed.remove('t', 'a')
+            found = (await feed.changes('t', found.version)).ok
+            self.assertEqual((rowfeed.Row('a', None),), found.rows)
+
+        self.play(scene)
+
+    def test_a_forgotten_history_is_said(self):
+        async def scene(feed, held):
+            await feed.put('t', 'a', b'1')
+            start = (await feed.read('t')).ok.version
+            await feed.put('t', 'b', b'2')
+            held.compact()
+            found = await feed.changes('t', start)
+            self.assertIsInstance(found.error, rowfeed.Forgotten)
+
+        self.play(scene)
+
+
+class TestMemoryRowFeed(Contract, testtools.TestCase):
+    def play(self, scene):
+        async def main():
+            feed = rowfeed.MemoryRowFeed()
+            await scene(feed, feed)
+
+        asyncio.run(main())
+
+
+class TestStoreFeed(Contract, testtools.TestCase):
+    def play(self, scene):
+        async def main():
+            held = StandIn()
+            await held.start()
+            called = []
+            feed = store.StoreFeed(
+                options.Store(held.address, timeout=0.3),
+                clock.SystemClock(),
+                lambda *call: called.append(call),
+            )
+            held.called = called
+            try:
+                async with asyncio.timeout(20):
+                    await scene(feed, held)
+            finally:
+                await held.close()
+
+        asyncio.run(main())
+
+    def test_failures_are_told_apart(self):
+        async def scene(feed, held):
+            cases = (
+                ('busy', errors.StoreNotRun, errors.StoreNotRun),
+                ('many', errors.StoreNotRun, errors.StoreNotRun),
+                ('reset', errors.StoreNotRun, errors.StoreUnknown),
+                ('silent', errors.StoreNotRun, errors.StoreUnknown),
+            )
+            for mode, read, write in cases:
+                held.mode = mode
+                found = await feed.read('t')
+                self.assertIsInstance(found.error, read, mode)
+                found = await feed.put('t', 'k', b'v')
+                self.assertIsInstance(found.error, write, mode)
+            held.mode = 'lost'
+            found = await feed.put('t', 'k', b'v')
+            self.assertIsInstance(found.error, errors.StoreUnknown)
+            held.mode = 'serve'
+            self.assertEqual(1, len((await feed.read('t')).ok.rows))
+
+        self.play(scene)
+
+    def test_nobody_listening_is_no_write(self):
+        async def scene(feed, held):
+            await held.close()
+            found = await feed.put('t', 'k', b'v')
+            self.assertIsInstance(found.error, errors.StoreNotRun)
+
+        self.play(scene)
+
+    def test_calls_are_counted(self):
+        async def scene(feed, held):
+            await feed.read('t')
+            held.mode = 'busy'
+            await feed.read('t')
+            self.assertEqual(
+                [('read', '200'), ('read', '503')],
+                [call[:2] for call in held.called],
+            )
+
+        self.play(scene)
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -9,7 +9,7 @@
 import testtools
 
 ROOT = pathlib.Path(__file__).parents[1]
-SOURCES = sorted((ROOT / 'jujubefold').glob('*.py'))
+SOURCES = sorted((ROOT / 'jujubefold').rglob('*.py'))
 # Whatever is kept under version control and read by people.
 EVERYWHERE = sorted(
     path
