Say less between daemons, and let a refused read try on

A version is now told to four successors, load to the own failure domain and only when a gate fills up or has room again.

The known failure of reads after an upstream was killed is traced: a try that was cut took half of the allowance, and the next one, refused by a gate whose upstream takes no connection, the other half, so the third try was lost. A refused retry now costs the request nothing.

--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -512,7 +512,8 @@
             tour.tried.add(choice.vm)
             outcome = await self._forward(choice, attempt, tour.message, part)
         if _is_refused(outcome):
-            tour.allowance.give_back(part)
+            # No upstream saw it, so it was no retry of the request either.
+            tour.allowance.give_back(part + (tour.tries > 1))
         return outcome
 
     def _may_go_on(self, tour, refusal):
--- a/jujubefold/platform/store.py
+++ b/jujubefold/platform/store.py
@@ -16,7 +16,7 @@
 READ = b'/api/rows-get'
 FEED = b'/api/rows-feed'
 # Seconds for which a feed call waits for changes; each costs a call.
-WAIT_S = 10.0
+WAIT_S = 20.0
 # Connections: two feeds, a read, a write, and one being replaced.
 CONNECTIONS = 6
 ANSWER_BYTES = 16 * 1024 * 1024
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -27,10 +27,10 @@
 from jujubefold.sidecar import versions
 
 MEMBERS_TABLE = 'jujubefold-members'
-# Seconds between two reads of a feed: members may come in herds, a version
-# is wanted at once.
+# Seconds between two reads of a feed, so that changes which come close
+# together cost one call; the first of them comes at once.
 MEMBERS_REST_S = 0.4
-VERSIONS_REST_S = 0.02
+VERSIONS_REST_S = 0.4
 SWEEP_S = 0.1
 SETTINGS_POLL_S = 1.0
 # Bytes of request bodies, and of answers to callers, buffered at once.
@@ -205,12 +205,14 @@
                     self._configuration_rows,
                     self._configuration_rows,
                     VERSIONS_REST_S,
+                    self._feed_of_versions,
                 ),
                 (
                     MEMBERS_TABLE,
                     self._all_members,
                     self._changed_members,
                     MEMBERS_REST_S,
+                    lambda works: None,
                 ),
             )
         ]
@@ -285,13 +287,17 @@
             bodies.Budget(ANSWER_BYTES),
         )
 
-    def _new_follower(self, table, whole, changed, rest):
+    def _feed_of_versions(self, works):
+        self.fleet.feed_fails = not works
+
+    def _new_follower(self, table, whole, changed, rest, state):
         return follower.Follower(
             self._feed,
             table,
             whole,
             changed,
             rest,
+            state,
             self._rng,
             self._journal,
         )
@@ -332,7 +338,7 @@
 
     def _slots_changed(self):
         self._journal.note('gate.slots', slots=self.egress.slots.slots)
-        self.fleet.tell_load()
+        self.fleet.tell_slots()
 
     async def _enlist(self):
         """Write this daemon's own row, until it is written."""
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -1,5 +1,6 @@
 """Fleet: this daemon's links to the others, and what it sees of them."""
 
+import bisect
 import dataclasses
 
 from jujubefold import calls
@@ -16,11 +17,17 @@
 from jujubefold.sidecar import slots
 
 _MS = 1000
-# Seconds between two words on this gate's load when it changed much.
+# Seconds between two words on whether this gate has room.
 LOAD_INTERVAL_S = 0.4
 # Seconds that a version may take over the platform's feed before it is
-# fetched from the daemon that told of it.
-FEED_LEAD_S = 0.3
+# fetched from a daemon that told of it: a document costs a small link much
+# more than the feed, so only daemons that the feed fails ask others.
+FEED_LEAD_S = 0.8
+# The same for a daemon that is cut from the feed, or knows no version.
+CUT_LEAD_S = 0.1
+# Daemons told of a version: so many in this failure domain, and elsewhere.
+TOLD_NEAR = 3
+TOLD_FAR = 1
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -63,6 +70,9 @@
         self._told = slots.Load()
         self._told_at = 0.0
         self._wanted = None
+        self._tellers = []
+        # Whether the platform's feed of versions fails this daemon.
+        self.feed_fails = False
         self.port = gateport.GatePort(
             egress, clock, self.hello, self._heard_at_port
         )
@@ -294,17 +304,49 @@
     # Versions
 
     def announce_version(self):
-        """Tell the others that a version is in force here."""
-        self.port.broadcast(frames.Newer(self._versions.number))
+        """Tell a few others that a version is in force here.
+
+        Whoever gets it from the platform tells others too, so each daemon
+        is told by about as many as it tells.
+        """
+        message = frames.Newer(self._versions.number)
+        for peer in self._successors():
+            peer.link.send(message)
+
+    def _successors(self):
+        """Return the next daemons by name, near ones and others."""
+        names = sorted(self._peers)
+        at = bisect.bisect(names, self._me.vm)
+        wanted = {True: TOLD_NEAR, False: TOLD_FAR}
+        found = []
+        for name in names[at:] + names[:at]:
+            peer = self._peers[name]
+            near = peer.candidate.distance in placement.NEAR
+            if peer.link.up and wanted[near]:
+                wanted[near] -= 1
+                found.append(peer)
+        return found
 
     def _hear_of_version(self, number, channel):
         if number <= self._versions.number:
             return
-        at = self._clock.monotonic() + FEED_LEAD_S
-        if self._versions.number == 0:
-            at -= FEED_LEAD_S
         if self._wanted is None or number > self._wanted[0]:
-            self._wanted = (number, at, channel)
+            cut = self.feed_fails or not self._versions.number
+            lead = CUT_LEAD_S if cut else FEED_LEAD_S
+            now = self._clock.monotonic()
+            at = now + lead if self._wanted is None else self._wanted[1]
+            self._wanted = (number, at)
+            self._tellers.clear()
+        self._tellers.append(channel)
+
+    def _fetch_wanted(self, now):
+        if self._wanted is None or now < self._wanted[1]:
+            return
+        number, _ = self._wanted
+        self._wanted = None
+        tellers, self._tellers = self._tellers, []
+        if number > self._versions.number:
+            self._rng.choice(tellers).send(frames.Fetch(self._versions.number))
 
     # Crashes
 
@@ -337,11 +379,25 @@
 
     # Time
 
-    def tell_load(self):
-        """Tell the others this gate's load now."""
+    def tell_slots(self):
+        """Tell all others that slots appeared or vanished here."""
+        self._note_told()
+        self.port.broadcast(gateport.load_of(self._egress))
+
+    def _tell_load(self, now):
+        """Tell those near by when this gate fills up or has room again."""
+        if now - self._told_at < LOAD_INTERVAL_S:
+            return
+        if _has_room(self._egress.load()) == _has_room(self._told):
+            return
+        self._note_told()
+        self.port.broadcast(
+            gateport.load_of(self._egress), self._me.failure_domain
+        )
+
+    def _note_told(self):
         self._told = self._egress.load()
         self._told_at = self._clock.monotonic()
-        self.port.broadcast(gateport.load_of(self._egress))
 
     def sweep(self):
         """Look after links, and tell the others what changed."""
@@ -350,19 +406,8 @@
             peer.link.sweep(now)
         self.port.sweep(now)
         self._tell_crashes()
-        if now - self._told_at > LOAD_INTERVAL_S and self._changed_much():
-            self.tell_load()
-        if self._wanted is not None and now >= self._wanted[1]:
-            number, _, channel = self._wanted
-            self._wanted = None
-            if number > self._versions.number:
-                channel.send(frames.Fetch(self._versions.number))
-
-    def _changed_much(self):
-        load = self._egress.load()
-        told = self._told
-        moved = load.running + load.waiting - told.running - told.waiting
-        return abs(moved) > max(1, load.slots // 2)
+        self._tell_load(now)
+        self._fetch_wanted(now)
 
     def goodbye(self):
         """Tell the others to offer nothing more here."""
@@ -385,6 +430,10 @@
     )
 
 
+def _has_room(load):
+    return load.running < load.slots
+
+
 def _gone():
     return attempts.Outcome(
         refusal=calls.Refusal(
--- a/jujubefold/sidecar/follower.py
+++ b/jujubefold/sidecar/follower.py
@@ -21,16 +21,18 @@
         changed: Called with rows that changed.
         rest: Seconds between two reads of changes, so that changes which
             come close together cost one call.
+        state: Called with whether the table can be followed, on a change.
         rng: A `random.Random`.
         journal: A `journal.Journal`.
     """
 
-    def __init__(self, feed, table, whole, changed, rest, rng, journal):
+    def __init__(self, feed, table, whole, changed, rest, state, rng, journal):
         self._feed = feed
         self._table = table
         self._whole = whole
         self._changed = changed
         self._rest = rest
+        self._state = state
         self._rng = rng
         self._journal = journal
         self._version = None
@@ -68,6 +70,7 @@
     def _lost(self, failure):
         if isinstance(failure, errors.StoreNotRun) and not self._failing:
             self._failing = True
+            self._state(False)
             self._journal.note(
                 'store.lost', table=self._table, detail=failure.reason
             )
@@ -77,4 +80,5 @@
     def _regained(self):
         if self._failing:
             self._failing = False
+            self._state(True)
             self._journal.note('store.regained', table=self._table)
--- a/jujubefold/sidecar/gateport.py
+++ b/jujubefold/sidecar/gateport.py
@@ -70,10 +70,17 @@
         name = self._server.sockets[0].getsockname()
         return f'{name[0]}:{name[1]}'
 
-    def broadcast(self, message):
-        """Send a message to every daemon that is linked to this one."""
+    def broadcast(self, message, domain=None):
+        """Send a message to the daemons that are linked to this one.
+
+        Args:
+            message: Any of `frames`.
+            domain: Only to daemons of this failure domain.
+        """
         for connection in tuple(self._connections):
-            if connection.peer is not None:
+            if connection.peer is None:
+                continue
+            if domain is None or connection.domain == domain:
                 connection.send(message)
 
     def close(self):
@@ -119,6 +126,7 @@
         match message:
             case frames.Hello():
                 connection.peer = (message.vm, message.incarnation)
+                connection.domain = message.failure_domain
                 connection.send(self._hello())
                 for sequence in message.resume:
                     self._resume(connection, sequence)
--- a/jujubefold/sidecar/link.py
+++ b/jujubefold/sidecar/link.py
@@ -71,6 +71,7 @@
         self._reader = frames.Reader()
         self._transport = None
         self.peer = None
+        self.domain = ''
         self.heard = False
 
     @property
--- a/tests/test_callflow.py
+++ b/tests/test_callflow.py
@@ -485,6 +485,28 @@
 
         self.run_with(scenario, True, True)
 
+    def test_a_read_cut_once_is_not_lost_to_a_gate_that_refuses_it(self):
+        async def scenario(fleet):
+            first = fleet.nodes[0]
+            await fleet.nodes[1].upstream.kill()
+            reads = [
+                asyncio.ensure_future(
+                    callnodes.Caller(first.caller_address).ask(
+                        'GET',
+                        jujubefold_request_id=f'r{number}',
+                        example_fault='delay:300',
+                    )
+                )
+                for number in range(4)
+            ]
+            await until(lambda: len(first.gate_table.running) >= 2)
+            await first.upstream.kill()
+            for read in reads:
+                answer = await read
+                self.assertEqual(('ran', 'none'), callnodes.outcome(answer))
+
+        self.run_with(scenario, True, True, True)
+
     def test_several_cut_at_once_are_a_crash(self):
         async def scenario(fleet):
             node = fleet.nodes[0]
--- a/tests/test_rowfeed.py
+++ b/tests/test_rowfeed.py
@@ -6,9 +6,9 @@
 
 import testtools
 
+from jujubefold import bodies
 from jujubefold import callserver
 from jujubefold import clock
-from jujubefold import bodies
 from jujubefold import errors
 from jujubefold.platform import store
 from jujubefold.sidecar import options
