--- a/jujubefold/platform/store.py
+++ b/jujubefold/platform/store.py
@@ -15,8 +15,6 @@
 WRITE = b'/api/rows-tx'
 READ = b'/api/rows-get'
 FEED = b'/api/rows-feed'
-# Seconds for which a feed call waits for changes; each costs a call.
-WAIT_S = 20.0
 # Connections: two feeds, a read, a write, and one being replaced.
 CONNECTIONS = 6
 ANSWER_BYTES = 16 * 1024 * 1024
@@ -74,13 +72,13 @@
             # The range begins with this key; the smallest one behind it.
             start = page.rows[-1].key + '\0'
 
-    async def changes(self, table, after):
+    async def changes(self, table, after, wait):
         query = {
             'table': table,
             'after': after,
-            'wait_ms': int(WAIT_S * _MS),
+            'wait_ms': int(wait * _MS),
         }
-        result = await self._get('feed', FEED, query, WAIT_S)
+        result = await self._get('feed', FEED, query, wait)
         if result.is_error():
             return result
         return expression.Ok(
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -31,6 +31,11 @@
 # together cost one call; the first of them comes at once.
 MEMBERS_REST_S = 0.4
 VERSIONS_REST_S = 0.4
+# Seconds for which a read of a feed waits for changes; each read is a call.
+# A version must be in force within seconds of the end of an outage that was
+# silent; members also get to know each other by their links.
+MEMBERS_WAIT_S = 15.0
+VERSIONS_WAIT_S = 2.0
 SWEEP_S = 0.1
 SETTINGS_POLL_S = 1.0
 # Bytes of request bodies, and of answers to callers, buffered at once.
@@ -182,6 +187,7 @@
             self._configuration_rows,
             self._configuration_rows,
             VERSIONS_REST_S,
+            VERSIONS_WAIT_S,
             self._feed_of_versions,
         )
 
@@ -212,6 +218,7 @@
             self._all_members,
             self._changed_members,
             MEMBERS_REST_S,
+            MEMBERS_WAIT_S,
             lambda works: None,
         )
         self._tasks.append(runtimeloop.spawn(members.run()))
@@ -290,13 +297,14 @@
     def _feed_of_versions(self, works):
         self.fleet.feed_fails = not works
 
-    def _new_follower(self, table, whole, changed, rest, state):
+    def _new_follower(self, table, whole, changed, rest, wait, state):
         return follower.Follower(
             self._feed,
             table,
             whole,
             changed,
             rest,
+            wait,
             state,
             self._rng,
             self._journal,
--- a/jujubefold/sidecar/follower.py
+++ b/jujubefold/sidecar/follower.py
@@ -21,17 +21,22 @@
         changed: Called with rows that changed.
         rest: Seconds between two reads of changes, so that changes which
             come close together cost one call.
+        wait: Seconds for which a read waits for changes. A platform that
+            takes calls and never answers them is only found out then.
         state: Called with whether the table can be followed, on a change.
         rng: A `random.Random`.
         journal: A `journal.Journal`.
     """
 
-    def __init__(self, feed, table, whole, changed, rest, state, rng, journal):
+    def __init__(
+        self, feed, table, whole, changed, rest, wait, state, rng, journal
+    ):
         self._feed = feed
         self._table = table
         self._whole = whole
         self._changed = changed
         self._rest = rest
+        self._wait = wait
         self._state = state
         self._rng = rng
         self._journal = journal
@@ -57,7 +62,9 @@
             result = await self._feed.read(self._table)
             take = self._whole
         else:
-            result = await self._feed.changes(self._table, self._version)
+            result = await self._feed.changes(
+                self._table, self._version, self._wait
+            )
             take = self._changed
         if result.is_ok():
             self._version = result.ok.version
--- a/jujubefold/sidecar/rowfeed.py
+++ b/jujubefold/sidecar/rowfeed.py
@@ -52,12 +52,13 @@
         """
 
     @abc.abstractmethod
-    async def changes(self, table, after):
+    async def changes(self, table, after, wait):
         """Wait for changes behind a version.
 
         Args:
             table: Table name.
             after: Version of the last `Rows` read.
+            wait: Seconds after which no change is an answer too.
 
         Returns:
             `Ok(Rows)`, empty when none came in time, or `Error` of
@@ -120,7 +121,9 @@
             Rows(tuple(Row(*item) for item in rows.items()), self._version)
         )
 
-    async def changes(self, table, after):
+    async def changes(self, table, after, wait):
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + wait
         while True:
             if self.fault is not None:
                 return expression.Error(self.fault)
@@ -135,7 +138,11 @@
             if rows:
                 return expression.Ok(Rows(rows, self._version))
             self._changed.clear()
-            await self._changed.wait()
+            try:
+                async with asyncio.timeout(ends - loop.time()):
+                    await self._changed.wait()
+            except TimeoutError:
+                return expression.Ok(Rows((), self._version))
 
     async def put(self, table, key, value):
         if self.fault is not None:
--- a/jujubefold/sidecar/spread.py
+++ b/jujubefold/sidecar/spread.py
@@ -10,9 +10,9 @@
 
 import zstandard
 
-# Daemons of each failure domain that follow the platform; two may be gone
-# at once.
-READERS = 3
+# Daemons of each failure domain that follow the platform. Each costs it
+# calls; when both are gone, the others follow it themselves.
+READERS = 2
 # Daemons told of a version by each that has it: so many of the own failure
 # domain, and of others.
 TOLD_NEAR = 3
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -10,6 +10,9 @@
 from jujubefold.sidecar import rowfeed
 from tests import sidecars
 
+# Seconds for which a read waits for changes.
+WAIT_S = 0.5
+
 
 class TestFollower(testtools.TestCase):
     def play(self, scene):
@@ -34,6 +37,7 @@
                 whole,
                 changed,
                 0.01,
+                WAIT_S,
                 states.append,
                 random.Random(1),
                 book,
@@ -93,3 +97,14 @@
             self.assertIn('store.history_gone', [e for e, _ in book.kept])
 
         self.play(scene)
+
+    def test_a_platform_that_never_answers_is_found_out(self):
+        async def scene(feed, seen, book):
+            await feed.put('t', 'a', b'1')
+            await self.until(lambda: seen == {'a': b'1'})
+            feed.fault = errors.StoreNotRun('silent')
+            # A call that is under way hangs; only the next one says so.
+            await asyncio.sleep(WAIT_S + 0.3)
+            self.assertIn('store.lost', [event for event, _ in book.kept])
+
+        self.play(scene)
--- a/tests/test_rowfeed.py
+++ b/tests/test_rowfeed.py
@@ -127,6 +127,14 @@
             self._reply(exchange, 200, {'rows': rows})
         else:
             self._waiting.append((exchange, query))
+            asyncio.get_running_loop().call_later(
+                int(query['wait_ms']) / 1000, self._give_up, exchange, query
+            )
+
+    def _give_up(self, exchange, query):
+        if (exchange, query) in self._waiting:
+            self._waiting.remove((exchange, query))
+            self._reply(exchange, 200, {'rows': []})
 
     def _reply(self, exchange, status, body):
         body = {**body, 'row_version': self.version, 'now_s': 1.5}
@@ -163,25 +171,34 @@
         async def scene(feed, _):
             await feed.put('t', 'a', b'1')
             start = (await feed.read('t')).ok.version
-            waiting = asyncio.ensure_future(feed.changes('t', start))
+            waiting = asyncio.ensure_future(feed.changes('t', start, 5.0))
             await asyncio.sleep(0.05)
             self.assertFalse(waiting.done())
             await feed.put('t', 'b', b'2')
             found = (await waiting).ok
             self.assertEqual((rowfeed.Row('b', b'2'),), found.rows)
             await feed.remove('t', 'a')
-            found = (await feed.changes('t', found.version)).ok
+            found = (await feed.changes('t', found.version, 5.0)).ok
             self.assertEqual((rowfeed.Row('a', None),), found.rows)
 
         self.play(scene)
 
+    def test_no_change_is_an_answer_after_the_wait(self):
+        async def scene(feed, _):
+            await feed.put('t', 'a', b'1')
+            start = (await feed.read('t')).ok.version
+            found = (await feed.changes('t', start, 0.1)).ok
+            self.assertEqual(((), start), (found.rows, found.version))
+
+        self.play(scene)
+
     def test_a_forgotten_history_is_said(self):
         async def scene(feed, held):
             await feed.put('t', 'a', b'1')
             start = (await feed.read('t')).ok.version
             await feed.put('t', 'b', b'2')
             held.compact()
-            found = await feed.changes('t', start)
+            found = await feed.changes('t', start, 5.0)
             self.assertIsInstance(found.error, rowfeed.Forgotten)
 
         self.play(scene)
