Explain one request from the collected logs

Gates log what they refuse and what ended in doubt, with the inputs that decided; lines about another daemon name it as peer, where they overwrote the line's own VM before. 'jujubefold explain ID FILE...' orders the lines of many VMs, adds what the VMs that took part came to believe, and names the cause; lines that can't be read are counted.

--- a/jujubefold/cli.py
+++ b/jujubefold/cli.py
@@ -18,6 +18,7 @@
 from jujubefold import outcomes
 from jujubefold import porcelain
 from jujubefold import settings
+from jujubefold.sidecar import explain
 from jujubefold import timeline as event_line
 
 NANOSECONDS = 1_000_000_000
@@ -486,6 +487,27 @@
     )
 
 
+@app.command('explain')
+def explain_request(
+    context: typer.Context,
+    request: typing.Annotated[str, typer.Argument(help='Request id.')],
+    logs: typing.Annotated[
+        list[typer.FileText], typer.Argument(help='Logs of the VMs.')
+    ],
+):
+    """Tell the story of one request from collected logs.
+
+    Lines that can't be read are counted. Asks no daemon.
+
+    \b
+    Example:
+      jujubefold explain 9c41d07be2a35f68 vm-*.log
+    """
+    story = explain.explain(request, logs)
+    value = {**dataclasses.asdict(story), 'cause': story.cause}
+    context.obj.show(value, '\n'.join(explain.told(story)))
+
+
 @app.command()
 def drain(context: typer.Context):
     """Ask the daemon to take no new work, finish and leave.
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import gc
-import os
 import pathlib
 import random
 import signal
@@ -191,6 +190,16 @@
             self._feed_of_versions,
         )
 
+    @property
+    def vm(self):
+        """Name of this daemon's VM."""
+        return self._me.vm
+
+    @property
+    def incarnation(self):
+        """This start of the daemon."""
+        return self._me.incarnation
+
     @property
     def options(self):
         """The `options.Options` in force."""
@@ -332,7 +341,7 @@
                 self.fleet.learn(member.ok)
             else:
                 self._journal.note(
-                    'member.invalid', vm=row.key, detail=member.error.reason
+                    'member.invalid', peer=row.key, detail=member.error.reason
                 )
 
     def _version_changed(self, configuration, source):
@@ -434,9 +443,7 @@
     time_source = clock.SystemClock()
     book = journal.Journal(time_source, output)
     daemon = Daemon(loaded.ok, platform, time_source, book)
-    logs.configure(
-        loaded.ok.logs.level, loaded.ok.daemon.vm, os.getpid(), output
-    )
+    logs.configure(loaded.ok.logs.level, daemon.vm, daemon.incarnation, output)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(
         lambda _, context: book.note(
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -187,7 +187,7 @@
         print_ = fingerprint(attempt)
         refusal = crashes.check(self.crashes, print_, now)
         if refusal is not None:
-            return attempts.Outcome(refusal=refusal)
+            return self._refused(attempt, refusal)
         # The same request may come twice, so it does not name its ticket.
         name = next(self._numbers)
         ticket = slots.Ticket(
@@ -200,12 +200,40 @@
         )
         match slots.offer(self.slots, ticket, now):
             case calls.Refused(refusal=refusal):
-                return attempts.Outcome(refusal=refusal)
+                return self._refused(attempt, refusal)
             case calls.Queued():
                 refusal = await self._wait(name)
                 if refusal is not None:
-                    return attempts.Outcome(refusal=refusal)
-        return await self._send(name, attempt, print_)
+                    return self._refused(attempt, refusal)
+        outcome = await self._send(name, attempt, print_)
+        if outcome.answer is None:
+            self._log('gate.failed', attempt, outcome.refusal)
+        return outcome
+
+    def _refused(self, attempt, refusal):
+        self._log('gate.refused', attempt, refusal)
+        return attempts.Outcome(refusal=refusal)
+
+    def _log(self, event, attempt, refusal):
+        now = self._clock.monotonic()
+        upstream = self.instance.now
+        self._journal.request(
+            event,
+            request=attempt.request,
+            route=attempt.route,
+            version=attempt.version,
+            reason=refusal.reason,
+            ran=refusal.ran,
+            detail=refusal.detail,
+            waited=round(now - attempt.arrived, 4),
+            left=round(attempt.deadline - now, 4),
+            expected=round(slots.duration(self.slots, attempt.route), 4),
+            running=len(self.slots.running),
+            waiting=len(self.slots.waiting),
+            slots=self.slots.slots,
+            upstream='' if upstream is None else upstream.id,
+            sequence=0 if upstream is None else upstream.sequence,
+        )
 
     async def _wait(self, name):
         waiter = eagertask.Waiter()
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -99,9 +99,9 @@
             return
         self._journal.note(
             'member.learned',
-            vm=member.vm,
+            peer=member.vm,
             address=member.address,
-            incarnation=member.incarnation,
+            start=member.incarnation,
         )
         if known is not None and known.address == member.address:
             self._peers[member.vm].link.hurry()
@@ -132,7 +132,7 @@
         """Drop a member whose row was taken out."""
         if not roster.forget(self.roster, vm):
             return
-        self._journal.note('member.forgotten', vm=vm)
+        self._journal.note('member.forgotten', peer=vm)
         peer = self._peers.pop(vm, None)
         if peer is not None:
             peer.link.close()
@@ -242,7 +242,7 @@
             self._report(peer, message)
         elif isinstance(message, frames.Goodbye) and peer is not None:
             peer.candidate.reachable = False
-            self._journal.note('member.leaving', vm=outgoing.vm)
+            self._journal.note('member.leaving', peer=outgoing.vm)
         else:
             self._heard(message, outgoing)
 
@@ -298,7 +298,7 @@
         if peer.candidate.reachable != up:
             self._journal.note(
                 'link.up' if up else 'link.down',
-                vm=outgoing.vm,
+                peer=outgoing.vm,
                 address=outgoing.address,
                 pending=outgoing.pending,
             )
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -246,7 +246,10 @@
         call.trail.append(
             {
                 'vm': candidate.vm,
-                'load': str(candidate.load.running + candidate.load.waiting),
+                'distance': candidate.distance,
+                'running': candidate.load.running,
+                'waiting': candidate.load.waiting,
+                'slots': candidate.load.slots,
                 'age': round(age, 3),
                 'took': round(self._clock.monotonic() - now, 4),
                 'end': _end_of(outcome),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -143,7 +143,7 @@
     def test_help_teaches(self):
         command = typer.main.get_command(cli.app)
         verbs = dict(walk(command, ()))
-        self.assertEqual(14, len(verbs), sorted(verbs))
+        self.assertEqual(15, len(verbs), sorted(verbs))
         for path in verbs:
             told = self.text(0, *path, '--help')
             self.assertIn('jujubefold ', told.split('Example:')[1], path)
