--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -248,11 +248,11 @@
         for task in self._tasks:
             task.cancel()
         self._read_versions()
+        await asyncio.sleep(GOODBYE_S)
+        self.fleet.goodbye()
         leaving = runtimeloop.spawn(
             self._feed.remove(MEMBERS_TABLE, self._me.vm)
         )
-        await asyncio.sleep(GOODBYE_S)
-        self.fleet.goodbye()
         await asyncio.sleep(TURNED_AWAY_S - GOODBYE_S)
         # Whoever still comes is refused at once, so that what runs can end.
         self.ingress.closing = True
@@ -326,6 +326,7 @@
 
     def _all_members(self, rows):
         self._changed_members(rows)
+        self.fleet.roster.complete = True
         named = {row.key for row in rows}
         for vm in tuple(self.fleet.roster.members):
             if vm not in named and not self.fleet.is_linked(vm):
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -94,7 +94,6 @@
 
     def learn(self, member):
         """Take a member that a row or a link told of."""
-        known = self.roster.members.get(member.vm)
         if not roster.learn(self.roster, member):
             return
         self._journal.note(
@@ -103,12 +102,12 @@
             address=member.address,
             start=member.incarnation,
         )
-        if known is not None and known.address == member.address:
-            self._peers[member.vm].link.hurry()
-            self._peers[member.vm].candidate.service = member.service
+        peer = self._peers.get(member.vm)
+        if peer is not None and peer.link.address == member.address:
+            peer.link.hurry()
+            peer.candidate.service = member.service
             return
-        if known is not None:
-            self._peers.pop(member.vm).link.close()
+        self._drop(member.vm)
         outgoing = link.Outgoing(
             member.address,
             self._clock,
@@ -129,10 +128,18 @@
         outgoing.start()
 
     def forget(self, vm):
-        """Drop a member whose row was taken out."""
+        """Drop a member whose row was taken out, once its link ends.
+
+        A daemon that stops takes its row out first, and finishes what it
+        was offered.
+        """
         if not roster.forget(self.roster, vm):
             return
         self._journal.note('member.forgotten', peer=vm)
+        if not self.is_linked(vm):
+            self._drop(vm)
+
+    def _drop(self, vm):
         peer = self._peers.pop(vm, None)
         if peer is not None:
             peer.link.close()
@@ -303,6 +310,8 @@
                 pending=outgoing.pending,
             )
         peer.candidate.reachable = up and not outgoing.leaving
+        if not up and outgoing.vm not in self.roster.members:
+            self._drop(outgoing.vm)
 
     # Versions
 
@@ -350,8 +359,9 @@
         found = [spread.Place(self._me.vm, self._me.capacity)]
         for vm, peer in self._peers.items():
             if peer.candidate.distance in placement.NEAR and peer.link.up:
-                capacity = self.roster.members[vm].capacity
-                found.append(spread.Place(vm, capacity))
+                member = self.roster.members.get(vm)
+                if member is not None:
+                    found.append(spread.Place(vm, member.capacity))
         return found
 
     def _successors(self):
--- a/jujubefold/sidecar/gateport.py
+++ b/jujubefold/sidecar/gateport.py
@@ -125,18 +125,14 @@
     def _received(self, connection, message):
         match message:
             case frames.Hello():
-                connection.peer = (message.vm, message.incarnation)
-                connection.domain = message.failure_domain
-                connection.send(self._hello())
-                for sequence in message.resume:
-                    self._resume(connection, sequence)
+                self._greet(connection, message)
             case frames.Offer():
                 if connection.peer is None:
                     connection.abort()
                     return
                 self._take(connection, message)
                 return
-            case frames.Cancel():
+            case frames.Cancel() if connection.peer is not None:
                 self._cancel((*connection.peer, message.sequence))
                 return
             case frames.Ping():
@@ -144,12 +140,29 @@
                 return
         self._heard(connection, message)
 
+    def _greet(self, connection, hello):
+        connection.peer = (hello.vm, hello.incarnation)
+        connection.domain = hello.failure_domain
+        # Offers that lie unread in an older connection are about to be said
+        # never to have come, so they must not come now.
+        for other in tuple(self._connections):
+            if other is not connection and other.peer == connection.peer:
+                other.peer = None
+                other.abort()
+        connection.send(self._hello())
+        for sequence in hello.resume:
+            self._resume(connection, sequence)
+
     def _resume(self, connection, sequence):
         key = (*connection.peer, sequence)
         self._orphans.pop(key, None)
         held = self._held.get(key)
         if held is None:
-            connection.send(frames.Unseen(sequence))
+            end = frames.Unseen(sequence)
+            self._held[key] = _Held(
+                connection, end=end, ended_at=self._clock.monotonic()
+            )
+            connection.send(end)
             return
         held.connection = connection
         if held.end is not None:
@@ -163,6 +176,7 @@
     def _take(self, connection, offer):
         key = (*connection.peer, offer.sequence)
         if key in self._held:
+            # Running, ended, or said never to have come.
             return
         now = self._clock.monotonic()
         held = self._held[key] = _Held(connection)
--- a/jujubefold/sidecar/retries.py
+++ b/jujubefold/sidecar/retries.py
@@ -60,7 +60,8 @@
     Args:
         table: A `RetryTable`.
         service: Service that it is sent to.
-        daemons: Most daemons that may be sending at this time.
+        daemons: Most daemons that may be sending at this time; infinity
+            when nobody knows.
         now: Monotonic seconds.
     """
     newest = _newest(table, service, now)
--- a/jujubefold/sidecar/roster.py
+++ b/jujubefold/sidecar/roster.py
@@ -1,6 +1,7 @@
 """Roster: which daemons there are, and what is known of each."""
 
 import dataclasses
+import math
 
 import expression
 import msgspec
@@ -74,16 +75,18 @@
     Args:
         me: This daemon's own `Member`.
         members: What rows and links said last.
-        greeted: VM names that a link confirmed since their row changed.
+        complete: Whether all rows were read once; until then there may be
+            many more daemons.
     """
 
     me: Member
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
+    complete: bool = False
 
     @property
     def size(self):
         """How many daemons may be at work, this one included."""
-        return len(self.members) + 1
+        return len(self.members) + 1 if self.complete else math.inf
 
 
 def learn(table, member):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -642,3 +642,68 @@
             writer.close()
 
         sidecars.play(scene)
+
+    def test_what_others_sent_is_finished(self):
+        async def scene(fleet):
+            await fleet.add('vm-1', service='routes')
+            await fleet.add('vm-2')
+            await fleet.settle()
+            upstream = fleet.upstreams['vm-2']
+
+            async def slow(run, writer):
+                await asyncio.sleep(0.9)
+                await upstream.answer(run, writer)
+
+            upstream.script = slow
+            running = asyncio.ensure_future(
+                fleet.call('vm-1', '/write/x', 'POST', b'b')
+            )
+            await asyncio.sleep(0.1)
+            stopping = asyncio.ensure_future(fleet.daemons['vm-2'].stop())
+            found = await running
+            self.assertEqual((200, 1), (found.status, runs(fleet, '/write/x')))
+            await stopping
+
+        sidecars.play(scene)
+
+    def test_others_may_offer_until_the_goodbye(self):
+        async def scene(fleet):
+            await fleet.add('vm-1', service='routes')
+            await fleet.add('vm-2')
+            await fleet.settle()
+            stopping = asyncio.ensure_future(fleet.daemons['vm-2'].stop())
+            await asyncio.sleep(0.8)
+            found = await fleet.call('vm-1', '/read/x')
+            self.assertEqual(200, found.status)
+            await asyncio.sleep(0.8)
+            found = await fleet.call('vm-1', '/read/y')
+            self.assertEqual(503, found.status)
+            await stopping
+
+        sidecars.play(scene)
+
+
+class TestBudget(testtools.TestCase):
+    def test_without_the_members_no_slack_is_used(self):
+        async def scene(fleet):
+            fleet.feed.fault = sidecars.unavailable()
+            await fleet.add('vm-1')
+            await fleet.add('vm-2')
+            for daemon in fleet.daemons.values():
+                daemon.versions.take(sidecars.document(1), 'test')
+            for first, second in (('vm-1', 'vm-2'), ('vm-2', 'vm-1')):
+                fleet.daemons[first].fleet.learn(
+                    fleet.daemons[second].fleet.roster.me
+                )
+            await fleet.settle()
+
+            async def cut(run, writer):
+                sidecars.reset(writer)
+
+            for upstream in fleet.upstreams.values():
+                upstream.script = cut
+            for number in range(4):
+                await fleet.call('vm-1', f'/read/{number}')
+                self.assertEqual(1, runs(fleet, f'/read/{number}'))
+
+        sidecars.play(scene)
