--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -106,7 +106,7 @@
         self._me = roster.Member(
             place.vm,
             identity.new_incarnation(time_source, self._rng),
-            options.listen.peers,
+            options.listen.advertised or options.listen.peers,
             options.upstream.service,
             place.region,
             place.failure_domain,
--- a/jujubefold/sidecar/options.py
+++ b/jujubefold/sidecar/options.py
@@ -36,6 +36,7 @@
     Args:
         callers: For requests that begin on this VM.
         peers: For links of other daemons.
+        advertised: Where other daemons find that; the same if not given.
         readiness: Asked by the platform.
         announcements: For the upstream's word on itself.
         metrics: For scrapers.
@@ -46,6 +47,7 @@
     readiness: Address
     announcements: Address
     metrics: Address
+    advertised: Address | None = None
 
 
 class Upstream(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real daemons, faults from outside, promises checked."""
