--- a/jujubefold/platform/announcements.py
+++ b/jujubefold/platform/announcements.py
@@ -41,13 +41,13 @@
     """Takes what the upstream says of itself.
 
     Args:
-        egress: The `egress.Egress`.
+        announcer: The `announcer.Announcer`.
         service: Service of the upstream on this VM.
         address: Where it listens.
     """
 
-    def __init__(self, egress, service, address):
-        self._egress = egress
+    def __init__(self, announcer, service, address):
+        self._announcer = announcer
         self._service = service
         self._address = address
 
@@ -68,35 +68,46 @@
         if request.path != PATH or not name:
             exchange.reply(_json(404))
         elif call == HEARTBEAT:
-            exchange.reply(self._announced(name, b''.join(request.pieces)))
+            self._announced(exchange, name, b''.join(request.pieces))
         elif call == DEREGISTER:
-            self._egress.deregistered(name)
-            exchange.reply(_json(200))
+            self._announcer.deregistered(name, _acknowledging(exchange))
         else:
             exchange.reply(_json(404))
 
-    def _announced(self, name, body):
-        try:
-            said = _decoder.decode(body)
-        except (msgspec.DecodeError, UnicodeError):
-            return _json(400)
-        if said.info.service != self._service or said.info.slots < 1:
-            return _json(400)
-        if said.address != self._address:
-            return _json(400)
-        self._egress.announced(
-            instance.Announcement(
-                name,
-                said.address,
-                said.info.service,
-                said.info.slots,
-                said.status.state,
-                said.status.sequence,
-                said.born,
-                max(0.0, said.status.cold_remaining_s),
-            )
-        )
-        return _json(200)
+    def _announced(self, exchange, name, body):
+        said = _read(name, body)
+        if (
+            said is None
+            or said.service != self._service
+            or said.address != self._address
+        ):
+            exchange.reply(_json(400))
+            return
+        self._announcer.announced(said, _acknowledging(exchange))
+
+
+def _read(name, body):
+    """Return the `instance.Announcement` in a body, or None."""
+    try:
+        said = _decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeError):
+        return None
+    if said.info.slots < 1:
+        return None
+    return instance.Announcement(
+        name,
+        said.address,
+        said.info.service,
+        said.info.slots,
+        said.status.state,
+        said.status.sequence,
+        said.born,
+        max(0.0, said.status.cold_remaining_s),
+    )
+
+
+def _acknowledging(exchange):
+    return lambda: exchange.reply(_json(200))
 
 
 class Page:
--- a/jujubefold/platform/store.py
+++ b/jujubefold/platform/store.py
@@ -72,6 +72,15 @@
             # The range begins with this key; the smallest one behind it.
             start = page.rows[-1].key + '\0'
 
+    async def get(self, table, key):
+        # The range excludes its end: the smallest key behind this one.
+        query = {'table': table, 'part': '', 'from': key, 'to': key + '\0'}
+        result = await self._get('get', READ, query, 0.0)
+        if result.is_error():
+            return result
+        rows = [_row(item) for item in result.ok.rows]
+        return expression.Ok(rows[0].value if rows else None)
+
     async def changes(self, table, after, wait):
         query = {
             'table': table,
--- /dev/null
+++ b/jujubefold/sidecar/announcer.py
@@ -0,0 +1,52 @@
+"""Announcer: takes the upstream's word, and says when it is taken."""
+
+from jujubefold import runtimeloop
+from jujubefold.sidecar import instance
+
+
+class Announcer:
+    """Between the upstream and the gate.
+
+    Args:
+        egress: The `egress.Egress`.
+        departures: The `departures.Departures`.
+    """
+
+    def __init__(self, egress, departures):
+        self._egress = egress
+        self._departures = departures
+
+    async def recall(self):
+        """Learn which upstreams left before this start of the daemon."""
+        self._egress.recall(await self._departures.recall())
+
+    def announced(self, said, taken):
+        """Take an announcement.
+
+        Args:
+            said: An `instance.Announcement`.
+            taken: Called without arguments once the upstream may be told.
+        """
+        change = self._egress.announced(said)
+        self._tell(change, said.id, said.born, taken)
+
+    def deregistered(self, name, taken):
+        """Take an upstream's last word.
+
+        Args:
+            name: Its id.
+            taken: As in `announced`.
+        """
+        known = self._egress.instance.now
+        born = known.born if known is not None and known.id == name else 0
+        self._tell(self._egress.deregistered(name), name, born, taken)
+
+    def _tell(self, change, name, born, taken):
+        if change is instance.Change.LEAVING:
+            runtimeloop.spawn(self._remember(name, born, taken))
+        else:
+            taken()
+
+    async def _remember(self, name, born, taken):
+        await self._departures.remember(name, born)
+        taken()
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -13,7 +13,9 @@
 from jujubefold import identity
 from jujubefold import logs
 from jujubefold import runtimeloop
+from jujubefold.sidecar import announcer
 from jujubefold.sidecar import attempt as attempts
+from jujubefold.sidecar import departures
 from jujubefold.sidecar import egress
 from jujubefold.sidecar import fleet
 from jujubefold.sidecar import follower
@@ -69,8 +71,8 @@
         decode: Turns that row's bytes into `versions.Configuration`.
         new_feed: Called with `options.Store`, a clock and a callback for
             each call, returns a `rowfeed.RowFeed`.
-        new_announcements: Called with an `egress.Egress` and the service
-            and address of the upstream, returns a request handler.
+        new_announcements: Called with an `announcer.Announcer` and the
+            service and address of the upstream, returns a request handler.
         new_readiness: Called with a function that tells whether the daemon
             is ready, returns a request handler.
         new_metrics: Called with a function that renders metrics, returns a
@@ -156,6 +158,12 @@
         self._feed = platform.new_feed(
             options.store, time_source, self._metrics.store_called
         )
+        self._announcer = announcer.Announcer(
+            self.egress,
+            departures.Departures(
+                self._feed, place.vm, time_source, self._journal
+            ),
+        )
         self._callers = self._new_server(self.ingress)
         self._servers = (
             (
@@ -165,7 +173,7 @@
             (
                 self._new_server(
                     platform.new_announcements(
-                        self.egress,
+                        self._announcer,
                         options.upstream.service,
                         options.upstream.address,
                     )
@@ -231,6 +239,7 @@
             lambda works: None,
         )
         self._tasks.append(runtimeloop.spawn(members.run()))
+        self._tasks.append(runtimeloop.spawn(self._announcer.recall()))
         self._tasks.append(runtimeloop.spawn(self._enlist()))
         self._sweep()
 
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -125,6 +125,11 @@
         self._note_change(change, said.id)
         return change
 
+    def recall(self, left):
+        """Take what is known of upstreams that left; see `instance`."""
+        instance.recall(self.instance, left)
+        self.refresh()
+
     def deregistered(self, name):
         """Take an upstream's last word; return its `instance.Change`."""
         change = instance.deregistered(
--- a/jujubefold/sidecar/instance.py
+++ b/jujubefold/sidecar/instance.py
@@ -14,6 +14,9 @@
 SENDING_SHARE = 0.5
 # Ids of upstreams that left, kept to recognise what they said before.
 MAX_LEFT = 64
+# Words of an upstream that prove that it has not left: what it said before
+# may arrive late, but not twice with nothing in between.
+SURE_WORDS = 2
 # Factor on durations while an upstream warms up after its start.
 WARMING_PACE = 2.0
 
@@ -70,6 +73,9 @@
         warm_at: Monotonic seconds from which it is at full speed.
         down: Whether it was found gone since its last announcement.
         left: Start of each upstream that left, by id.
+        recalled: Whether those that left before this start of the daemon
+            are known; None until that was asked.
+        words: Words heard of the upstream now.
     """
 
     now: Announcement | None = None
@@ -77,6 +83,22 @@
     warm_at: float = 0.0
     down: bool = False
     left: dict[str, int] = dataclasses.field(default_factory=dict)
+    recalled: bool | None = None
+    words: int = 0
+
+
+def recall(table, left):
+    """Take what an earlier start of this daemon told its upstreams.
+
+    Args:
+        table: An `InstanceTable`.
+        left: Start of each upstream that left, by id; None if unknown.
+    """
+    table.recalled = left is not None
+    table.left.update(left or {})
+    known = table.now
+    if known is not None and known.born <= table.left.get(known.id, -1):
+        table.leaving_at = -math.inf
 
 
 def announced(table, said, now):
@@ -96,6 +118,7 @@
     if known is not None and not _is_newer(said, known):
         return Change.STALE
     started = known is None or (said.id, said.born) != (known.id, known.born)
+    table.words = 1 if started else table.words + 1
     table.now = said
     table.warm_at = now + said.warming
     if started:
@@ -161,7 +184,9 @@
         now: Monotonic seconds.
         drain: As in `sending_ends`.
     """
-    if table.now is None or table.down:
+    if table.now is None or table.down or table.recalled is None:
+        return 0
+    if not table.recalled and table.words < SURE_WORDS:
         return 0
     ends = sending_ends(table, drain)
     if ends is not None and now >= ends:
--- a/jujubefold/sidecar/rowfeed.py
+++ b/jujubefold/sidecar/rowfeed.py
@@ -51,6 +51,15 @@
             `Ok(Rows)` or `Error(errors.StoreNotRun)`.
         """
 
+    @abc.abstractmethod
+    async def get(self, table, key):
+        """Read one row.
+
+        Returns:
+            `Ok(bytes)`, `Ok(None)` without such a row, or
+            `Error(errors.StoreNotRun)`.
+        """
+
     @abc.abstractmethod
     async def changes(self, table, after, wait):
         """Wait for changes behind a version.
@@ -121,6 +130,11 @@
             Rows(tuple(Row(*item) for item in rows.items()), self._version)
         )
 
+    async def get(self, table, key):
+        if self.fault is not None:
+            return expression.Error(self.fault)
+        return expression.Ok(self._tables.get(table, {}).get(key))
+
     async def changes(self, table, after, wait):
         loop = asyncio.get_running_loop()
         ends = loop.time() + wait
--- a/tests/rowstore.py
+++ b/tests/rowstore.py
@@ -106,7 +106,9 @@
         found = sorted(
             key
             for table, key in self.rows
-            if table == query['table'] and key >= query.get('from', '')
+            if table == query['table']
+            and key >= query.get('from', '')
+            and ('to' not in query or key < query['to'])
         )
         rows = [self.rows[query['table'], key] for key in found[:PAGE]]
         self._reply(
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -16,15 +16,19 @@
     )
 
 
+def table_of(recalled=True):
+    return instance.InstanceTable(recalled=recalled)
+
+
 class TestAnnouncements(testtools.TestCase):
     def test_a_start_opens_its_slots(self):
-        table = instance.InstanceTable()
+        table = table_of()
         self.assertEqual(0, instance.slots(table, 0.0, 2.0))
         self.assertIs(Change.STARTED, instance.announced(table, said(), 0.0))
         self.assertEqual(6, instance.slots(table, 0.0, 2.0))
 
     def test_late_words_change_nothing(self):
-        table = instance.InstanceTable()
+        table = table_of()
         instance.announced(table, said(sequence=5), 0.0)
         for late in (said(sequence=4), said(sequence=5), said(born=9)):
             self.assertIs(
@@ -32,7 +36,7 @@
             )
 
     def test_a_start_under_the_same_id_begins_anew(self):
-        table = instance.InstanceTable()
+        table = table_of()
         instance.announced(table, said(sequence=90, slots=6), 0.0)
         change = instance.announced(
             table, said(sequence=1, born=11, slots=3), 1.0
@@ -41,13 +45,13 @@
         self.assertEqual(3, instance.slots(table, 1.0, 2.0))
 
     def test_an_older_start_at_the_address_is_not_believed(self):
-        table = instance.InstanceTable()
+        table = table_of()
         instance.announced(table, said('i-2', born=20), 0.0)
         late = said('i-1', sequence=99, born=10)
         self.assertIs(Change.STALE, instance.announced(table, late, 0.1))
 
     def test_sending_ends_well_within_the_drain(self):
-        table = instance.InstanceTable()
+        table = table_of()
         instance.announced(table, said(), 0.0)
         leaving = said(sequence=2, state=State.DRAINING)
         self.assertIs(Change.LEAVING, instance.announced(table, leaving, 5.0))
@@ -55,19 +59,19 @@
         self.assertEqual(0, instance.slots(table, 6.0, 2.0))
 
     def test_a_drain_is_not_taken_back_by_the_same_start(self):
-        table = instance.InstanceTable()
+        table = table_of()
         instance.announced(table, said(), 0.0)
         instance.announced(table, said(sequence=2, state=State.DRAINING), 5.0)
         instance.announced(table, said(sequence=3), 5.1)
         self.assertEqual(0, instance.slots(table, 7.1, 2.0))
 
     def test_first_heard_of_as_leaving_gets_nothing(self):
-        table = instance.InstanceTable()
+        table = table_of()
         instance.announced(table, said(state=State.DRAINING), 5.0)
         self.assertEqual(0, instance.slots(table, 5.0, 2.0))
 
     def test_one_that_left_without_draining_is_not_believed_back(self):
-        table = instance.InstanceTable()
+        table = table_of()
         instance.announced(table, said(), 0.0)
         self.assertIs(Change.LEAVING, instance.deregistered(table, 'i-1', 5.0))
         instance.announced(table, said(sequence=7), 5.2)
@@ -77,13 +81,13 @@
         )
 
     def test_one_unknown_that_left_is_remembered(self):
-        table = instance.InstanceTable()
+        table = table_of()
         instance.deregistered(table, 'i-9', 0.0)
         instance.announced(table, said('i-9', born=0), 1.0)
         self.assertEqual(0, instance.slots(table, 1.0, 2.0))
 
     def test_one_found_gone_is_back_with_its_next_word(self):
-        table = instance.InstanceTable()
+        table = table_of()
         instance.announced(table, said(), 0.0)
         instance.lost(table)
         self.assertEqual(0, instance.slots(table, 0.1, 2.0))
@@ -92,7 +96,7 @@
         self.assertEqual(6, instance.slots(table, 1.5, 2.0))
 
     def test_warming_slows_it_for_as_long_as_it_says(self):
-        table = instance.InstanceTable()
+        table = table_of()
         cold = instance.Announcement(
             'i-1', '10.0.0.1:80', 'pickups', 6, State.READY, 1, 10, 3.0
         )
@@ -100,6 +104,32 @@
         self.assertGreater(instance.pace(table, 2.9), 1.0)
         self.assertEqual(1.0, instance.pace(table, 3.1))
 
+    def test_nothing_is_sent_before_departures_are_known(self):
+        table = table_of(recalled=None)
+        instance.announced(table, said(), 0.0)
+        self.assertEqual(0, instance.slots(table, 0.0, 2.0))
+        instance.recall(table, {})
+        self.assertEqual(6, instance.slots(table, 0.0, 2.0))
+
+    def test_one_that_an_earlier_start_let_go_gets_nothing(self):
+        for words in ((), (said(),)):
+            table = table_of(recalled=None)
+            for word in words:
+                instance.announced(table, word, 0.0)
+            instance.recall(table, {'i-1': 10})
+            instance.announced(table, said(sequence=2), 0.1)
+            self.assertEqual(0, instance.slots(table, 0.1, 2.0))
+            instance.announced(table, said(born=11), 0.2)
+            self.assertEqual(6, instance.slots(table, 0.2, 2.0))
+
+    def test_unknown_departures_ask_for_a_second_word(self):
+        table = table_of(recalled=None)
+        instance.recall(table, None)
+        instance.announced(table, said(), 0.0)
+        self.assertEqual(0, instance.slots(table, 0.0, 2.0))
+        instance.announced(table, said(sequence=2), 1.5)
+        self.assertEqual(6, instance.slots(table, 1.5, 2.0))
+
     @hypothesis.given(
         strategies.permutations(
             [
@@ -114,7 +144,7 @@
         )
     )
     def test_any_order_ends_at_the_newest_start(self, words):
-        table = instance.InstanceTable()
+        table = table_of()
         for word in words:
             instance.announced(table, word, 0.0)
         self.assertEqual(('i-2', 12), (table.now.id, table.now.born))
--- a/tests/test_rowfeed.py
+++ b/tests/test_rowfeed.py
@@ -38,6 +38,16 @@
 
         self.play(scene)
 
+    def test_one_row_is_read_alone(self):
+        async def scene(feed, _):
+            for key in ('a', 'ab', 'b'):
+                await feed.put('t', key, key.encode())
+            self.assertEqual(b'a', (await feed.get('t', 'a')).ok)
+            self.assertIsNone((await feed.get('t', 'aa')).ok)
+            self.assertIsNone((await feed.get('other', 'a')).ok)
+
+        self.play(scene)
+
     def test_changes_are_waited_for_and_come_once(self):
         async def scene(feed, _):
             await feed.put('t', 'a', b'1')
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -492,6 +492,60 @@
 
             sidecars.play(scene)
 
+    def test_leaving_is_remembered_by_the_next_start_of_the_daemon(self):
+        for call in ('draining', 'deregister'):
+
+            async def scene(fleet, call=call):
+                await pair(fleet)
+                if call == 'draining':
+                    await fleet.announce('vm-1', 'draining')
+                else:
+                    await fleet.call_control('vm-1', 'deregister')
+                chosen = fleet.daemons['vm-1'].options
+                await fleet.daemons['vm-1'].close()
+                await fleet.restart('vm-1', chosen)
+                await fleet.settle()
+                # What it said before it left arrives late.
+                self.assertEqual(200, await fleet.announce('vm-1'))
+                for number in range(6):
+                    found = await fleet.call('vm-1', f'/read/{number}')
+                    self.assertEqual(200, found.status)
+                self.assertEqual([], fleet.upstreams['vm-1'].runs)
+
+            sidecars.play(scene)
+
+    def test_leaving_is_acknowledged_in_time_while_the_store_is_away(self):
+        async def scene(fleet):
+            await pair(fleet)
+            fleet.feed.fault = sidecars.unavailable()
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            self.assertEqual(200, await fleet.announce('vm-1', 'draining'))
+            self.assertLess(loop.time() - began, 1.0)
+
+        sidecars.play(scene)
+
+    def test_without_its_memory_a_daemon_waits_for_a_second_word(self):
+        async def scene(fleet):
+            await pair(fleet)
+            chosen = fleet.daemons['vm-1'].options
+            await fleet.daemons['vm-1'].close()
+            fleet.feed.fault = sidecars.unavailable()
+            restarted = await fleet.restart('vm-1', chosen)
+            await fleet.announce('vm-1')
+            await fleet.settle()
+            await sidecars.until(
+                lambda: restarted.egress.instance.recalled is False, 3.0
+            )
+            await fleet.call('vm-1', '/read/1')
+            self.assertEqual([], fleet.upstreams['vm-1'].runs)
+            await fleet.announce('vm-1')
+            await sidecars.until(lambda: restarted.egress.slots.slots, 1.0)
+            await fleet.call('vm-1', '/read/2')
+            self.assertEqual(1, len(fleet.upstreams['vm-1'].runs))
+
+        sidecars.play(scene)
+
     def test_words_of_other_writers_change_nothing(self):
         async def scene(fleet):
             await fleet.add('vm-1')
@@ -696,6 +750,10 @@
                     fleet.daemons[second].fleet.roster.me
                 )
             await fleet.settle()
+            for vm, daemon in fleet.daemons.items():
+                await fleet.announce(vm)
+                slots = daemon.egress.slots
+                await sidecars.until(lambda slots=slots: slots.slots, 3.0)
 
             async def cut(run, writer):
                 sidecars.reset(writer)
