--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -113,14 +113,15 @@
             return
         self._drop(member.vm)
         outgoing = link.Outgoing(
+            member.vm,
             member.address,
             self._clock,
             self._rng,
             self.hello,
             self._heard_on_link,
             self._link_changed,
+            self._displaced,
         )
-        outgoing.vm = member.vm
         self._peers[member.vm] = Peer(
             outgoing,
             placement.Candidate(
@@ -321,6 +322,14 @@
         if not up and outgoing.vm not in self.roster.members:
             self._drop(outgoing.vm)
 
+    def _displaced(self, outgoing):
+        """Forget a member whose address another VM has."""
+        self._journal.note(
+            'member.displaced', peer=outgoing.vm, address=outgoing.address
+        )
+        roster.forget(self.roster, outgoing.vm)
+        self._drop(outgoing.vm)
+
     # Versions
 
     @property
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -33,6 +33,7 @@
 # Spread of the time at which refused callers come back.
 RETRY_SPREAD = (0.8, 1.6)
 
+_SUCCESS = range(200, 300)
 _FAILURES = range(500, 600)
 _MS = 1000
 _MAX_DIGITS = 9
@@ -362,6 +363,7 @@
         refusal = outcome.refusal
         self._journal.request(
             'call.left' if left else 'call.ended',
+            well=status in _SUCCESS and not left,
             request=attempt.request,
             route=attempt.route,
             service=call.service,
--- a/jujubefold/sidecar/journal.py
+++ b/jujubefold/sidecar/journal.py
@@ -9,8 +9,10 @@
 # microseconds, so that the log stays below one percent of a core.
 LINES_PER_S = 150.0
 BURST_LINES = 400.0
-# Lines a second kept free for what is not about a single request.
+# Lines kept free for what is not about a single request, and for requests
+# that did not end well: somebody may ask about those.
 RESERVED_LINES = 60.0
+RESERVED_FOR_FAILED_LINES = 250.0
 # Bytes that wait for a reader before lines are dropped.
 BUFFER_BYTES = 1024 * 1024
 
@@ -82,9 +84,16 @@
         if self._has_room(0.0):
             logs.logger.bind(event=event, **fields).info('')
 
-    def request(self, event, **fields):
-        """Log a decision on one request; the first to go under load."""
-        if self._has_room(RESERVED_LINES):
+    def request(self, event, well=False, **fields):
+        """Log a decision on one request; the first to go under load.
+
+        Args:
+            event: Name of the event.
+            well: Whether the request ended well; such lines go before all.
+            fields: Of the line.
+        """
+        reserved = RESERVED_FOR_FAILED_LINES if well else RESERVED_LINES
+        if self._has_room(reserved):
             logs.logger.bind(event=event, **fields).info('')
 
     def flush(self):
--- a/jujubefold/sidecar/link.py
+++ b/jujubefold/sidecar/link.py
@@ -116,17 +116,21 @@
     """This daemon's link to another one.
 
     Args:
+        vm: The other's VM.
         address: Where the other's gate listens, `ip:port`.
         clock: A `clock.Clock`.
         rng: A `random.Random`.
         hello: Called with sequences to resume, returns `frames.Hello`.
         heard: Called with this link and each message that ends no offer.
         changed: Called with this link when it comes up or goes down.
+        displaced: Called with this link when another VM answers there.
     """
 
-    def __init__(self, address, clock, rng, hello, heard, changed):
+    def __init__(
+        self, vm, address, clock, rng, hello, heard, changed, displaced
+    ):
+        self.vm = vm
         self.address = address
-        self.vm = ''
         self.incarnation = 0
         self.leaving = False
         self._clock = clock
@@ -134,6 +138,7 @@
         self._hello = hello
         self._heard = heard
         self._changed = changed
+        self._displaced = displaced
         self._connection = None
         self._pending = {}
         self._sequence = 0
@@ -271,6 +276,8 @@
         match message:
             case frames.Hello():
                 self._greeted(connection, message)
+                if not self.up:
+                    return
             case frames.Answered() | frames.Refused():
                 self._end(message.sequence, Ended(message))
             case frames.Unseen():
@@ -282,13 +289,16 @@
         self._heard(self, message)
 
     def _greeted(self, connection, hello):
+        if hello.vm != self.vm:
+            # Another VM has the address now; it has a link of its own.
+            self._displaced(self)
+            return
         self._greeted_on = connection
         others = [
             sequence
             for sequence, pending in self._pending.items()
             if pending.incarnation != hello.incarnation
         ]
-        self.vm = hello.vm
         self.incarnation = hello.incarnation
         self.leaving = False
         self._down_at = None
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -47,7 +47,7 @@
     def note(self, event, **fields):
         self.kept.append((event, fields))
 
-    def request(self, event, **fields):
+    def request(self, event, well=False, **fields):
         self.kept.append((event, fields))
 
     def flush(self):
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -58,6 +58,18 @@
         events = {line['event'] for line in self.lines()}
         self.assertIn('version.in_force', events)
 
+    def test_failed_requests_are_logged_when_others_are_not(self):
+        for number in range(2000):
+            self.book.request('call.ended', well=True, request=str(number))
+        for number in range(100):
+            self.book.request('call.ended', request=f'failed-{number}')
+        failed = [
+            line
+            for line in self.lines()
+            if line.get('request', '').startswith('failed')
+        ]
+        self.assertEqual(100, len(failed))
+
     def test_a_reader_that_does_not_read_stops_nobody(self):
         filler = 'x' * 4000
         for _ in range(40):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -5,6 +5,7 @@
 import testtools
 
 from jujubefold.sidecar import egress
+from jujubefold.sidecar import roster
 from tests import sidecars
 
 # Seconds in which a version is to be in force everywhere.
@@ -461,6 +462,24 @@
 
         sidecars.play(scene)
 
+    def test_a_vm_that_is_gone_does_not_disturb_the_next_at_its_address(self):
+        async def scene(fleet):
+            await pair(fleet)
+            first = fleet.daemons['vm-1'].fleet
+            other = first.roster.members['vm-2']
+            ghost = roster.Member(
+                'vm-0', 5, other.address, 'pickups', 'r', 'a'
+            )
+            for order in range(2):
+                first.learn(ghost)
+                await asyncio.sleep(0.5)
+                self.assertNotIn('vm-0', first.roster.members, order)
+                self.assertTrue(first.is_linked('vm-2'))
+            downs = fleet.events('vm-1').count('link.down')
+            self.assertLessEqual(downs, 2)
+
+        sidecars.play(scene)
+
     def test_a_daemon_that_says_goodbye_is_offered_nothing(self):
         async def scene(fleet):
             await pair(fleet)
