--- a/jujubefold/sidecar/link.py
+++ b/jujubefold/sidecar/link.py
@@ -243,6 +243,10 @@
                         host,
                         int(port),
                     )
+            except ConnectionRefusedError:
+                # Its process has ended, and what it ran can't be resumed.
+                self._give_up(tuple(self._pending))
+                pause = min(MAX_PAUSE_S, pause * 2)
             except (OSError, TimeoutError):
                 pause = min(MAX_PAUSE_S, pause * 2)
             else:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -462,6 +462,23 @@
 
         sidecars.play(scene)
 
+    def test_a_read_goes_elsewhere_soon_when_its_daemon_dies(self):
+        async def scene(fleet):
+            await self.remote(fleet, 1.2)
+            call = asyncio.ensure_future(fleet.call('vm-1', '/read/x'))
+            await asyncio.sleep(0.1)
+            await fleet.add('vm-3')
+            await fleet.settle()
+            # As a killed process: nobody answers, nobody listens.
+            fleet.daemons['vm-2'].fleet.port.close()
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            found = await call
+            self.assertEqual(200, found.status)
+            self.assertLess(loop.time() - began, 0.5)
+
+        sidecars.play(scene)
+
     def test_a_vm_that_is_gone_does_not_disturb_the_next_at_its_address(self):
         async def scene(fleet):
             await pair(fleet)
