--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -102,7 +102,7 @@
         self.upstreams = []
         folder = self.enter_context(tempfile.TemporaryDirectory())
         self.folder = pathlib.Path(folder)
-        self.platform = self._start('platform')
+        self.platform = self._start('standin')
 
     @property
     def contacts(self):
--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import eagertask
 from jujubefold import sockets
@@ -60,6 +61,16 @@
     CANCELLED = 'cancelled'
 
 
+# What is told of a request that was sent and got no whole answer.
+IN_DOUBT = {
+    Failed.CUT: calls.Reason.UPSTREAM_CUT,
+    Failed.SILENT: calls.Reason.UPSTREAM_SILENT,
+    Failed.DEADLINE: calls.Reason.DEADLINE,
+    Failed.TOO_LARGE: calls.Reason.TOO_LARGE,
+    Failed.CANCELLED: calls.Reason.CANCELLED,
+}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
     """An exchange without a whole answer.
--- a/jujubefold/callgate.py
+++ b/jujubefold/callgate.py
@@ -59,13 +59,6 @@
     calls.Reason.CANCELLED,
     detail='the attempt was cancelled',
 )
-_IN_DOUBT = {
-    callclient.Failed.CUT: calls.Reason.UPSTREAM_CUT,
-    callclient.Failed.SILENT: calls.Reason.UPSTREAM_SILENT,
-    callclient.Failed.DEADLINE: calls.Reason.DEADLINE,
-    callclient.Failed.TOO_LARGE: calls.Reason.TOO_LARGE,
-    callclient.Failed.CANCELLED: calls.Reason.CANCELLED,
-}
 _ENDINGS = {
     callclient.Failed.CUT: calls.Ending.CRASHED,
     callclient.Failed.SILENT: calls.Ending.SILENT,
@@ -479,7 +472,9 @@
                 events.Event('upstream.silent', detail=self.pool.address)
             )
         refusal = calls.Refusal(
-            errors.Ran.UNKNOWN, _IN_DOUBT[failure.how], detail=failure.detail
+            errors.Ran.UNKNOWN,
+            callclient.IN_DOUBT[failure.how],
+            detail=failure.detail,
         )
         return refusal, _ENDINGS.get(failure.how, calls.Ending.CANCELLED)
 
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -30,7 +30,7 @@
 MEMBERS_TABLE = 'jujubefold-members'
 # Seconds between two reads of a feed, so that changes which come close
 # together cost one call; the first of them comes at once.
-MEMBERS_REST_S = 0.4
+MEMBERS_REST_S = 1.5
 VERSIONS_REST_S = 0.4
 # Seconds for which a read of a feed waits for changes; each read is a call.
 # A version must be in force within seconds of the end of an outage that was
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -53,13 +53,6 @@
     calls.Reason.DEADLINE,
     detail='the deadline passed before the upstream was asked',
 )
-_IN_DOUBT = {
-    callclient.Failed.CUT: calls.Reason.UPSTREAM_CUT,
-    callclient.Failed.SILENT: calls.Reason.UPSTREAM_SILENT,
-    callclient.Failed.DEADLINE: calls.Reason.DEADLINE,
-    callclient.Failed.TOO_LARGE: calls.Reason.TOO_LARGE,
-    callclient.Failed.CANCELLED: calls.Reason.CANCELLED,
-}
 
 
 class Egress:
@@ -365,7 +358,7 @@
             self.refresh()
         if not failure.sent:
             return attempts.Outcome(refusal=_UNREACHED)
-        return _doubt(_IN_DOUBT[failure.how], failure.detail)
+        return _doubt(callclient.IN_DOUBT[failure.how], failure.detail)
 
     # Slots and waiters
 
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -152,15 +152,8 @@
 
     def hello(self, resume=()):
         """Return this daemon's `frames.Hello`."""
-        me = self._me
         return frames.Hello(
-            me.vm,
-            me.incarnation,
-            me.address,
-            me.service,
-            me.region,
-            me.failure_domain,
-            me.capacity,
+            self._me,
             self._versions.number,
             gateport.load_of(self._egress),
             tuple(resume),
@@ -251,7 +244,7 @@
         peer = self._peers.get(outgoing.vm)
         if isinstance(message, frames.Hello):
             self._greeted(message)
-            peer = self._peers.get(message.vm)
+            peer = self._peers.get(message.member.vm)
             if peer is not None:
                 self._report(peer, message.load)
         elif isinstance(message, frames.Load) and peer is not None:
@@ -265,7 +258,7 @@
     def _heard_at_port(self, connection, message):
         if isinstance(message, frames.Hello):
             self._greeted(message)
-            peer = self._peers.get(message.vm)
+            peer = self._peers.get(message.member.vm)
             if peer is not None:
                 peer.link.hurry()
         else:
@@ -287,19 +280,9 @@
                 self._hear_of_crash(message)
 
     def _greeted(self, hello):
-        self.learn(
-            roster.Member(
-                hello.vm,
-                hello.incarnation,
-                hello.address,
-                hello.service,
-                hello.region,
-                hello.failure_domain,
-                hello.capacity,
-            )
-        )
+        self.learn(hello.member)
         if hello.version > self._versions.number:
-            peer = self._peers.get(hello.vm)
+            peer = self._peers.get(hello.member.vm)
             if peer is not None:
                 self._hear_of_version(hello.version, peer.link)
 
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from jujubefold import errors
+from jujubefold.sidecar import roster
 
 _LENGTH = struct.Struct('>I')
 # Bytes; a request or answer body of the largest size fits.
@@ -35,25 +36,13 @@
     """First message in either direction.
 
     Args:
-        vm: Sender's VM.
-        incarnation: Sender's start.
-        address: Where the sender's gate listens, `ip:port`.
-        service: Service of the sender's upstream.
-        region: Where the sender is.
-        failure_domain: Where the sender is.
-        capacity: Megabits a second of the sender's link.
+        member: The sender.
         version: Configuration version in force there; 0 for none.
         load: Load of the sender's gate.
         resume: Sequences of the sender's offers that it still waits for.
     """
 
-    vm: str
-    incarnation: int
-    address: str
-    service: str
-    region: str
-    failure_domain: str
-    capacity: float
+    member: roster.Member
     version: int
     load: Load
     resume: tuple[int, ...] = ()
--- a/jujubefold/sidecar/gateport.py
+++ b/jujubefold/sidecar/gateport.py
@@ -141,8 +141,9 @@
         self._heard(connection, message)
 
     def _greet(self, connection, hello):
-        connection.peer = (hello.vm, hello.incarnation)
-        connection.domain = hello.failure_domain
+        member = hello.member
+        connection.peer = (member.vm, member.incarnation)
+        connection.domain = member.failure_domain
         # Offers that lie unread in an older connection are about to be said
         # never to have come, so they must not come now.
         for other in tuple(self._connections):
--- a/jujubefold/sidecar/link.py
+++ b/jujubefold/sidecar/link.py
@@ -293,7 +293,7 @@
         self._heard(self, message)
 
     def _greeted(self, connection, hello):
-        if hello.vm != self.vm:
+        if hello.member.vm != self.vm:
             # Another VM has the address now; it has a link of its own.
             self._displaced(self)
             return
@@ -301,9 +301,9 @@
         others = [
             sequence
             for sequence, pending in self._pending.items()
-            if pending.incarnation != hello.incarnation
+            if pending.incarnation != hello.member.incarnation
         ]
-        self.incarnation = hello.incarnation
+        self.incarnation = hello.member.incarnation
         self.leaving = False
         self._down_at = None
         self._give_up(others)
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -6,10 +6,12 @@
 import testtools
 
 from jujubefold.sidecar import frames
+from jujubefold.sidecar import roster
 
 LOAD = frames.Load(1, 2, 3, 40, 5)
+MEMBER = roster.Member('vm-1', 7, '10.0.0.1:1', 's', 'r', 'a', 5.0)
 SAMPLES = (
-    frames.Hello('vm-1', 7, '10.0.0.1:1', 's', 'r', 'a', 5.0, 3, LOAD, (1, 2)),
+    frames.Hello(MEMBER, 3, LOAD, (1, 2)),
     frames.Offer(
         1,
         'id',
--- a/tests/test_gateport.py
+++ b/tests/test_gateport.py
@@ -8,6 +8,7 @@
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import frames
 from jujubefold.sidecar import gateport
+from jujubefold.sidecar import roster
 from jujubefold.sidecar import slots
 
 LOAD = frames.Load(0, 0, 1, 50, 0)
@@ -53,9 +54,8 @@
 
 
 def hello(*resume):
-    return frames.Hello(
-        *PEER, '10.0.0.2:1', 's', 'r', 'a', 5.0, 1, LOAD, resume
-    )
+    member = roster.Member(*PEER, '10.0.0.2:1', 's', 'r', 'a', 5.0)
+    return frames.Hello(member, 1, LOAD, resume)
 
 
 def offer(sequence, request='a'):
