Bind an upstream's last word to the start that it names

The last word's own start is read now; without one it binds every start of that id. It is also remembered across starts of the daemon.

Also shorter: egress checks id and deadline once each, names say digest.

--- a/jujubefold/platform/announcements.py
+++ b/jujubefold/platform/announcements.py
@@ -34,7 +34,12 @@
     born: int = 0
 
 
+class _LastWord(msgspec.Struct):
+    born: int | None = None
+
+
 _decoder = msgspec.json.Decoder(_Heartbeat)
+_last_word_decoder = msgspec.json.Decoder(_LastWord)
 
 
 class Announcements:
@@ -70,7 +75,11 @@
         elif call == HEARTBEAT:
             self._announced(exchange, name, b''.join(request.pieces))
         elif call == DEREGISTER:
-            self._announcer.deregistered(name, _acknowledging(exchange))
+            self._announcer.deregistered(
+                name,
+                _born(b''.join(request.pieces)),
+                _acknowledging(exchange),
+            )
         else:
             exchange.reply(_json(404))
 
@@ -106,6 +115,14 @@
     )
 
 
+def _born(body):
+    """Return the start in a body, or None when there is none."""
+    try:
+        return _last_word_decoder.decode(body).born
+    except (msgspec.DecodeError, UnicodeError):
+        return None
+
+
 def _acknowledging(exchange):
     return lambda: exchange.reply(_json(200))
 
--- a/jujubefold/sidecar/announcer.py
+++ b/jujubefold/sidecar/announcer.py
@@ -30,19 +30,21 @@
         change = self._egress.announced(said)
         self._tell(change, said.id, said.born, taken)
 
-    def deregistered(self, name, taken):
+    def deregistered(self, name, born, taken):
         """Take an upstream's last word.
 
         Args:
             name: Its id.
+            born: Its start; None when it did not say.
             taken: As in `announced`.
         """
-        known = self._egress.instance.now
-        born = known.born if known is not None and known.id == name else 0
-        self._tell(self._egress.deregistered(name), name, born, taken)
+        change = self._egress.deregistered(name, born)
+        self._tell(
+            change, name, self._egress.instance.left.get(name, 0), taken
+        )
 
     def _tell(self, change, name, born, taken):
-        if change is instance.Change.LEAVING:
+        if change in (instance.Change.LEAVING, instance.Change.LEFT):
             runtimeloop.spawn(self._remember(name, born, taken))
         else:
             taken()
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -252,7 +252,9 @@
         began = self._clock.monotonic()
         grace = self._options.stop.grace
         self._stopping = True
-        self._journal.note('daemon.stop', in_flight=len(self._tasks_now()))
+        self._journal.note(
+            'daemon.stop', in_flight=len(self.ingress.in_flight)
+        )
         self._callers.drain(listening=True)
         for task in self._tasks:
             task.cancel()
@@ -408,9 +410,6 @@
 
     # Stopping
 
-    def _tasks_now(self):
-        return self.ingress.in_flight
-
     def _is_busy(self):
         return (
             bool(self.ingress.in_flight)
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -34,6 +34,7 @@
 SWEEP_S = 0.1
 FINGERPRINT_BYTES = 16
 
+_MS = 1000
 _SUCCESS = range(200, 300)
 _PROMISES = frozenset({408, 421, 429, 503})
 _SHED = calls.Refusal(
@@ -123,10 +124,10 @@
         instance.recall(self.instance, left)
         self.refresh()
 
-    def deregistered(self, name):
+    def deregistered(self, name, born):
         """Take an upstream's last word; return its `instance.Change`."""
         change = instance.deregistered(
-            self.instance, name, self._clock.monotonic()
+            self.instance, name, born, self._clock.monotonic()
         )
         self._note_change(change, name)
         return change
@@ -182,8 +183,8 @@
             An `attempt.Outcome`.
         """
         now = self._clock.monotonic()
-        print_ = fingerprint(attempt)
-        refusal = crashes.check(self.crashes, print_, now)
+        digest = fingerprint(attempt)
+        refusal = crashes.check(self.crashes, digest, now)
         if refusal is not None:
             return self._refused(attempt, refusal)
         # The same request may come twice, so it does not name its ticket.
@@ -204,7 +205,7 @@
                 refusal = await self._wait(name)
                 if refusal is not None:
                     return self._refused(attempt, refusal)
-        outcome = await self._send(name, attempt, print_)
+        outcome = await self._send(name, attempt, digest)
         if outcome.answer is None:
             self._log('gate.failed', attempt, outcome.refusal)
         return outcome
@@ -246,7 +247,7 @@
             self._release(name, learn=False)
             raise
 
-    async def _send(self, name, attempt, print_):
+    async def _send(self, name, attempt, digest):
         """Send a request that holds a slot.
 
         Once it is sent, a request that must not run twice is not broken
@@ -255,7 +256,7 @@
         waiter = eagertask.Waiter()
         task = eagertask.EagerTask(
             self._exchange(attempt),
-            functools.partial(self._sent, name, print_, waiter),
+            functools.partial(self._sent, name, digest, waiter),
         )
         task.start()
         try:
@@ -265,7 +266,7 @@
                 task.cancel()
             raise
 
-    def _sent(self, name, print_, waiter, task):
+    def _sent(self, name, digest, waiter, task):
         now = self._clock.monotonic()
         if task.error is not None:
             self._release(name, learn=False)
@@ -278,9 +279,9 @@
             outcome = task.result
             self._release(name, failed=_is_failure(outcome))
         if outcome.answer is not None:
-            crashes.answered(self.crashes, print_, now)
+            crashes.answered(self.crashes, digest, now)
         elif outcome.refusal.reason is calls.Reason.UPSTREAM_CUT:
-            self._suspect_crash(print_)
+            self._suspect_crash(digest)
         waiter.set_result(outcome)
 
     async def _exchange(self, attempt):
@@ -292,14 +293,13 @@
         if isinstance(connection, callclient.Failure):
             return self._failed(connection)
         now = self._clock.monotonic()
-        if now >= attempt.deadline or upstream is not self.instance.now:
-            if upstream.id != self.instance.now.id:
-                self._pool.released(connection)
-                return attempts.Outcome(refusal=_UNREACHED)
-            if now >= attempt.deadline:
-                self._pool.released(connection)
-                return attempts.Outcome(refusal=_LATE)
-        left = max(1, int((attempt.deadline - now) * 1000))
+        if upstream.id != self.instance.now.id:
+            self._pool.released(connection)
+            return attempts.Outcome(refusal=_UNREACHED)
+        if now >= attempt.deadline:
+            self._pool.released(connection)
+            return attempts.Outcome(refusal=_LATE)
+        left = max(1, int((attempt.deadline - now) * _MS))
         names = self._names
         message = callclient.Message(
             attempt.method,
@@ -391,8 +391,8 @@
 
     # Crashes
 
-    def _suspect_crash(self, print_):
-        self._lost.append(print_)
+    def _suspect_crash(self, digest):
+        self._lost.append(digest)
         if len(self._lost) == 1:
             runtimeloop.spawn(self._look_for_crash())
 
@@ -416,11 +416,11 @@
 
 def fingerprint(attempt):
     """Return the digest that is equal for the same request sent again."""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    digest.update(attempt.method.encode())
-    digest.update(attempt.target)
-    digest.update(attempt.body)
-    return digest.hexdigest()
+    found = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    found.update(attempt.method.encode())
+    found.update(attempt.target)
+    found.update(attempt.body)
+    return found.hexdigest()
 
 
 def _doubt(reason, detail=''):
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -246,11 +246,7 @@
         call.offered = ''
         call.sent += outcome.sent
         if outcome.ran_for:
-            route = call.attempt.route
-            known = self._durations.get(route, outcome.ran_for)
-            self._durations[route] = known + slots.NEWEST_WEIGHT * (
-                outcome.ran_for - known
-            )
+            self._learn(call.attempt.route, outcome.ran_for)
         call.trail.append(
             {
                 'vm': candidate.vm,
@@ -265,6 +261,11 @@
         )
         return outcome
 
+    def _learn(self, route, seconds):
+        known = self._durations.get(route, seconds)
+        known += slots.NEWEST_WEIGHT * (seconds - known)
+        self._durations[route] = known
+
     def _goes_on(self, call, outcome):
         """Return whether another offer is safe, in time and paid for."""
         attempt = call.attempt
--- a/jujubefold/sidecar/instance.py
+++ b/jujubefold/sidecar/instance.py
@@ -14,6 +14,8 @@
 SENDING_SHARE = 0.5
 # Ids of upstreams that left, kept to recognise what they said before.
 MAX_LEFT = 64
+# Start of one that left and did not say when it began: later than any.
+ANY_START = 2**62
 # Words of an upstream that prove that it has not left: what it said before
 # may arrive late, but not twice with nothing in between.
 SURE_WORDS = 2
@@ -36,6 +38,7 @@
     RENEWED = 'renewed'
     STARTED = 'started'
     LEAVING = 'leaving'
+    LEFT = 'left'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,25 +141,30 @@
     return Change.NOTHING
 
 
-def deregistered(table, name, now):
+def deregistered(table, name, born, now):
     """Take an upstream's word that it leaves for good.
 
     Args:
         table: An `InstanceTable`.
         name: Its id.
+        born: Its start; None when it did not say.
         now: Monotonic seconds.
 
     Returns:
-        A `Change`.
+        A `Change`; `LEFT` for one that was not the upstream now.
     """
     known = table.now
-    born = known.born if known is not None and known.id == name else 0
-    table.left[name] = max(born, table.left.get(name, 0))
+    is_now = known is not None and known.id == name
+    if born is None:
+        born = known.born if is_now else ANY_START
+    if is_now and born < known.born:
+        return Change.STALE
+    if table.left.get(name, -1) >= born:
+        return Change.NOTHING
+    table.left[name] = born
     while len(table.left) > MAX_LEFT:
         del table.left[next(iter(table.left))]
-    if known is None or known.id != name:
-        return Change.NOTHING
-    return _leave(table, now)
+    return _leave(table, now) if is_now else Change.LEFT
 
 
 def lost(table):
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -73,7 +73,9 @@
     def test_one_that_left_without_draining_is_not_believed_back(self):
         table = table_of()
         instance.announced(table, said(), 0.0)
-        self.assertIs(Change.LEAVING, instance.deregistered(table, 'i-1', 5.0))
+        self.assertIs(
+            Change.LEAVING, instance.deregistered(table, 'i-1', None, 5.0)
+        )
         instance.announced(table, said(sequence=7), 5.2)
         self.assertEqual(0, instance.slots(table, 7.1, 2.0))
         self.assertIs(
@@ -82,10 +84,26 @@
 
     def test_one_unknown_that_left_is_remembered(self):
         table = table_of()
-        instance.deregistered(table, 'i-9', 0.0)
+        instance.deregistered(table, 'i-9', 0, 0.0)
         instance.announced(table, said('i-9', born=0), 1.0)
         self.assertEqual(0, instance.slots(table, 1.0, 2.0))
 
+    def test_a_late_last_word_of_an_earlier_start_ends_nothing(self):
+        table = table_of()
+        instance.announced(table, said(born=11), 0.0)
+        change = instance.deregistered(table, 'i-1', 10, 1.0)
+        self.assertIs(Change.STALE, change)
+        self.assertEqual(6, instance.slots(table, 9.0, 2.0))
+
+    def test_a_last_word_binds_though_its_upstream_is_not_known(self):
+        for born in (10, None):
+            table = table_of()
+            self.assertIs(
+                Change.LEFT, instance.deregistered(table, 'i-1', born, 0.0)
+            )
+            instance.announced(table, said(born=10), 2.0)
+            self.assertEqual(0, instance.slots(table, 2.0, 2.0))
+
     def test_one_found_gone_is_back_with_its_next_word(self):
         table = table_of()
         instance.announced(table, said(), 0.0)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -550,6 +550,27 @@
 
             sidecars.play(scene)
 
+    def test_one_that_leaves_before_it_was_known_is_not_believed_late(self):
+        for body in ('{"born": 1}', ''):
+
+            async def scene(fleet, body=body):
+                await pair(fleet)
+                chosen = fleet.daemons['vm-1'].options
+                await fleet.daemons['vm-1'].close()
+                restarted = await fleet.restart('vm-1', chosen)
+                await fleet.settle()
+                found = await fleet.call_control('vm-1', 'deregister', body)
+                self.assertEqual(200, found.status)
+                self.assertEqual(200, await fleet.announce('vm-1'))
+                await asyncio.sleep(0.2)
+                self.assertEqual(0, restarted.egress.slots.slots)
+                # A later start under the same id is another upstream.
+                if body:
+                    await fleet.announce('vm-1', born=2)
+                    self.assertEqual(4, restarted.egress.slots.slots)
+
+            sidecars.play(scene)
+
     def test_leaving_is_acknowledged_in_time_while_the_store_is_away(self):
         async def scene(fleet):
             await pair(fleet)
