Cut off no receiver that is alive and slow to read

The option is gone; keep-alive probes, the links' own pings and the deadlines of requests and store calls find silent connections.

--- a/jujubefold/sockets.py
+++ b/jujubefold/sockets.py
@@ -3,9 +3,8 @@
 import contextlib
 import socket
 
-# Milliseconds for which sent bytes may stay unacknowledged: several times
-# the retransmission timeout between failure domains.
-USER_TIMEOUT_MS = 1500
+# Time bounds on sent bytes (TCP_USER_TIMEOUT) are left out: Linux also ends a
+# connection by it whose receiver is alive and only slow to read.
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -15,7 +14,6 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
 )
 
 
