Ask past daemons without an upstream on no budget

Cause: test_reads_are_served_elsewhere_when_an_upstream_is_killed ended 503 no-upstream. A trace of every refused retry (one run of six beside load was red) shows the daemon's whole bucket at 0.3 to 0.9 tokens, after one try at the daemon whose upstream was killed: its refusals, which no upstream saw, had emptied the bucket that guards upstreams against load. Ruled out: routing that keeps choosing the dead upstream (each refused call had tried it once) and the call's own allowance (2 left).

Change: a refusal for want of an upstream costs nothing, three times a call; refusals under load cost as before. The decision moves from the flow to callretries.

--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -12,6 +12,7 @@
 from jujubefold import callgate
 from jujubefold import callhops
 from jujubefold import callkeys
+from jujubefold import callretries
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import crashes
@@ -36,24 +37,6 @@
 PEER_CONNECTIONS = 16
 SMALLEST_BODY_LIMIT = 64 * 1024
 
-_ELSEWHERE = frozenset(
-    {
-        calls.Reason.NO_UPSTREAM,
-        calls.Reason.NO_SLOT,
-        calls.Reason.QUEUE_FULL,
-        calls.Reason.DRAINING,
-        calls.Reason.UPSTREAM_SHED,
-        calls.Reason.PEER_LOST,
-        calls.Reason.BARRED,
-    }
-)
-_AGAIN_IF_IDEMPOTENT = frozenset(
-    {
-        calls.Reason.UPSTREAM_CUT,
-        calls.Reason.UPSTREAM_SILENT,
-        calls.Reason.PEER_LOST,
-    }
-)
 _REACHED_NOBODY = calls.Refusal(
     errors.Ran.DID_NOT_RUN,
     calls.Reason.PEER_LOST,
@@ -407,8 +390,10 @@
         tour = _Tour(
             call,
             callentry.message(request, call.route),
-            budget.arriving(
-                header.decode('latin-1'), call.route.retry, call.depth
+            callretries.Retries(
+                budget.arriving(
+                    header.decode('latin-1'), call.route.retry, call.depth
+                )
             ),
             trace,
         )
@@ -472,7 +457,10 @@
             refusal = outcome
             if refusal.ran is not errors.Ran.DID_NOT_RUN:
                 doubt = refusal
-            if not self._may_go_on(tour, refusal):
+            now = self._clock.monotonic()
+            if not callretries.allow(
+                self._budgets, tour.retries, tour.call, refusal, now
+            ):
                 return doubt or refusal
             if refusal.reason is calls.Reason.BARRED:
                 # Only its connection was lost: the daemon itself answers.
@@ -501,7 +489,7 @@
             next(self._sequence),
         )
         attempt = calls.Attempt(name, tour.call)
-        part = tour.allowance.pass_on()
+        part = tour.retries.allowance.pass_on()
         tour.own = isinstance(choice, calls.Own)
         if tour.own:
             tour.tried.add(self._identity.vm)
@@ -513,23 +501,9 @@
             outcome = await self._forward(choice, attempt, tour.message, part)
         if _is_refused(outcome):
             # No upstream saw it, so it was no retry of the request either.
-            tour.allowance.give_back(part + (tour.tries > 1))
+            tour.retries.allowance.give_back(part + (tour.tries > 1))
         return outcome
 
-    def _may_go_on(self, tour, refusal):
-        """Return whether another try is safe, in time and paid for."""
-        if refusal.ran is errors.Ran.DID_NOT_RUN:
-            if refusal.reason not in _ELSEWHERE:
-                return False
-        elif not (
-            tour.call.idempotent and refusal.reason in _AGAIN_IF_IDEMPOTENT
-        ):
-            return False
-        now = self._clock.monotonic()
-        if now >= tour.call.deadline:
-            return False
-        return budget.allow(self._budgets, tour.allowance, tour.call, now)
-
     # Forwarding to another daemon
 
     async def _forward(self, peer, attempt, message, part):
@@ -650,7 +624,7 @@
 
     call: calls.Call
     message: callclient.Message
-    allowance: budget.Allowance
+    retries: callretries.Retries
     trace: callgate.Trace
     tried: set = dataclasses.field(default_factory=set)
     tries: int = 0
--- a/tests/calling.py
+++ b/tests/calling.py
@@ -32,8 +32,15 @@
     )
 
 
-def call(deadline=100.0, caller='c', depth=0, fingerprint='f', to=None):
-    """Return an idempotent call of a route."""
+def call(
+    deadline=100.0,
+    caller='c',
+    depth=0,
+    fingerprint='f',
+    to=None,
+    idempotent=True,
+):
+    """Return a call of a route, idempotent if not said otherwise."""
     return calls.Call(
         request='q',
         caller=caller,
@@ -45,7 +52,7 @@
         deadline=deadline,
         depth=depth,
         key='',
-        idempotent=True,
+        idempotent=idempotent,
         fingerprint=fingerprint,
     )
 
--- a/tests/callnodes.py
+++ b/tests/callnodes.py
@@ -72,14 +72,19 @@
 
     Args:
         claims: Called with a node's identity, returns its claims, or None.
+        limits: A `callflow.Limits`, or None.
+        budgets: Returns a node's `budget.Budgets`, or None.
     """
 
-    def __init__(self, configuration=MESH, claims=None, limits=None):
+    def __init__(
+        self, configuration=MESH, claims=None, limits=None, budgets=None
+    ):
         self.nodes = []
         self.mesh = configuration
         self.clock = clock.SystemClock()
         self._claims = claims
         self._limits = limits
+        self._budgets = budgets
         self._members = {}
 
     async def add(self, slots=6, upstream=True, behaviour=None):
@@ -102,6 +107,7 @@
             observe=node.seen.append,
             record=node.events.append,
             limits=self._limits,
+            budgets=self._budgets() if self._budgets else None,
         )
         node.caller_address, peer = await node.flow.start(ANY, ANY)
         node.member = messages.Member(
--- a/tests/test_callflow.py
+++ b/tests/test_callflow.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies
 import testtools
 
+from jujubefold import budget
 from jujubefold import callclient
 from jujubefold import callflow
 from jujubefold import callserver
@@ -485,6 +486,17 @@
 
         self.run_with(scenario, True, True)
 
+    def test_a_daemon_without_upstream_is_passed_by_on_no_budget(self):
+        async def scenario(fleet):
+            first = fleet.nodes[0]
+            await first.upstream.kill()
+            caller = callnodes.Caller(first.caller_address)
+            answer = await caller.ask('POST', jujubefold_request_id='a')
+            self.assertEqual(('ran', 'none'), callnodes.outcome(answer))
+
+        spent = functools.partial(budget.new_budgets, 0)
+        self.run_with(scenario, True, True, budgets=spent)
+
     def test_a_read_cut_once_is_not_lost_to_a_gate_that_refuses_it(self):
         async def scenario(fleet):
             first = fleet.nodes[0]
