Count a repeat only once an upstream was sent it

A read that was cut debited the fleet's retry budget before each further offer, also when gates then refused it: 3 repeats for none sent in the new test. What no upstream was sent is now given back, in the part of the window in which it was counted; offers stay bounded at five a request.

--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -51,6 +51,7 @@
         sent: Upstreams that it was sent to.
         trail: One entry an offer, for the log.
         offered: VM whose gate has it now, '' for none.
+        repeat: What the next offer is counted in if it is a retry.
     """
 
     attempt: attempts.Attempt
@@ -60,6 +61,7 @@
     sent: int = 0
     trail: list = dataclasses.field(default_factory=list)
     offered: str = ''
+    repeat: retries.Counts | None = None
 
 
 class Ingress:
@@ -97,7 +99,7 @@
         self._service = service.encode('latin-1')
         self._fleet = fleet
         self._versions = versions
-        self._retries = retry_table
+        self.retry_table = retry_table
         self._shares = shares.ShareTable()
         self._clock = clock
         self._rng = rng
@@ -138,7 +140,7 @@
             self._refuse(exchange, calls.Reason.MALFORMED, 0.0)
             return
         call = self._new_call(request, route, mesh.number, left, now)
-        retries.first_try(self._retries, call.service, now)
+        retries.first_try(self.retry_table, call.service, now)
         task = eagertask.EagerTask(
             self._serve(call), functools.partial(self._served, exchange)
         )
@@ -219,6 +221,7 @@
                 self._rng,
             )
             if choice is None:
+                _settle_repeat(call, sent=False)
                 return best or attempts.Outcome(
                     refusal=calls.Refusal(
                         errors.Ran.DID_NOT_RUN,
@@ -245,6 +248,7 @@
         outcome = await self._fleet.offer(candidate, attempt)
         call.offered = ''
         call.sent += outcome.sent
+        _settle_repeat(call, outcome.sent)
         if outcome.ran_for:
             self._learn(call.attempt.route, outcome.ran_for)
         call.trail.append(
@@ -274,12 +278,17 @@
         now = self._clock.monotonic()
         if now >= attempt.deadline:
             return False
+        if call.tries >= MAX_OFFERS and not _is_unreached(outcome):
+            return False
         if not call.sent:
-            return call.tries < MAX_OFFERS or _is_unreached(outcome)
+            return True
         if call.sent >= call.most:
             return False
         daemons = self._fleet.roster.size
-        return retries.allow(self._retries, call.service, daemons, now)
+        call.repeat = retries.allow(
+            self.retry_table, call.service, daemons, now
+        )
+        return call.repeat is not None
 
     @staticmethod
     def _is_worth_another(attempt, outcome):
@@ -378,6 +387,13 @@
         )
 
 
+def _settle_repeat(call, sent):
+    """Take a retry back that no upstream was sent."""
+    if call.repeat is not None and not sent:
+        retries.give_back(call.repeat)
+    call.repeat = None
+
+
 def _better(best, outcome):
     """Return which of two outcomes tells the caller more of the truth."""
     if best is None or outcome.answer is not None:
--- a/jujubefold/sidecar/retries.py
+++ b/jujubefold/sidecar/retries.py
@@ -33,7 +33,15 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Counts:
+class Counts:
+    """What was sent in one part of the window.
+
+    Args:
+        part: Its number.
+        firsts: First tries.
+        repeats: Retries that were allowed and not given back.
+    """
+
     part: int
     firsts: int = 0
     repeats: int = 0
@@ -55,7 +63,7 @@
 
 
 def allow(table, service, daemons, now):
-    """Return whether a request may be sent once more, and count it.
+    """Count a request that is sent once more, if it may be.
 
     Args:
         table: A `RetryTable`.
@@ -63,6 +71,9 @@
         daemons: Most daemons that may be sending at this time; infinity
             when nobody knows.
         now: Monotonic seconds.
+
+    Returns:
+        The `Counts` that it is counted in, or None.
     """
     newest = _newest(table, service, now)
     counts = table.counts[service]
@@ -71,9 +82,18 @@
     policy = table.policy
     part = math.floor(policy.slack * SLACK_SHARE / max(1, daemons))
     if repeats + 1 > firsts * policy.ratio * RATIO_SHARE + part:
-        return False
+        return None
     newest.repeats += 1
-    return True
+    return newest
+
+
+def give_back(counts):
+    """Take back a repeat that no upstream was sent.
+
+    Args:
+        counts: What `allow` returned for it.
+    """
+    counts.repeats -= 1
 
 
 def _newest(table, service, now):
@@ -82,5 +102,5 @@
     while counts and counts[0].part < part - PARTS:
         counts.popleft()
     if not counts or counts[-1].part != part:
-        counts.append(_Counts(part))
+        counts.append(Counts(part))
     return counts[-1]
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -13,7 +13,16 @@
     def test_a_quiet_service_has_its_part_of_the_slack_only(self):
         table = retries.RetryTable(POLICY)
         found = [retries.allow(table, 's', 8, 0.0) for _ in range(20)]
-        self.assertEqual(3, found.count(True))
+        self.assertEqual(3, sum(item is not None for item in found))
+
+    def test_what_no_upstream_was_sent_is_given_back(self):
+        table = retries.RetryTable(POLICY)
+        early = retries.allow(table, 's', 8, 0.0)
+        while retries.allow(table, 's', 8, 1.0):
+            pass
+        retries.give_back(early)
+        self.assertTrue(retries.allow(table, 's', 8, 2.0))
+        self.assertFalse(retries.allow(table, 's', 8, 2.0))
 
     def test_services_are_apart(self):
         table = retries.RetryTable(POLICY)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -795,6 +795,37 @@
 
 
 class TestBudget(testtools.TestCase):
+    def test_a_retry_that_only_a_gate_refused_is_not_counted(self):
+        async def scene(fleet):
+            await pair(fleet)
+            done = asyncio.Event()
+
+            async def cut(run, writer):
+                sidecars.reset(writer)
+
+            async def hold(run, writer):
+                await done.wait()
+                await sidecars.Upstream().answer(run, writer)
+
+            fleet.upstreams['vm-2'].script = hold
+            held = [
+                asyncio.ensure_future(fleet.call('vm-2', f'/write/{n}'))
+                for n in range(fleet.upstreams['vm-2'].slots)
+            ]
+            running = fleet.daemons['vm-2'].egress.slots.running
+            await sidecars.until(lambda: len(running) == len(held), 3.0)
+            fleet.upstreams['vm-1'].script = cut
+            found = await fleet.call('vm-1', '/read/x')
+            self.assertEqual(502, found.status)
+            self.assertEqual(1, runs(fleet, '/read/x'))
+            table = fleet.daemons['vm-1'].ingress.retry_table
+            counts = table.counts['pickups']
+            self.assertEqual(0, sum(item.repeats for item in counts))
+            done.set()
+            await asyncio.gather(*held)
+
+        sidecars.play(scene)
+
     def test_without_the_members_no_slack_is_used(self):
         async def scene(fleet):
             fleet.feed.fault = sidecars.unavailable()
