--- a/jujubefold/platform/configuration.py
+++ b/jujubefold/platform/configuration.py
@@ -54,8 +54,6 @@
 class _Service(msgspec.Struct):
     name: str
     health_path: str = ''
-    # Connections that one upstream takes from all daemons together.
-    max_connections: int = 0
 
 
 class _Limits(msgspec.Struct):
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -183,8 +183,9 @@
             An `attempt.Outcome`.
         """
         now = self._clock.monotonic()
-        digest = fingerprint(attempt)
-        refusal = crashes.check(self.crashes, digest, now)
+        refusal = None
+        if self.crashes.suspects:
+            refusal = crashes.check(self.crashes, fingerprint(attempt), now)
         if refusal is not None:
             return self._refused(attempt, refusal)
         # The same request may come twice, so it does not name its ticket.
@@ -205,7 +206,7 @@
                 refusal = await self._wait(name)
                 if refusal is not None:
                     return self._refused(attempt, refusal)
-        outcome = await self._send(name, attempt, digest)
+        outcome = await self._send(name, attempt)
         if outcome.answer is None:
             self._log('gate.failed', attempt, outcome.refusal)
         return outcome
@@ -247,7 +248,7 @@
             self._release(name, learn=False)
             raise
 
-    async def _send(self, name, attempt, digest):
+    async def _send(self, name, attempt):
         """Send a request that holds a slot.
 
         Once it is sent, a request that must not run twice is not broken
@@ -256,7 +257,7 @@
         waiter = eagertask.Waiter()
         task = eagertask.EagerTask(
             self._exchange(attempt),
-            functools.partial(self._sent, name, digest, waiter),
+            functools.partial(self._sent, name, attempt, waiter),
         )
         task.start()
         try:
@@ -266,7 +267,7 @@
                 task.cancel()
             raise
 
-    def _sent(self, name, digest, waiter, task):
+    def _sent(self, name, attempt, waiter, task):
         now = self._clock.monotonic()
         if task.error is not None:
             self._release(name, learn=False)
@@ -278,10 +279,11 @@
         else:
             outcome = task.result
             self._release(name, failed=_is_failure(outcome))
-        if outcome.answer is not None:
-            crashes.answered(self.crashes, digest, now)
-        elif outcome.refusal.reason is calls.Reason.UPSTREAM_CUT:
-            self._suspect_crash(digest)
+        if outcome.answer is None:
+            if outcome.refusal.reason is calls.Reason.UPSTREAM_CUT:
+                self._suspect_crash(fingerprint(attempt))
+        elif self.crashes.suspects:
+            crashes.answered(self.crashes, fingerprint(attempt), now)
         waiter.set_result(outcome)
 
     async def _exchange(self, attempt):
--- a/jujubefold/sidecar/slots.py
+++ b/jujubefold/sidecar/slots.py
@@ -193,14 +193,6 @@
     return tuple((ticket.name, refusal) for ticket in gone)
 
 
-def next_overdue(table):
-    """Return monotonic seconds at which `overdue` has work, or None."""
-    return min(
-        (_latest(table, ticket) for ticket in table.waiting.values()),
-        default=None,
-    )
-
-
 def close(table, reason):
     """Take out all requests that wait, because the upstream left.
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,6 @@
 from soak import world as worlds
 
 CALLERS = 8
-START_S = 10.0
 
 
 async def play(seed, seconds, size, folder):
