Let those wait who have no time to come back

Change: a request whose whole time is half a second at most may wait for 85% of it.

Tried and dropped: telling such calls by the address they come from, and ranking them first.

--- a/jujubefold/sidecar/slots.py
+++ b/jujubefold/sidecar/slots.py
@@ -20,6 +20,11 @@
 # Share of the time to its objective that a request may be predicted to take;
 # durations spread, and whoever becomes late waits behind all others.
 ON_TIME_SHARE = 0.85
+# Seconds; a caller with no more time can't come back after a refusal, as the
+# upstreams' own calls, whose refusal loses the work of the run that calls.
+SHORT_S = 0.5
+# Share of their time that such requests may be predicted to take.
+SHORT_SHARE = 0.85
 # Share of the usual time that must be left for a start to make sense:
 # about one request in four ends in less.
 LEAST_SHARE = 0.7
@@ -228,8 +233,13 @@
     )
 
 
+def _patience(ticket, usual):
+    time = ticket.deadline - ticket.arrived
+    return time * (SHORT_SHARE if time <= SHORT_S else usual)
+
+
 def _limit(ticket):
-    patience = LATE_SHARE * (ticket.deadline - ticket.arrived)
+    patience = _patience(ticket, LATE_SHARE)
     on_time = ON_TIME_SHARE * (ticket.objective_at - ticket.arrived)
     return ticket.arrived + max(on_time, patience)
 
@@ -241,7 +251,7 @@
     caller still has time to come back.
     """
     lasts = duration(table, ticket.route)
-    patience = GIVE_UP_SHARE * (ticket.deadline - ticket.arrived)
+    patience = _patience(ticket, GIVE_UP_SHARE)
     ends = max(ticket.objective_at, ticket.arrived + patience)
     return min(ends - lasts, ticket.deadline - lasts * LEAST_SHARE)
 
