--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -18,6 +18,8 @@
 BEGIN, END = '<!-- bounds -->\n', '<!-- /bounds -->\n'
 # Rounds over all prices; the fourth lowers a bound by less than 0.001.
 ROUNDS = 4
+# The steps between prices leave a bound at most so much too high.
+LOOSE = 0.01
 # Prices that are tried for a slot second, in worth.
 PRICES = tuple(0.7**power * 120 for power in range(24)) + (0.0,)
 # Seconds that a fault lasts if its entry doesn't say.
