--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -28,15 +28,12 @@
 from jujubefold.sidecar import versions
 
 MEMBERS_TABLE = 'jujubefold-members'
-# Seconds between two reads of a feed, so that changes which come close
-# together cost one call; the first of them comes at once.
-MEMBERS_REST_S = 1.5
-VERSIONS_REST_S = 0.4
-# Seconds for which a read of a feed waits for changes; each read is a call.
-# A version must be in force within seconds of the end of an outage that was
-# silent; members also get to know each other by their links.
-MEMBERS_WAIT_S = 15.0
-VERSIONS_WAIT_S = 2.0
+# Two that start at once may miss each other's row and learn of it soon; later
+# on newcomers greet all others themselves, and rows only confirm that.
+MEMBERS_PACE = follower.Pace(rest=1.5, most_rest=12.0, wait=15.0)
+# A version must be in force within seconds, also of the end of an outage in
+# which the platform took calls and answered none.
+VERSIONS_PACE = follower.Pace(rest=0.4, most_rest=0.4, wait=2.0)
 SWEEP_S = 0.1
 SETTINGS_POLL_S = 1.0
 # Bytes of request bodies, and of answers to callers, buffered at once.
@@ -193,8 +190,7 @@
             platform.configuration_table,
             self._configuration_rows,
             self._configuration_rows,
-            VERSIONS_REST_S,
-            VERSIONS_WAIT_S,
+            VERSIONS_PACE,
             self._feed_of_versions,
         )
 
@@ -234,8 +230,7 @@
             MEMBERS_TABLE,
             self._all_members,
             self._changed_members,
-            MEMBERS_REST_S,
-            MEMBERS_WAIT_S,
+            MEMBERS_PACE,
             lambda works: None,
         )
         self._tasks.append(runtimeloop.spawn(members.run()))
@@ -317,14 +312,13 @@
     def _feed_of_versions(self, works):
         self.fleet.feed_fails = not works
 
-    def _new_follower(self, table, whole, changed, rest, wait, state):
+    def _new_follower(self, table, whole, changed, pace, state):
         return follower.Follower(
             self._feed,
             table,
             whole,
             changed,
-            rest,
-            wait,
+            pace,
             state,
             self._rng,
             self._journal,
--- a/jujubefold/sidecar/follower.py
+++ b/jujubefold/sidecar/follower.py
@@ -1,6 +1,7 @@
 """Follower: keeps up with one table of the platform, whatever it does."""
 
 import asyncio
+import dataclasses
 
 from jujubefold import errors
 from jujubefold.sidecar import rowfeed
@@ -11,6 +12,23 @@
 MAX_PAUSE_S = 0.8
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How often a table is read.
+
+    Args:
+        rest: Seconds between two reads of changes at first, so that changes
+            which come close together cost one call.
+        most_rest: Seconds that a rest grows to, doubling each time.
+        wait: Seconds for which a read waits for changes. A platform that
+            takes calls and never answers them is only found out then.
+    """
+
+    rest: float
+    most_rest: float
+    wait: float
+
+
 class Follower:
     """Follows a table.
 
@@ -19,24 +37,18 @@
         table: Its name.
         whole: Called with all rows, after a start or a gap.
         changed: Called with rows that changed.
-        rest: Seconds between two reads of changes, so that changes which
-            come close together cost one call.
-        wait: Seconds for which a read waits for changes. A platform that
-            takes calls and never answers them is only found out then.
+        pace: A `Pace`.
         state: Called with whether the table can be followed, on a change.
         rng: A `random.Random`.
         journal: A `journal.Journal`.
     """
 
-    def __init__(
-        self, feed, table, whole, changed, rest, wait, state, rng, journal
-    ):
+    def __init__(self, feed, table, whole, changed, pace, state, rng, journal):
         self._feed = feed
         self._table = table
         self._whole = whole
         self._changed = changed
-        self._rest = rest
-        self._wait = wait
+        self._pace = pace
         self._state = state
         self._rng = rng
         self._journal = journal
@@ -46,13 +58,16 @@
     async def run(self):
         """Follow until cancelled."""
         pause = MIN_PAUSE_S
+        rest = self._pace.rest
         while True:
             result = await self._step()
             if result.is_ok():
                 pause = MIN_PAUSE_S
                 self._regained()
-                await asyncio.sleep(self._rest)
+                await asyncio.sleep(rest)
+                rest = min(self._pace.most_rest, 2 * rest)
                 continue
+            rest = self._pace.rest
             self._lost(result.error)
             await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
             pause = min(MAX_PAUSE_S, pause * 2)
@@ -63,7 +78,7 @@
             take = self._whole
         else:
             result = await self._feed.changes(
-                self._table, self._version, self._wait
+                self._table, self._version, self._pace.wait
             )
             take = self._changed
         if result.is_ok():
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -15,7 +15,7 @@
 
 
 class TestFollower(testtools.TestCase):
-    def play(self, scene):
+    def play(self, scene, most_rest=0.01):
         """Run a scene with a feed, what was seen of it, and the log."""
 
         async def main():
@@ -36,8 +36,7 @@
                 't',
                 whole,
                 changed,
-                0.01,
-                WAIT_S,
+                follower.Pace(0.01, most_rest, WAIT_S),
                 states.append,
                 random.Random(1),
                 book,
@@ -56,6 +55,26 @@
         while not condition():
             await asyncio.sleep(0.01)
 
+    def test_a_table_that_changes_all_the_time_costs_few_reads(self):
+        reads = []
+
+        async def scene(feed, seen, _):
+            changes = feed.changes
+
+            async def counted(*args):
+                reads.append(args)
+                return await changes(*args)
+
+            feed.changes = counted
+            for number in range(60):
+                await feed.put('t', 'key', b'%d' % number)
+                await asyncio.sleep(0.01)
+            await self.until(lambda: seen.get('key') == b'59')
+
+        self.play(scene, most_rest=0.16)
+        # Rests of 0.01 s, doubled four times, and of 0.16 s from then on.
+        self.assertLessEqual(len(reads), 4 + 1.0 / 0.16)
+
     def test_changes_arrive(self):
         async def scene(feed, seen, _):
             await feed.put('t', 'a', b'1')
