--- a/tests/loads.py
+++ b/tests/loads.py
@@ -70,6 +70,8 @@
         # How requests ended, by kind: 'on time', 'late', 'refused',
         # 'again' (refused once more), 'failed'.
         self.ends = collections.defaultdict(collections.Counter)
+        # Seconds that refused requests had waited for a slot.
+        self._in_vain = []
         self._rng = random.Random(seed)
         self._retry_after = retry_after or self._spread
         self._events = []
@@ -85,6 +87,10 @@
         """Return the share of a kind's requests that were answered."""
         return self.share(name, 'on time', 'late')
 
+    def waited_in_vain(self):
+        """Return the seconds for which requests waited and were refused."""
+        return sum(self._in_vain)
+
     def ask(self, name, per_s, seconds, start=0.0):
         """Add requests of a kind that arrive by chance."""
         now = start
@@ -171,6 +177,7 @@
 
     def _refused(self, now, request, refusal):
         kind = request.kind
+        self._in_vain.append(now - request.arrived)
         left = request.deadline - now
         if request.returned < kind.returns and left > 0.01:
             after = self._retry_after(refusal.retry_after)
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -36,6 +36,16 @@
     return statistics.mean(item.served(name) for item in plays)
 
 
+def on_time(plays, name):
+    """Return the mean share of a kind that was answered on time."""
+    return statistics.mean(item.share(name, 'on time') for item in plays)
+
+
+def vain(plays):
+    """Return the seconds for which requests waited and were refused."""
+    return sum(item.waited_in_vain() for item in plays)
+
+
 class TestInnerCalls(testtools.TestCase):
     """Runs fail when their calls are refused, and their work is lost."""
 
@@ -64,6 +74,32 @@
                     )
 
 
+class TestQueue(testtools.TestCase):
+    """Each rule of the queue against a queue that lacks it."""
+
+    def test_urgency_against_the_order_of_arrival(self):
+        usual = [play(1.2, seed) for seed in SEEDS]
+        self.patch(slots, '_order', lambda table, ticket, now: ticket.arrived)
+        arrival = [play(1.2, seed) for seed in SEEDS]
+        for name in ('confirm', 'manifest'):
+            self.assertGreater(
+                on_time(usual, name), on_time(arrival, name) + 0.05
+            )
+
+    def test_refusing_early_against_waiting_for_the_deadline(self):
+        usual = [play(1.6, seed) for seed in SEEDS]
+        for name in ('_limit', '_latest'):
+            self.patch(slots, name, lambda *given: given[-1].deadline)
+        held = [play(1.6, seed) for seed in SEEDS]
+        # Those who wait in vain learn of it while they have time left, and
+        # nobody else pays for that.
+        self.assertLess(vain(usual), 0.75 * vain(held))
+        for name in RATES:
+            self.assertGreater(
+                on_time(usual, name), on_time(held, name) - 0.05
+            )
+
+
 class TestFairness(testtools.TestCase):
     def test_nobody_less_urgent_is_served_more(self):
         for factor in (1.2, 1.7):
