--- a/jujubefold/cli.py
+++ b/jujubefold/cli.py
@@ -523,12 +523,17 @@
     session.show(state, f'{state.vm}: draining')
 
 
+_SettingsFile = typing.Annotated[
+    pathlib.Path, typer.Argument(help='Settings, a TOML file.')
+]
+_Sidecar = typing.Annotated[
+    bool, typer.Option('--sidecar', help='Settings of a sidecar.')
+]
+
+
 @settings_app.command('check')
 def settings_check(
-    context: typer.Context,
-    path: typing.Annotated[
-        pathlib.Path, typer.Argument(help='Settings, a TOML file.')
-    ],
+    context: typer.Context, path: _SettingsFile, sidecar: _Sidecar = False
 ):
     """Check a daemon's settings file.
 
@@ -538,8 +543,22 @@
     Example:
       jujubefold settings check /etc/jujubefold/jujubefoldd.toml
     """
-    found = context.obj.value(porcelain.check_settings(path))
-    context.obj.show(found.model_dump(mode='json'), f'{path}: valid')
+    values = context.obj.value(porcelain.check_settings(path, sidecar))
+    context.obj.show(values, f'{path}: valid')
+
+
+@settings_app.command('show')
+def settings_show(
+    context: typer.Context, path: _SettingsFile, sidecar: _Sidecar = False
+):
+    """Show what a daemon's settings file comes to, with defaults.
+
+    \b
+    Example:
+      jujubefold settings show --sidecar settings.toml
+    """
+    values = context.obj.value(porcelain.check_settings(path, sidecar))
+    context.obj.show(values, '\n'.join(porcelain.settings_lines(values)))
 
 
 def _patch_name(given):
--- a/jujubefold/porcelain.py
+++ b/jujubefold/porcelain.py
@@ -21,6 +21,7 @@
 from jujubefold import messages
 from jujubefold import patches
 from jujubefold import settings
+from jujubefold.sidecar import options
 from jujubefold import timeline as event_line
 from jujubefold import versions as versions_model
 
@@ -82,9 +83,35 @@
     silent: tuple[str, ...]
 
 
-def check_settings(path):
-    """Check a daemon's settings file; see `settings.load`."""
-    return settings.load(pathlib.Path(path))
+def check_settings(path, sidecar=False):
+    """Check a daemon's settings file.
+
+    Args:
+        path: TOML file.
+        sidecar: Whether it is one of a sidecar on a users' platform.
+
+    Returns:
+        `Ok(values)`, a mapping with defaults filled in, or
+        `Error(errors.Invalid)`; see `settings.load` and `options.load`.
+    """
+    if sidecar:
+        return options.load(path).map(msgspec.to_builtins)
+    found = settings.load(pathlib.Path(path))
+    return found.map(lambda item: item.model_dump(mode='json'))
+
+
+def settings_lines(values, prefix=''):
+    """Yield a line for each value of settings, named by its sections.
+
+    Args:
+        values: What `check_settings` returned.
+        prefix: Sections around it, each with a dot.
+    """
+    for key, value in values.items():
+        if isinstance(value, dict):
+            yield from settings_lines(value, f'{prefix}{key}.')
+        else:
+            yield f'{prefix}{key} = {json.dumps(value)}'
 
 
 def validate(path):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -143,7 +143,7 @@
     def test_help_teaches(self):
         command = typer.main.get_command(cli.app)
         verbs = dict(walk(command, ()))
-        self.assertEqual(15, len(verbs), sorted(verbs))
+        self.assertEqual(16, len(verbs), sorted(verbs))
         for path in verbs:
             told = self.text(0, *path, '--help')
             self.assertIn('jujubefold ', told.split('Example:')[1], path)
@@ -211,6 +211,35 @@
             self.assertIn(str(where), told, arguments)
         self.assertEqual(0, self.accepted())
 
+    def test_settings_of_a_sidecar(self):
+        path = self.folder / 'sidecar.toml'
+        path.write_text(
+            '[daemon]\nvm = "v"\nregion = "r"\nfailure_domain = "a"\n'
+            '[listen]\ncallers = "10.0.0.1:1"\npeers = "10.0.0.1:2"\n'
+            'readiness = "10.0.0.1:3"\nannouncements = "10.0.0.1:4"\n'
+            'metrics = "10.0.0.1:5"\n'
+            '[upstream]\nservice = "s"\naddress = "10.0.0.1:6"\ndrain = 2\n'
+            '[store]\naddress = "10.0.0.9:1"\n'
+            '[retries]\nratio = 0.2\nwindow = 10\nslack = 56\n'
+            '[stop]\ngrace = 6\n'
+        )
+        shown = self.text(0, 'settings', 'show', '--sidecar', path)
+        self.assertIn('store.timeout = 1.0', shown)
+        self.assertIn('upstream.service = "s"', shown)
+        found = self.json(0, 'settings', 'check', '--sidecar', path)
+        self.assertEqual(6.0, found['stop']['grace'])
+        for old, new, where, why in (
+            ('window = 10', 'window = 0', '$.retries.window', '> 0'),
+            ('drain = 2\n', 'drain = 2\nfoo = 1\n', 'upstream', 'foo'),
+            ('grace = 6', '', 'stop', 'grace'),
+        ):
+            bad = self.folder / 'bad.toml'
+            bad.write_text(path.read_text().replace(old, new))
+            told = self.text(3, 'settings', 'check', '--sidecar', bad)
+            self.assertIn(str(bad), told)
+            self.assertIn(where.removeprefix('$.'), told)
+            self.assertIn(why, told)
+
     def test_patch_from_standard_input(self):
         named = ('--base', '0', '--patch-id', 'p')
         deep = '[' * 100_000
