--- a/jujubefold/sidecar/explain.py
+++ b/jujubefold/sidecar/explain.py
@@ -165,7 +165,9 @@
     status = end.fields.get('status')
     reason = end.fields.get('reason') or 'none'
     offers = end.fields.get('offers') or ()
-    ran = end.fields.get('ran') or 'ran'
+    # Only who was turned away before a route was chosen has no such word.
+    unrouted = end.event == 'call.refused'
+    ran = end.fields.get('ran') or ('did-not-run' if unrouted else 'ran')
     seen = ', '.join(f'{item["vm"]} {item["end"]}' for item in offers)
     text = f'status {status}, reason {reason}, {ran}'
     if end.event == 'call.left':
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -68,6 +68,13 @@
             self.assertIn(word, story.cause)
         self.assertIn(story.cause, list(explain.told(story))[-3])
 
+    def test_one_without_a_route_did_not_run(self):
+        refused = line(
+            3.0, 'vm-1', 'call.refused', request='c', status=404, reason='x'
+        )
+        story = explain.explain('c', [[refused]])
+        self.assertIn('did-not-run', story.cause)
+
     def test_an_unknown_request_is_said_to_be_unknown(self):
         story = explain.explain('zz', [FIRST])
         self.assertIn('no line names it', next(explain.told(story)))
