--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -83,6 +83,7 @@
 
     Attributes:
         closing: Whether new requests are refused, because the daemon ends.
+        retry_table: The table that was given.
     """
 
     def __init__(
