Let newcomers hear the goodbye, and start nothing that would be cut

It had said goodbye at 8.20; kalgoorlie-3 started at 8.57, linked to it by its row, heard no goodbye, and offered it requests until it ended. Ruled out: the grace (the stop ended after 3.2 of 6 s, with nothing of its own under way).

Change: whoever greets after the goodbye hears it at once, and offers that come after the last look at what runs are refused as not run instead of being cut 0.2 s later.

--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -269,6 +269,7 @@
             if self._clock.monotonic() - began >= grace * CUT_SHARE:
                 break
         cut = self.ingress.cut()
+        self.fleet.port.closing = True
         await asyncio.sleep(CLOSING_S)
         leaving.cancel()
         await self.close()
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -467,7 +467,7 @@
 
     def goodbye(self):
         """Tell the others to offer nothing more here."""
-        self.port.broadcast(frames.Goodbye())
+        self.port.goodbye()
 
     def close(self):
         """End all links."""
--- a/jujubefold/sidecar/gateport.py
+++ b/jujubefold/sidecar/gateport.py
@@ -23,6 +23,11 @@
 KEPT_S = 2.0
 
 _MS = 1000
+_CLOSING = calls.Refusal(
+    errors.Ran.DID_NOT_RUN,
+    calls.Reason.DRAINING,
+    detail='the daemon ends',
+)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -43,6 +48,9 @@
         clock: A `clock.Clock`.
         hello: Returns this daemon's `frames.Hello`.
         heard: Called with a connection and each message not handled here.
+
+    Attributes:
+        closing: Whether offers are refused, because the daemon ends.
     """
 
     def __init__(self, egress, clock, hello, heard):
@@ -54,6 +62,8 @@
         self._connections = set()
         self._held = {}
         self._orphans = {}
+        self._leaving = False
+        self.closing = False
 
     @property
     def busy(self):
@@ -83,6 +93,11 @@
             if domain is None or connection.domain == domain:
                 connection.send(message)
 
+    def goodbye(self):
+        """Ask all daemons, also those still to come, to offer no more."""
+        self._leaving = True
+        self.broadcast(frames.Goodbye())
+
     def close(self):
         """Stop listening and end all links."""
         if self._server is not None:
@@ -151,6 +166,8 @@
                 other.peer = None
                 other.abort()
         connection.send(self._hello())
+        if self._leaving:
+            connection.send(frames.Goodbye())
         for sequence in hello.resume:
             self._resume(connection, sequence)
 
@@ -181,6 +198,13 @@
             return
         now = self._clock.monotonic()
         held = self._held[key] = _Held(connection)
+        if self.closing:
+            # What starts now would be cut by the end of the process.
+            outcome = attempts.Outcome(refusal=_CLOSING)
+            held.end = end_of(offer.sequence, outcome, self._egress)
+            held.ended_at = now
+            connection.send(held.end)
+            return
         attempt = attempts.Attempt(
             name=key,
             request=offer.request,
--- a/tests/test_gateport.py
+++ b/tests/test_gateport.py
@@ -143,3 +143,33 @@
             self.assertFalse(port.busy)
 
         self.play(scene)
+
+
+class TestEnd(testtools.TestCase):
+    def port(self):
+        egress = Egress()
+        port = gateport.GatePort(
+            egress, clock.SystemClock(), hello, lambda *heard: None
+        )
+        connection = Connection()
+        port._received(connection, hello())
+        return egress, port, connection
+
+    def test_who_comes_after_the_goodbye_hears_it_too(self):
+        _, port, _ = self.port()
+        port.goodbye()
+        late = Connection()
+        port._received(late, hello())
+        self.assertEqual(
+            [frames.Hello, frames.Goodbye], [type(item) for item in late.sent]
+        )
+
+    def test_an_offer_that_would_be_cut_is_refused(self):
+        egress, port, connection = self.port()
+        port.closing = True
+        port._received(connection, offer(1))
+        self.assertEqual([], egress.runs)
+        end = connection.sent[-1]
+        self.assertEqual(('did-not-run', 'draining'), (end.ran, end.reason))
+        self.assertFalse(end.sent)
+        self.assertFalse(port.busy)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -794,6 +794,26 @@
 
         sidecars.play(scene)
 
+    def test_a_newcomer_offers_nothing_to_one_that_said_goodbye(self):
+        async def scene(fleet):
+            await fleet.add('vm-1', service='routes')
+            await fleet.add('vm-2')
+            await fleet.settle()
+            leaving = fleet.daemons['vm-2']
+            stopping = asyncio.ensure_future(leaving.stop())
+            await asyncio.sleep(1.3)
+            # Late for the goodbye, and early enough to see the row.
+            newcomer = await fleet.add('vm-3', service='routes')
+            newcomer.fleet.learn(leaving.fleet.roster.me)
+            await sidecars.until(lambda: newcomer.fleet.is_linked('vm-2'), 1.0)
+            await asyncio.sleep(0.1)
+            found = await fleet.call('vm-3', '/read/x')
+            self.assertEqual(503, found.status)
+            self.assertEqual(0, runs(fleet, '/read/x'))
+            await stopping
+
+        sidecars.play(scene)
+
 
 class TestBudget(testtools.TestCase):
     def test_what_gates_refuse_allows_no_repeats(self):
