Leave no process behind when a start is interrupted

Cause of three of the seven tests that were red beside load: on one worker the time limit of a test struck while an upstream started, before the fleet knew the process. Callers were then told 200 for runs that no ledger had, and counts of upstreams were wrong. Ruled out: the call path; each of the three came later on that worker.

Now an interrupted start ends its process. The new test failed before.

--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -62,11 +62,20 @@
             stderr=log or subprocess.DEVNULL,
             env=environment,
         )
-        line = self.popen.stdout.readline()
-        if not line:
-            status = self.popen.wait()
-            raise AssertionError(f'{module} ended with {status}{_tail(log)}')
-        self.addresses = json.loads(line)
+        try:
+            line = self.popen.stdout.readline()
+            if not line:
+                status = self.popen.wait()
+                raise AssertionError(
+                    f'{module} ended with {status}{_tail(log)}'
+                )
+            self.addresses = json.loads(line)
+        except BaseException:
+            # Nobody knows of it yet, so that nobody else would end it; it
+            # would announce itself to the next fleet at these addresses.
+            self.popen.kill()
+            self.popen.wait()
+            raise
 
     def send(self, number):
         """Send a signal."""
--- /dev/null
+++ b/tests/test_fleets.py
@@ -0,0 +1,32 @@
+"""Tests of the processes that fleets are made of."""
+
+import subprocess
+
+import testtools
+
+from bench import fleets
+
+
+class Interrupted(BaseException):
+    """Ends a start, as the time limit of a test does."""
+
+
+class TestProcess(testtools.TestCase):
+    def test_a_start_that_is_interrupted_leaves_no_process(self):
+        started = []
+
+        class Popen(subprocess.Popen):
+            def __init__(self, *args, **kwargs):
+                super().__init__(*args, **kwargs)
+                started.append(self)
+
+        def interrupt(line):
+            raise Interrupted
+
+        self.patch(fleets.subprocess, 'Popen', Popen)
+        self.patch(fleets.json, 'loads', interrupt)
+        self.assertRaises(Interrupted, fleets.Process, 'standin')
+        (popen,) = started
+        self.addCleanup(popen.stdout.close)
+        self.addCleanup(popen.kill)
+        self.assertIsNotNone(popen.poll())
