Start no second daemon beside one that runs in the soak

Two faults that overlap on a VM both bring its daemon back. The second start took the place of the first process, which then outlived the soak: one was found 19 minutes after the run. The new test failed before.

--- a/soak/world.py
+++ b/soak/world.py
@@ -175,7 +175,13 @@
     # The daemon
 
     def start_daemon(self):
-        """Start the daemon's process."""
+        """Start the daemon's process, unless it runs.
+
+        Two faults that overlap on a VM both bring its daemon back; a second
+        process would take the place of the first, which nobody would end.
+        """
+        if self._popen is not None and self._popen.poll() is None:
+            return
         log = (self._folder / f'{self.name}.log').open('ab')
         environment = {
             **os.environ,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,7 @@
 """Short seeded runs of the soak, and tests of its checks."""
 
+import pathlib
+import random
 import tempfile
 import types
 
@@ -7,6 +9,7 @@
 
 from soak import __main__ as soak
 from soak import checks
+from soak import world as worlds
 from tests import sidecars
 
 # Fixed seeds for every run; each seed that ever failed joins them, with a
@@ -23,6 +26,30 @@
             self.assertEqual([], found, f'seed {seed}')
 
 
+class TestDaemons(testtools.TestCase):
+    def test_a_daemon_that_runs_is_not_started_again(self):
+        started = []
+
+        class Popen:
+            def __init__(self, *args, **kwargs):
+                self.status = None
+                started.append(self)
+
+            def poll(self):
+                return self.status
+
+        self.patch(worlds.subprocess, 'Popen', Popen)
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder)
+            vm = worlds.Vm('vm-0', 'a', path, '127.0.0.1:1', random.Random(1))
+            vm.start_daemon()
+            vm.start_daemon()
+            self.assertEqual(1, len(started))
+            started[0].status = -9
+            vm.start_daemon()
+            self.assertEqual(2, len(started))
+
+
 class TestChecks(testtools.TestCase):
     def broken(self, status, ran, write=True, body=b'', **changes):
         """Return the kinds of promises broken by one told request."""
