Read unknown kinds of routes as at most once, and check each value

Cause: a route's kind was looked up in a table without `upload`.

Change: uploads and unknown kinds run at most once; an unknown one is logged with its path. Values that are wrong (no timeout, no such service, a bare prefix, negative weights, limits of zero) make the version invalid by their path, and the version before stays in force.

Ruled out: refusing only the route, as a version is never applied in part.

--- a/jujubefold/platform/configuration.py
+++ b/jujubefold/platform/configuration.py
@@ -1,4 +1,11 @@
-"""Configuration: decodes the operator's row into a `mesh.Mesh`."""
+"""Configuration: decodes the operator's row into a `mesh.Mesh`.
+
+A value that this release does not know is read in the safest way, so that a
+newer platform does not stop the fleet. A value that is wrong makes the whole
+version invalid, and the version before it stays in force.
+"""
+
+import math
 
 import expression
 import msgspec
@@ -10,7 +17,9 @@
 TABLE = 'op'
 KEY = 'config'
 
-_IDEMPOTENT = {'idempotent': True, 'non_idempotent': False}
+_IDEMPOTENT = {'idempotent': True, 'non_idempotent': False, 'upload': False}
+# Requests of a kind that this release does not know run at most once.
+_UNKNOWN_KIND_IDEMPOTENT = False
 
 
 class _Table(msgspec.Struct):
@@ -31,7 +40,7 @@
 
 class _TrafficShare(msgspec.Struct):
     service: str
-    weight: int = 1
+    weight: float = 1
 
 
 class _Route(msgspec.Struct):
@@ -92,14 +101,17 @@
             )
         }
         routes = msgspec.convert(list(document.routes.records()), list[_Route])
-        resolved = mesh.Mesh(
-            document.version,
-            tuple(_route(item) for item in routes),
-            services,
-            literal_prefixes=True,
-        )
-    except (msgspec.DecodeError, UnicodeError, KeyError) as error:
+    except (msgspec.DecodeError, UnicodeError) as error:
         return expression.Error(errors.Invalid(str(error), KEY))
+    fault = next(_faults(document, routes, services), None)
+    if fault is not None:
+        return expression.Error(fault)
+    resolved = mesh.Mesh(
+        document.version,
+        tuple(_route(item) for item in routes),
+        services,
+        literal_prefixes=True,
+    )
     limits = document.limits
     return expression.Ok(
         versions.Configuration(
@@ -110,12 +122,61 @@
                 limits.header_timeout_s,
                 limits.idle_timeout_s,
             ),
+            tuple(_unknown_values(routes)),
         )
     )
 
 
+def _faults(document, routes, services):
+    """Yield an `errors.Invalid` for each wrong value of a document."""
+    if document.version < 1:
+        yield errors.Invalid('the version must be positive', 'version')
+    limits = document.limits
+    for name in limits.__struct_fields__:
+        if not _is_positive(getattr(limits, name)):
+            yield errors.Invalid('a limit must be positive', f'limits.{name}')
+    for route in routes:
+        for column, reason in _route_faults(route, services):
+            yield errors.Invalid(reason, f'routes.{route.name}.{column}')
+
+
+def _route_faults(route, services):
+    """Yield the column and the reason for each wrong value of a route."""
+    if not route.host:
+        yield 'host', 'a route needs a host'
+    if not (route.prefix.startswith('/') and route.prefix.endswith('/')):
+        yield 'prefix', 'a prefix must begin and end with a slash'
+    if not _is_positive(route.timeout_s):
+        yield 'timeout_s', 'a timeout must be positive'
+    if not 0 <= route.target_latency_s < math.inf:
+        yield 'target_latency_s', 'an objective must not be negative'
+    for share in _shares(route):
+        if share.service not in services:
+            yield 'service', f'there is no service {share.service!r}'
+        if not 0 <= share.weight < math.inf:
+            yield 'traffic_split', 'a weight must not be negative'
+    if not sum(share.weight for share in _shares(route)):
+        yield 'traffic_split', 'no service has a weight above 0'
+
+
+def _is_positive(value):
+    return 0 < value < math.inf
+
+
+def _unknown_values(routes):
+    """Yield a `versions.UnknownValue` for each value not known here."""
+    for route in routes:
+        if route.kind not in _IDEMPOTENT:
+            yield versions.UnknownValue(
+                f'routes.{route.name}.kind', route.kind, 'runs at most once'
+            )
+
+
+def _shares(route):
+    return route.traffic_split or [_TrafficShare(route.service or '')]
+
+
 def _route(item):
-    shares = item.traffic_split or [_TrafficShare(item.service or '')]
     return mesh.Route(
         name=item.name,
         host=item.host.lower(),
@@ -125,13 +186,14 @@
             mesh.Target(
                 mesh.EndpointGroup(share.service, share.service), share.weight
             )
-            for share in shares
+            for share in _shares(item)
+            if share.weight
         ),
         retry=mesh.RetryPolicy(max(1, item.max_attempts)),
         limit=mesh.LimitPolicy(),
         timeout=mesh.TimeoutPolicy(item.timeout_s, item.timeout_s),
         headers=mesh.HeaderRule(),
-        idempotent=_IDEMPOTENT[item.kind],
+        idempotent=_IDEMPOTENT.get(item.kind, _UNKNOWN_KIND_IDEMPOTENT),
         priority=-item.priority,
         latency_objective=item.target_latency_s,
     )
--- a/jujubefold/sidecar/versions.py
+++ b/jujubefold/sidecar/versions.py
@@ -6,6 +6,10 @@
 from jujubefold import mesh
 from jujubefold.sidecar import distribution
 
+# Unknown values of one version that are logged; a new kind of route usually
+# comes on many routes.
+MAX_UNKNOWN_LOGGED = 8
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
@@ -25,6 +29,21 @@
     idle_timeout: float = 75.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnknownValue:
+    """A value of a configuration that this release does not know.
+
+    Args:
+        field: Path of the field.
+        value: The value found.
+        reading: What is done instead.
+    """
+
+    field: str
+    value: str
+    reading: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
     """A decoded and valid configuration.
@@ -32,10 +51,12 @@
     Args:
         mesh: The `mesh.Mesh`, with the number of its version.
         limits: The `CallerLimits`.
+        unknown_values: Each `UnknownValue` in it.
     """
 
     mesh: mesh.Mesh
     limits: CallerLimits = CallerLimits()
+    unknown_values: tuple[UnknownValue, ...] = ()
 
 
 class Versions:
@@ -136,4 +157,12 @@
             source=source,
             routes=len(configuration.mesh.routes),
         )
+        for item in configuration.unknown_values[:MAX_UNKNOWN_LOGGED]:
+            self._event_log.record(
+                'version.unknown_value',
+                version=configuration.mesh.number,
+                field=item.field,
+                value=item.value,
+                reading=item.reading,
+            )
         self._changed(configuration, source)
