Serve pipelined idempotent requests side by side

Cause: a connection served one request at a time, so a caller that sends several at once waited for the sum of their times; their deadlines were counted from the start of each and not from its arrival.

A drain answers what was received before it closes the connection. Handlers share a base class.

Ruled out: overlapping what must run once.

--- a/jujubefold/callexchange.py
+++ b/jujubefold/callexchange.py
@@ -36,7 +36,7 @@
         """Send half of the answer's body and close, to inject a fault."""
         connection, self._connection = self._connection, None
         if connection is not None:
-            connection.reply_truncated(answer)
+            connection.reply_truncated(self.request, answer)
 
     def drop(self):
         """Close the connection without an answer."""
--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -4,14 +4,13 @@
 """
 
 import asyncio
-import collections
 import dataclasses
 import functools
 
 import httptools
 
 from jujubefold import bodymemory
-from jujubefold import callexchange
+from jujubefold import callpipeline
 from jujubefold import calls
 from jujubefold import errors
 from jujubefold import httpheads
@@ -25,7 +24,6 @@
 FRAMING_FACTOR = 16
 MAX_PIPELINED = 8
 WRITE_BUFFER_BYTES = 256 * 1024
-SINGLE_WRITE_BYTES = 64 * 1024
 SWEEP_INTERVAL_S = 0.25
 LINGER_S = 1.0
 HEARTBEAT_S = 0.4
@@ -80,6 +78,7 @@
         peer: Address of the client, `ip:port`.
         session: The connection's `Session`.
         during_drain: Whether its headers came after `Server.drain`.
+        received_at: Monotonic seconds at which it was complete.
     """
 
     method: str
@@ -91,6 +90,7 @@
     peer: str
     session: Session
     during_drain: bool = False
+    received_at: float = 0.0
     keep_alive: bool = True
     chunks: list = dataclasses.field(default_factory=list)
     size: int = 0
@@ -169,13 +169,7 @@
         self._transport = None
         self._peer = ''
         self._session = Session()
-        # Requests, and answers to those rejected while parsing.
-        self._queue = collections.deque()
-        self._current = None
-        self._unsent = collections.deque()
-        self._sending = None
-        self._serving = False
-        self._writing_paused = False
+        self._pipeline = callpipeline.Pipeline(self, server)
         self._reading_paused = False
         self._memory_waits = 0
         self._ignore_input = False
@@ -196,17 +190,13 @@
     @property
     def idle(self):
         """Whether no request is being received or answered."""
-        return (
-            self._current is None
-            and self._sending is None
-            and not self._receiving
-            and not self._queue
-        )
+        return self._pipeline.idle and not self._receiving
 
     # asyncio.Protocol
 
     def connection_made(self, transport):
         self._transport = transport
+        self._pipeline.open(transport)
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         if self._server.is_unauthorized(transport):
             self._ignore_input = True
@@ -232,7 +222,7 @@
             self._reject(_parser_error_answer(error))
         else:
             # Not from a parser callback: answering may close the connection.
-            self._serve_next()
+            self._pipeline.serve()
 
     def eof_received(self):
         return False
@@ -241,21 +231,15 @@
         self._ignore_input = True
         self._closed = True
         self._server.remove_connection(self)
-        self._drop_requests()
-        self._drop_answer()
-        current, self._current = self._current, None
-        if current is not None:
-            self._server.request_memory.release(current.request.memory)
-            current.sender_disconnected()
+        self._drop_partial_request()
+        self._pipeline.drop()
 
     def pause_writing(self):
-        self._writing_paused = True
+        self._pipeline.pause_writing()
 
     def resume_writing(self):
-        self._writing_paused = False
-        self._last_activity = self._server.now
-        self._flush()
-        self._serve_next()
+        self.touch()
+        self._pipeline.resume_writing()
 
     # httptools callbacks
 
@@ -298,8 +282,9 @@
         request = self._request
         request.keep_alive = self._parser.should_keep_alive()
         self._reset()
-        self._queue.append(request)
-        if len(self._queue) > MAX_PIPELINED:
+        request.received_at = self._server.clock.monotonic()
+        self._pipeline.add_request(request)
+        if self._pipeline.waiting > MAX_PIPELINED:
             self._pause_reading()
 
     # Reading
@@ -345,7 +330,7 @@
         expects = b'expect' in request.fields
         if not expects or request is not self._request:
             return
-        if self._current is None and not self._queue:
+        if self._pipeline.idle:
             self._transport.write(_CONTINUE)
 
     def _reserve(self, request, size):
@@ -364,7 +349,7 @@
         self._last_activity = self._server.now
         self._send_continue(request)
         self._resume_reading()
-        self._serve_next()
+        self._pipeline.serve()
 
     def _check_sizes(self):
         if self._request is not None:
@@ -380,21 +365,20 @@
         self._receiving = False
         request, self._request = self._request, None
         if request is not None:
-            self._release_memory(request)
-        self._queue.append(answer)
-        self._serve_next()
+            self.release_memory(request)
+        self._pipeline.add_rejection(answer)
+        self._pipeline.serve()
 
-    def _release_memory(self, request):
+    def release_memory(self, request):
+        """Release the memory of a request that is not served."""
         if request.memory.pending:
             self._memory_waits -= 1
         self._server.request_memory.release(request.memory)
 
-    def _drop_requests(self):
+    def _drop_partial_request(self):
         request, self._request = self._request, None
-        queued = [item for item in self._queue if isinstance(item, Request)]
-        self._queue.clear()
-        for item in queued if request is None else [*queued, request]:
-            self._release_memory(item)
+        if request is not None:
+            self.release_memory(request)
 
     def _pause_reading(self):
         if not self._reading_paused and not self._closed:
@@ -408,88 +392,31 @@
             self._reading_paused = False
             self._transport.resume_reading()
 
-    # Answering, one request at a time and in order
-
-    def _serve_next(self):
-        if self._serving:
-            return
-        self._serving = True
-        while self._is_ready():
-            entry = self._queue.popleft()
-            if len(self._queue) == MAX_PIPELINED // 2:
-                self._resume_reading()
-            if isinstance(entry, Answer):
-                self._send(entry, 'GET', False)
-            else:
-                self._last_activity = self._server.now
-                self._current = callexchange.Exchange(self, entry)
-                self._server.handler.handle(self._current)
-        self._serving = False
-
-    def _is_ready(self):
-        if self._current is not None or self._sending is not None:
-            return False
-        if self._writing_paused or self._closed or not self._queue:
-            return False
-        first = self._queue[0]
-        return isinstance(first, Answer) or not first.memory.pending
+    # Answering
 
     def reply(self, request, answer):
-        """Send the answer to the request being served."""
-        self._server.request_memory.release(request.memory)
-        self._current = None
-        self._send(
-            answer, request.method, request.keep_alive and not answer.close
-        )
-        self._serve_next()
+        """Send the answer to a request that is being served."""
+        self._pipeline.reply(request, answer)
 
-    def reply_truncated(self, answer):
+    def reply_truncated(self, request, answer):
         """Send half of the answer's body, then close."""
-        body = b''.join(answer.chunks)
-        head = httpheads.encode_head(answer, 'GET', True)
-        self._current = None
-        self._transport.write(head + body[: len(body) // 2])
-        self.close_gracefully()
-
-    def _send(self, answer, method, keep_alive):
-        keep_alive = keep_alive and not self._server.draining
-        self._last_activity = self._server.now
-        head = httpheads.encode_head(answer, method, keep_alive)
-        chunks = () if httpheads.has_no_body(answer, method) else answer.chunks
-        if answer.size <= SINGLE_WRITE_BYTES or not chunks:
-            self._server.answer_memory.release(answer.memory)
-            self._transport.write(b''.join((head, *chunks)))
-            self._finish_answer(keep_alive)
-            return
-        self._unsent.append(head)
-        self._unsent.extend(chunks)
-        self._sending = (answer, keep_alive)
-        self._flush()
-
-    def _flush(self):
-        while self._unsent and not self._writing_paused and not self._closed:
-            self._transport.write(self._unsent.popleft())
-        if self._unsent or self._sending is None or self._closed:
-            return
-        answer, keep_alive = self._sending
-        self._sending = None
-        self._server.answer_memory.release(answer.memory)
-        self._finish_answer(keep_alive)
+        self._pipeline.reply_truncated(request, answer)
 
-    def _drop_answer(self):
-        self._unsent.clear()
-        sending, self._sending = self._sending, None
-        if sending is not None:
-            self._server.answer_memory.release(sending[0].memory)
+    def touch(self):
+        """Note that data was transferred or a request was started."""
+        self._last_activity = self._server.now
 
-    def _finish_answer(self, keep_alive):
-        if not keep_alive:
-            self.close_gracefully()
+    def request_started(self):
+        """Read on when few requests are left to be started."""
+        self.touch()
+        if self._pipeline.waiting == MAX_PIPELINED // 2:
+            self._resume_reading()
 
     def close_gracefully(self):
         """Close, leaving the caller `LINGER_S` to read what was sent."""
         self._ignore_input = True
-        self._drop_requests()
+        self._drop_partial_request()
+        self._pipeline.drop()
         self._linger_until = self._server.now + LINGER_S
         self._resume_reading()
         if self._transport.can_write_eof():
@@ -510,10 +437,10 @@
         if self._linger_until is not None:
             if now >= self._linger_until:
                 self.abort()
-        elif self._sending is not None or self._writing_paused:
+        elif self._pipeline.sending:
             if waited > timeouts.write:
                 self.abort()
-        elif self._current is not None:
+        elif self._pipeline.serving:
             if self._server.heartbeat and waited > HEARTBEAT_S:
                 self._last_activity = now
                 self._transport.write(_PROCESSING)
@@ -537,7 +464,8 @@
             self._reject(bad_request('request headers came too slowly', 408))
 
     def _reject_for_memory(self):
-        self._drop_requests()
+        self._drop_partial_request()
+        self._pipeline.drop_waiting()
         self._reject(
             refusal_answer(
                 calls.Refusal(
@@ -568,8 +496,7 @@
     """Listening server that passes complete requests to a handler.
 
     Args:
-        handler: Has `handle(exchange)`, called for each complete request, and
-            `body_limit(request)`, which returns bytes.
+        handler: A `callhandler.Handler`.
         clock: A `clock.Clock`.
         request_memory: `bodymemory.Budget` for request bodies.
         answer_memory: `bodymemory.Budget` that answers were reserved in.
@@ -578,6 +505,7 @@
             shows them that the connection still works.
 
     Attributes:
+        clock: The clock passed to the constructor.
         max_head_bytes: Limit on a request line and headers together.
     """
 
@@ -599,7 +527,7 @@
         self.now = clock.monotonic()
         self.max_head_bytes = MAX_HEAD_BYTES
         self.timeouts = timeouts or Timeouts()
-        self._clock = clock
+        self.clock = clock
         self._connections = set()
         self._server = None
         self._timer = None
@@ -658,7 +586,7 @@
 
     def sweep(self):
         """Apply the timeouts to every connection."""
-        self.now = self._clock.monotonic()
+        self.now = self.clock.monotonic()
         for connection in tuple(self._connections):
             connection.sweep(self.now, self.timeouts)
 
--- a/jujubefold/example.py
+++ b/jujubefold/example.py
@@ -22,6 +22,7 @@
 from jujubefold import adminclient
 from jujubefold import adminmodels
 from jujubefold import bodymemory
+from jujubefold import callhandler
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import clock
@@ -79,7 +80,7 @@
     busy: float
 
 
-class Upstream:
+class Upstream(callhandler.Handler):
     """HTTP upstream that counts executions by request id.
 
     Args:
--- a/jujubefold/hophandler.py
+++ b/jujubefold/hophandler.py
@@ -7,6 +7,7 @@
 
 from jujubefold import callclient
 from jujubefold import callgate
+from jujubefold import callhandler
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import errors
@@ -36,7 +37,7 @@
 )
 
 
-class HopHandler:
+class HopHandler(callhandler.Handler):
     """Handles the requests of other daemons.
 
     Besides attempts these are three requests about an attempt sent before:
--- a/jujubefold/platform/announcements.py
+++ b/jujubefold/platform/announcements.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from jujubefold import callhandler
 from jujubefold import callserver
 from jujubefold.sidecar import instance
 
@@ -42,7 +43,7 @@
 _deregistration_decoder = msgspec.json.Decoder(_Deregistration)
 
 
-class AnnouncementHandler:
+class AnnouncementHandler(callhandler.Handler):
     """Decodes the upstream's heartbeats and deregistrations.
 
     Args:
@@ -131,7 +132,7 @@
     return lambda: exchange.reply(_empty_json(200))
 
 
-class PageHandler:
+class PageHandler(callhandler.Handler):
     """Answers requests for one path, and others with status 404.
 
     Args:
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -12,6 +12,7 @@
 
 from jujubefold import backgroundtasks
 from jujubefold import callclient
+from jujubefold import callhandler
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import eagertask
@@ -76,8 +77,8 @@
     retry_bucket: retrybudget.Bucket | None = None
 
 
-class Ingress:
-    """Handles callers' requests; a handler of `callserver.Server`.
+class Ingress(callhandler.Handler):
+    """Handles callers' requests.
 
     Args:
         names: `attempt.HeaderNames`.
@@ -135,6 +136,12 @@
         """Return the maximum size of a request body in bytes."""
         return self._versions.current.limits.body_bytes
 
+    def may_overlap(self, request):
+        """Return whether a request of a pipelining caller may run twice."""
+        mesh = self._versions.current.mesh
+        route = mesh.match(request.host, request.path, request.method)
+        return route is not None and calls.is_idempotent(route, request.method)
+
     def handle(self, exchange):
         """Start to serve a request that was received completely.
 
@@ -159,7 +166,11 @@
         if remaining is None:
             self._refuse(exchange, calls.Reason.MALFORMED, 0.0)
             return
-        call = self._new_call(request, route, mesh.number, remaining, now)
+        if now >= request.received_at + remaining:
+            # It waited for earlier requests of its connection.
+            self._refuse(exchange, calls.Reason.DEADLINE, 0.0)
+            return
+        call = self._new_call(request, route, mesh.number, remaining)
         task = eagertask.EagerTask(
             self._serve(call), functools.partial(self._finish, exchange)
         )
@@ -197,8 +208,9 @@
             return None
         return min(int(value) / _MS, route.timeout.request)
 
-    def _new_call(self, request, route, version, remaining, now):
+    def _new_call(self, request, route, version, remaining):
         names = self._names
+        now = request.received_at
         request_id = request.fields.get(names.request)
         headers = callclient.end_to_end_headers(
             request.headers, names.reserved
--- a/tests/rowstore.py
+++ b/tests/rowstore.py
@@ -6,6 +6,7 @@
 import urllib.parse
 
 from jujubefold import bodymemory
+from jujubefold import callhandler
 from jujubefold import callserver
 from jujubefold import clock
 
@@ -13,7 +14,7 @@
 PAGE_ROWS = 3
 
 
-class RowStore:
+class RowStore(callhandler.Handler):
     """In-memory store over HTTP, with faults on demand.
 
     Attributes:
--- a/tests/test_callserver.py
+++ b/tests/test_callserver.py
@@ -8,6 +8,8 @@
 import testtools
 
 from jujubefold import bodymemory
+from jujubefold import callhandler
+from jujubefold import callpipeline
 from jujubefold import callserver
 from jujubefold import clock
 
@@ -66,13 +68,14 @@
 )
 
 
-class Handler:
+class Handler(callhandler.Handler):
     """Answers with method, target and body, at once or on request."""
 
     def __init__(self):
         self.handled = []
         self.held = []
         self.hold = False
+        self.overlapping = False
         self.disconnects = 0
         self.status = 200
         self.extra = b''
@@ -80,6 +83,9 @@
     def body_limit(self, request):
         return BODY_LIMIT
 
+    def may_overlap(self, request):
+        return self.overlapping and request.method == 'GET'
+
     def handle(self, exchange):
         self.handled.append(exchange.request)
         exchange.on_disconnect = self._on_disconnect
@@ -435,3 +441,147 @@
             writer.close()
 
         self.run_with(scenario, memory=2000)
+
+
+class TestPipelining(testtools.TestCase):
+    """Requests that a caller sends before it has read an answer."""
+
+    def run_with(self, scenario):
+        async def main():
+            async with RunningServer() as running:
+                running.handler.hold = True
+                running.handler.overlapping = True
+                async with asyncio.timeout(30):
+                    await scenario(running)
+
+        asyncio.run(main())
+
+    async def start(self, running, *requests):
+        """Send requests in one write; return reader and writer."""
+        reader, writer = await running.connect()
+        writer.write(b''.join(requests))
+        await running.until(lambda: running.handler.held)
+        # Whatever may be served beside the first one is handled with it.
+        await asyncio.sleep(0.02)
+        return reader, writer
+
+    def test_overlapping_requests_are_answered_in_order(self):
+        async def scenario(running):
+            reader, writer = await self.start(
+                running, *(get(f'/{number}') for number in range(4))
+            )
+            self.assertEqual(4, len(running.handler.held))
+            for exchange in reversed(running.handler.held):
+                running.handler.answer(exchange)
+            for number in range(4):
+                body = (await _read_answer(reader))[2]
+                self.assertEqual(b'GET /%d ' % number, body)
+            writer.close()
+
+        self.run_with(scenario)
+
+    def test_request_that_must_not_repeat_waits_for_those_before_it(self):
+        async def scenario(running):
+            post = b'POST /w HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx'
+            reader, writer = await self.start(
+                running, get('/1'), post, get('/2')
+            )
+            held = running.handler.held
+            self.assertEqual(['/1'], [item.request.path for item in held])
+            running.handler.answer(held.pop())
+            self.assertEqual(['/w'], [item.request.path for item in held])
+            running.handler.answer(held.pop())
+            self.assertEqual(['/2'], [item.request.path for item in held])
+            running.handler.answer(held.pop())
+            for expected in (b'GET /1 ', b'POST /w x', b'GET /2 '):
+                self.assertEqual(expected, (await _read_answer(reader))[2])
+            writer.close()
+
+        self.run_with(scenario)
+
+    def test_number_of_overlapping_requests_is_limited(self):
+        async def scenario(running):
+            count = 3 * callpipeline.MAX_OVERLAPPING
+            reader, writer = await self.start(
+                running, *(get(f'/{number}') for number in range(count))
+            )
+            for number in range(count):
+                await running.until(lambda: running.handler.held)
+                self.assertGreaterEqual(
+                    callpipeline.MAX_OVERLAPPING, len(running.handler.held)
+                )
+                running.handler.answer(running.handler.held.pop(0))
+                body = (await _read_answer(reader))[2]
+                self.assertEqual(b'GET /%d ' % number, body)
+            writer.close()
+
+        self.run_with(scenario)
+
+    def test_answers_behind_a_slow_one_take_limited_memory(self):
+        async def scenario(running):
+            running.handler.extra = bytes(callpipeline.MAX_HELD_BYTES)
+            reader, writer = await self.start(
+                running, get('/1'), get('/2'), get('/3'), get('/4')
+            )
+            first, second, third, fourth = running.handler.held
+            running.handler.answer(second)
+            running.handler.answer(third)
+            writer.write(get('/5'))
+            await asyncio.sleep(0.05)
+            self.assertEqual(4, len(running.handler.handled))
+            running.handler.answer(first)
+            for number in (1, 2, 3):
+                body = (await _read_answer(reader))[2]
+                self.assertEqual(b'GET /%d ' % number, body.rstrip(b'\0'))
+            await running.until(lambda: len(running.handler.handled) == 5)
+            writer.close()
+
+        self.run_with(scenario)
+
+    def test_requests_behind_a_closing_answer_are_cancelled(self):
+        async def scenario(running):
+            closing = get('/1', b'Connection: close\r\n')
+            reader, writer = await self.start(
+                running, get('/0'), get('/1'), closing
+            )
+            first, second, last = running.handler.held
+            running.handler.answer(second)
+            first.reply(callserver.Answer(200, [], [b'bye'], 3, close=True))
+            received = await asyncio.wait_for(reader.read(), 10)
+            self.assertEqual(1, received.count(b'HTTP/1.1'))
+            self.assertIn(b'connection: close', received)
+            self.assertEqual(1, running.handler.disconnects)
+            running.handler.answer(last)
+            writer.close()
+
+        self.run_with(scenario)
+
+    def test_disconnect_ends_all_overlapping_requests(self):
+        async def scenario(running):
+            _, writer = await self.start(running, get('/1'), get('/2'))
+            running.handler.answer(running.handler.held[1])
+            writer.transport.abort()
+            await running.until(lambda: running.handler.disconnects)
+            self.assertEqual(1, running.handler.disconnects)
+
+        self.run_with(scenario)
+
+    def test_requests_received_before_a_drain_are_answered(self):
+        async def scenario(running):
+            reader, writer = await self.start(running, get('/1'), get('/2'))
+            running.server.drain()
+            for exchange in tuple(running.handler.held):
+                running.handler.answer(exchange)
+            self.assertNotIn(b'close', (await _read_answer(reader))[1])
+            _, head, body = await _read_answer(reader)
+            self.assertIn(b'connection: close', head)
+            self.assertEqual(b'GET /2 ', body)
+            self.assertEqual(b'', await reader.read())
+            writer.close()
+
+        self.run_with(scenario)
+
+
+def get(path, extra=b''):
+    """Return a whole GET request."""
+    return b'GET %b HTTP/1.1\r\nHost: a\r\n%b\r\n' % (path.encode(), extra)
