Give the callers' port of the fleet a handler of the base class

Cause: its handler had no `may_overlap`, so the second of two pipelined requests broke the connection. Change: `callhandler.FunctionHandler` takes the place of the private class.

--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -9,6 +9,7 @@
 from jujubefold import budget
 from jujubefold import callclient
 from jujubefold import callgate
+from jujubefold import callhandler
 from jujubefold import callkeys
 from jujubefold import callrequests
 from jujubefold import callretries
@@ -101,18 +102,6 @@
     upstream_seconds: float = 0.0
 
 
-class _CallerHandler:
-    """Handler of the callers' port, as `callserver.Server` expects it."""
-
-    def __init__(self, serve, body_limit):
-        self.body_limit = body_limit
-        self._serve = serve
-
-    def handle(self, exchange):
-        """Handle one request."""
-        self._serve(exchange)
-
-
 class CallFlow:
     """Serves the requests of callers and of other daemons.
 
@@ -224,7 +213,10 @@
         """
         self._tls = peer_tls
         callers = self._new_server(
-            _CallerHandler(self._accept_call, self._body_limit_of), False
+            callhandler.FunctionHandler(
+                self._accept_call, self._body_limit_of
+            ),
+            False,
         )
         peers = self._new_server(self._hops, True)
         self._ports = (callers, peers)
--- a/jujubefold/callhandler.py
+++ b/jujubefold/callhandler.py
@@ -34,3 +34,22 @@
             request: A complete `callserver.Request`.
         """
         return False
+
+
+class FunctionHandler(Handler):
+    """Handler that calls functions.
+
+    Args:
+        handle: Called with each `callexchange.Exchange`.
+        body_limit: Called with a `callserver.Request`; returns bytes.
+    """
+
+    def __init__(self, handle, body_limit):
+        self._handle = handle
+        self._body_limit = body_limit
+
+    def handle(self, exchange):
+        self._handle(exchange)
+
+    def body_limit(self, request):
+        return self._body_limit(request)
