Check a drain only against the start that announced it

Change: an acknowledgement counts for the start that it was asked for. What a known failure shows is printed at the end of a run, so that a rare one leaves a trace. Ruled out: a longer drain time, which would hide late requests.

--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -138,9 +138,12 @@
         """Announce that the upstream drains, then restart it.
 
         The restart follows at once if the announcement is not acknowledged.
+        An acknowledgement says nothing about an upstream that has crashed and
+        started again while it was awaited.
         """
+        starts = self._upstream_starts
         acknowledged = await self._announce('heartbeat', 'draining')
-        if acknowledged:
+        if acknowledged and starts == self._upstream_starts:
             self.draining_since = asyncio.get_running_loop().time()
             await asyncio.sleep(DRAIN_S + 1.0)
         await self.crash_upstream(0.0)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,3 +16,12 @@
     for item in items:
         if item.nodeid in known:
             item.add_marker(pytest.mark.xfail(reason=KNOWN_RED.name))
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Print what the known failures showed, which may be rare."""
+    for report in terminalreporter.stats.get('xfailed', ()):
+        terminalreporter.section(report.nodeid)
+        terminalreporter.write_line(report.longreprtext)
+        for title, text in report.sections:
+            terminalreporter.write_line(f'{title}:\n{text}')
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Short seeded runs of the soak test, and tests of its checks."""
 
+import asyncio
 import pathlib
 import random
 import tempfile
@@ -53,6 +54,39 @@
             self.assertEqual(2, len(started))
 
 
+class TestDrains(testtools.TestCase):
+    def drain(self, restarts):
+        """Drain an upstream that restarts before it is acknowledged."""
+
+        async def scenario():
+            vm = testbeds.Vm(
+                'vm-0', 'a', pathlib.Path('.'), '127.0.0.1:1', random.Random(1)
+            )
+            await vm.start_upstream()
+
+            async def announce(call, state):
+                for _ in range(restarts):
+                    await vm.crash_upstream(0.0)
+                return True
+
+            vm._announce = announce
+            self.patch(testbeds, 'DRAIN_S', -0.9)
+            task = asyncio.ensure_future(vm.drain_upstream())
+            await asyncio.sleep(0.05)
+            draining = vm.draining_since is not None
+            await task
+            await vm.upstream.stop()
+            return draining
+
+        return asyncio.run(scenario())
+
+    def test_acknowledged_drain_is_checked(self):
+        self.assertTrue(self.drain(restarts=0))
+
+    def test_acknowledgement_is_not_of_a_later_start(self):
+        self.assertFalse(self.drain(restarts=1))
+
+
 class TestChecks(testtools.TestCase):
     def kinds(self, status, ran, write=True, body=b'', **changes):
         """Return the kinds of violations that one call result shows."""
