Keep earlier departures when one is recorded during the load

Cause: a daemon that had not read its row yet replaced it by the departure that came meanwhile, and the read replaced what had been recorded; the next start could then believe a late announcement of an upstream that had left. Change: the row is read before it is written, and both are merged.

--- a/jujubefold/sidecar/departures.py
+++ b/jujubefold/sidecar/departures.py
@@ -43,6 +43,7 @@
         self._clock = clock
         self._event_log = event_log
         self._departed = {}
+        self._loaded = False
 
     async def load(self):
         """Read the recorded departures.
@@ -55,7 +56,8 @@
         while True:
             result = await self._feed.get(TABLE, self._vm)
             if result.is_ok():
-                return self._decode(result.ok)
+                self._merge(result.ok)
+                return dict(self._departed)
             if self._clock.monotonic() >= deadline:
                 self._event_log.record(
                     'departures.unknown', detail=result.error.reason
@@ -66,13 +68,15 @@
     async def record(self, id_, started_ms):
         """Write a departure; return whether it was written in time.
 
+        The row is read first if it has not been, so that departures from
+        before this start of the daemon stay in it.
+
         Args:
             id_: Id of the upstream.
             started_ms: Unix milliseconds of its start.
         """
         self._departed[id_] = started_ms
-        while len(self._departed) > MAX_DEPARTURES:
-            del self._departed[next(iter(self._departed))]
+        self._drop_oldest()
         deadline = self._clock.monotonic() + WRITE_TIMEOUT_S
         while True:
             left = deadline - self._clock.monotonic()
@@ -91,6 +95,11 @@
     async def _put(self, timeout):
         try:
             async with asyncio.timeout(timeout):
+                if not self._loaded:
+                    found = await self._feed.get(TABLE, self._vm)
+                    if found.is_error():
+                        return found
+                    self._merge(found.ok)
                 return await self._feed.put(
                     TABLE, self._vm, _encoder.encode(self._departed)
                 )
@@ -101,10 +110,17 @@
                 )
             )
 
-    def _decode(self, value):
-        if value is not None:
-            try:
-                self._departed = _decoder.decode(value)
-            except (msgspec.DecodeError, UnicodeError) as error:
-                self._event_log.record('departures.invalid', detail=str(error))
-        return dict(self._departed)
+    def _merge(self, value):
+        """Add the departures of a row to those recorded meanwhile."""
+        self._loaded = True
+        if value is None:
+            return
+        try:
+            self._departed = {**_decoder.decode(value), **self._departed}
+        except (msgspec.DecodeError, UnicodeError) as error:
+            self._event_log.record('departures.invalid', detail=str(error))
+        self._drop_oldest()
+
+    def _drop_oldest(self):
+        while len(self._departed) > MAX_DEPARTURES:
+            del self._departed[next(iter(self._departed))]
