Tell writes that may have taken effect, and miss no change between pages

Cause: every status but 200 of a write was taken for 'nothing was done', also 500; and a read over pages returned the version of its last page, so that a change of an earlier page made meanwhile was never seen. Change: only client errors, 503 and 507 mean that nothing was done; a read returns the version of its first page.

--- a/jujubefold/platform/store.py
+++ b/jujubefold/platform/store.py
@@ -18,6 +18,10 @@
 # For two feeds, a read, a write, and a connection that is being replaced.
 CONNECTIONS = 6
 ANSWER_BYTES = 16 * 1024 * 1024
+# Statuses of the server's own failures after which nothing was written: it
+# is unavailable, or its storage is full. After others it may have been.
+_NOTHING_DONE = frozenset({503, 507})
+_CLIENT_ERRORS = range(400, 500)
 _MS = 1000
 
 
@@ -57,6 +61,7 @@
     async def read(self, table):
         rows = []
         start = ''
+        version = None
         while True:
             query = {'table': table, 'part': '', 'limit': 500}
             if start:
@@ -66,10 +71,11 @@
                 return result
             page = result.ok
             rows.extend(_row(item) for item in page.rows)
+            if version is None:
+                # Changes made while later pages are read follow this one.
+                version = page.row_version
             if not page.has_more or not page.rows:
-                return expression.Ok(
-                    rowfeed.Rows(tuple(rows), page.row_version)
-                )
+                return expression.Ok(rowfeed.Rows(tuple(rows), version))
             # The range includes its start, so the next page starts at the
             # smallest key after the last one of this page.
             start = page.rows[-1].key + '\0'
@@ -138,7 +144,10 @@
             return answer
         if answer.ok.status == 200:
             return expression.Ok(None)
-        return expression.Error(_not_run(f'status {answer.ok.status}'))
+        status = answer.ok.status
+        if status in _CLIENT_ERRORS or status in _NOTHING_DONE:
+            return expression.Error(_not_run(f'status {status}'))
+        return expression.Error(errors.StoreOutcomeUnknown(f'status {status}'))
 
     async def _call(self, operation, method, target, body, wait):
         started_at = self._clock.monotonic()
--- a/tests/rowstore.py
+++ b/tests/rowstore.py
@@ -19,9 +19,11 @@
 
     Attributes:
         mode: `serve`, or a fault: `busy` and `many` refuse each call with
-            status 503 and 429, `reset` drops its connection, `silent`
+            status 503 and 429, `broken` fails them with status 500,
+            `reset` drops its connection, `silent`
             never answers, and `lost` applies writes but drops the
             connection instead of answering them.
+        after_read: Called after each answer with rows of a table.
     """
 
     def __init__(self):
@@ -32,6 +34,7 @@
         self.mode = 'serve'
         self.oldest = 0
         self.address = ''
+        self.after_read = lambda: None
         self._server = None
         self._waiting = []
 
@@ -72,6 +75,8 @@
             self._reply(exchange, 503, {})
         elif self.mode == 'many':
             self._reply(exchange, 429, {})
+        elif self.mode == 'broken':
+            self._reply(exchange, 500, {})
         elif self.mode == 'reset':
             exchange.drop()
         elif self.mode == 'silent':
@@ -122,6 +127,7 @@
         self._reply(
             exchange, 200, {'rows': rows, 'has_more': len(found) > PAGE_ROWS}
         )
+        self.after_read()
 
     def _answer_feed(self, exchange, query):
         after = int(query['after'])
--- a/tests/test_rowfeed.py
+++ b/tests/test_rowfeed.py
@@ -119,6 +119,7 @@
             cases = (
                 ('busy', errors.StoreNotRun, errors.StoreNotRun),
                 ('many', errors.StoreNotRun, errors.StoreNotRun),
+                ('broken', errors.StoreNotRun, errors.StoreOutcomeUnknown),
                 ('reset', errors.StoreNotRun, errors.StoreOutcomeUnknown),
                 ('silent', errors.StoreNotRun, errors.StoreOutcomeUnknown),
             )
@@ -136,6 +137,22 @@
 
         self.play(scenario)
 
+    def test_changes_during_a_read_of_many_pages_are_not_missed(self):
+        async def scenario(feed, fake_store):
+            for number in range(2 * rowstore.PAGE_ROWS):
+                fake_store.put('t', f'k{number:04}', b'old')
+
+            def change_first_row():
+                fake_store.after_read = lambda: None
+                fake_store.put('t', 'k0000', b'new')
+
+            fake_store.after_read = change_first_row
+            rows = (await feed.read('t')).ok
+            changes = (await feed.changes('t', rows.version, 0.1)).ok
+            self.assertIn(rowfeed.Row('k0000', b'new'), changes.rows)
+
+        self.play(scenario)
+
     def test_a_refused_connection_writes_nothing(self):
         async def scenario(feed, fake_store):
             await fake_store.close()
