Scale a run's duration by the warm-up at its start

Cause: a run that outlasted the warm-up was recorded with the factor of its end, 0.4 s instead of 0.2 s; two upstreams that report no start, or the same one, replaced each other with every announcement. Change: the factor is kept with the run; an upstream with the same start replaces the current one only after 4 s of its silence. The limit on silence of an exchange was an absolute time, above any duration, so it never applied, as it must not before the deadline: it is infinite now.

--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -8,6 +8,7 @@
 import functools
 import hashlib
 import itertools
+import math
 
 from jujubefold import backgroundtasks
 from jujubefold import bodymemory
@@ -347,7 +348,8 @@
             ),
         )
         answer_deadline = attempt.deadline + ANSWER_GRACE_S
-        bounds = callclient.ExchangeLimits(answer_deadline, attempt.deadline)
+        # Silence is no reason to end a request before its deadline.
+        bounds = callclient.ExchangeLimits(answer_deadline, math.inf)
         result = await callclient.exchange(connection, message, head, bounds)
         if isinstance(result, callclient.Failure):
             return self._interpret_failure(result)
--- a/jujubefold/sidecar/instance.py
+++ b/jujubefold/sidecar/instance.py
@@ -23,6 +23,10 @@
 # earlier departures are unknown. An announcement sent before a departure may
 # arrive late, but not two in a row.
 MIN_ANNOUNCEMENTS = 2
+# Seconds without an announcement after which another upstream with the same
+# start replaces the current one. Upstreams that report no start would replace
+# each other with every announcement.
+REPLACEMENT_SILENCE_S = 4.0
 # Factor on the durations of requests while an upstream warms up.
 WARMUP_FACTOR = 2.0
 
@@ -88,6 +92,7 @@
             daemon are known; False if they could not be read, None before
             the attempt has ended.
         announcements: Announcements received from the current start.
+        announced_at: Monotonic seconds of the last one.
     """
 
     current: Announcement | None = None
@@ -97,6 +102,7 @@
     departed: dict[str, int] = dataclasses.field(default_factory=dict)
     departures_known: bool | None = None
     announcements: int = 0
+    announced_at: float = 0.0
 
 
 def restore_departures(table, departed):
@@ -133,13 +139,14 @@
     ):
         return Change.STALE
     current = table.current
-    if current is not None and not _is_newer(received, current):
+    if current is not None and not _is_newer(table, received, now):
         return Change.STALE
     is_new_start = current is None or (received.id, received.started_ms) != (
         current.id,
         current.started_ms,
     )
     table.announcements = 1 if is_new_start else table.announcements + 1
+    table.announced_at = now
     table.current = received
     table.warm_at = now + received.warmup
     if is_new_start:
@@ -239,10 +246,13 @@
     return Change.LEAVING
 
 
-def _is_newer(received, current):
+def _is_newer(table, received, now):
+    current = table.current
     if received.id == current.id:
         return (received.started_ms, received.sequence) > (
             current.started_ms,
             current.sequence,
         )
-    return received.started_ms >= current.started_ms
+    if received.started_ms == current.started_ms:
+        return now - table.announced_at > REPLACEMENT_SILENCE_S
+    return received.started_ms > current.started_ms
--- a/jujubefold/sidecar/limiter.py
+++ b/jujubefold/sidecar/limiter.py
@@ -69,6 +69,21 @@
     may_queue: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """A request that holds a slot.
+
+    Args:
+        request: The `Request`.
+        started_at: Monotonic seconds at which it got the slot.
+        warmup_factor: Factor on its duration.
+    """
+
+    request: Request
+    started_at: float
+    warmup_factor: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
     """Load of one gate, as reported to other daemons.
@@ -95,7 +110,7 @@
     Args:
         slots: Requests that may run at once; 0 without an upstream.
         warmup_factor: Factor on durations while the upstream warms up.
-        running: `Request` and its start in monotonic seconds, by key.
+        running: `Run` by key.
         waiting: `Request` by key.
         durations: Mean seconds by route, without the warm-up factor.
         mean_duration: Mean seconds of all requests, without that factor.
@@ -104,9 +119,7 @@
 
     slots: int = 0
     warmup_factor: float = 1.0
-    running: dict[object, tuple[Request, float]] = dataclasses.field(
-        default_factory=dict
-    )
+    running: dict[object, Run] = dataclasses.field(default_factory=dict)
     waiting: dict[object, Request] = dataclasses.field(default_factory=dict)
     durations: dict[str, float] = dataclasses.field(default_factory=dict)
     mean_duration: float = INITIAL_DURATION_S
@@ -133,7 +146,7 @@
     if now + expected * MIN_REMAINING_SHARE > request.deadline:
         return _refused(calls.Reason.DEADLINE, 0.0)
     if len(table.running) < table.slots and not table.waiting:
-        table.running[request.key] = (request, now)
+        _start(table, request, now)
         return calls.Admitted()
     if not request.may_queue:
         return _refused(calls.Reason.NO_SLOT, MIN_RETRY_AFTER_S)
@@ -160,9 +173,9 @@
         Keys of queued requests that now hold a slot and must be sent.
     """
     if table.waiting.pop(key, None) is None:
-        entry = table.running.pop(key, None)
-        if entry is not None and record:
-            _record(table, entry, now, failed)
+        run = table.running.pop(key, None)
+        if run is not None and record:
+            _record(table, run, now, failed)
     return fill_slots(table, now)
 
 
@@ -179,7 +192,7 @@
             key=lambda item: _queue_order(table, item, now),
         )
         del table.waiting[request.key]
-        table.running[request.key] = (request, now)
+        _start(table, request, now)
         admitted.append(request.key)
     return tuple(admitted)
 
@@ -246,6 +259,16 @@
     )
 
 
+def _start(table, request, now):
+    table.running[request.key] = Run(request, now, table.warmup_factor)
+
+
+def _expected_run(table, run):
+    """Return the seconds for which a run is expected to hold its slot."""
+    duration = table.durations.get(run.request.route, table.mean_duration)
+    return duration * run.warmup_factor
+
+
 def _refused(reason, retry_after):
     return calls.Refused(
         calls.Refusal(errors.Outcome.DID_NOT_RUN, reason, retry_after)
@@ -303,10 +326,10 @@
     """
     slots_free_at = [
         max(
-            started + expected_duration(table, request.route),
-            now + expected_duration(table, request.route) * OVERRUN_SHARE,
+            run.started_at + _expected_run(table, run),
+            now + _expected_run(table, run) * OVERRUN_SHARE,
         )
-        for request, started in table.running.values()
+        for run in table.running.values()
     ]
     slots_free_at.extend([now] * (table.slots - len(slots_free_at)))
     heapq.heapify(slots_free_at)
@@ -330,16 +353,16 @@
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, last))
 
 
-def _record(table, entry, now, failed):
+def _record(table, run, now, failed):
     """Add an ended request to the moving averages.
 
     Durations of failed requests do not count.
     """
-    request, started = entry
     table.failure_rate += EWMA_WEIGHT * (failed - table.failure_rate)
     if failed:
         return
-    duration = (now - started) / table.warmup_factor
-    mean = table.durations.get(request.route, duration)
-    table.durations[request.route] = mean + EWMA_WEIGHT * (duration - mean)
+    duration = (now - run.started_at) / run.warmup_factor
+    route = run.request.route
+    mean = table.durations.get(route, duration)
+    table.durations[route] = mean + EWMA_WEIGHT * (duration - mean)
     table.mean_duration += EWMA_WEIGHT * (duration - table.mean_duration)
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -46,6 +46,25 @@
                 late,
             )
 
+    def test_upstreams_with_the_same_start_do_not_alternate(self):
+        table = table_of()
+        for number in range(1, 4):
+            first = announcement('i-1', number, started_ms=0)
+            second = announcement('i-2', number, started_ms=0)
+            instance.handle_announcement(table, first, float(number))
+            self.assertIs(
+                Change.STALE,
+                instance.handle_announcement(table, second, number + 0.5),
+            )
+        self.assertEqual('i-1', table.current.id)
+        silent_until = 3.0 + instance.REPLACEMENT_SILENCE_S
+        self.assertIs(
+            Change.STARTED,
+            instance.handle_announcement(
+                table, announcement('i-2', 9, started_ms=0), silent_until + 0.1
+            ),
+        )
+
     def test_restart_under_the_same_id_resets_the_state(self):
         table = table_of()
         instance.handle_announcement(
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -22,6 +22,16 @@
     return limiter.SlotTable(slots=count, mean_duration=duration)
 
 
+class TestDurations(testtools.TestCase):
+    def test_run_that_outlasts_the_warmup_is_recorded_by_its_start(self):
+        table = table_of(1)
+        table.warmup_factor = 2.0
+        limiter.acquire(table, request(1), 0.0)
+        table.warmup_factor = 1.0
+        limiter.release(table, 1, 0.4)
+        self.assertAlmostEqual(0.2, limiter.expected_duration(table, 'r'))
+
+
 class TestAdmission(testtools.TestCase):
     def test_concurrency_equals_the_slots(self):
         table = table_of(2)
@@ -183,7 +193,7 @@
             self.on_time += at <= item.objective_at
             self.late += at > item.objective_at
             for name in limiter.release(self.table, item.key, at):
-                started = self.table.running[name][0]
+                started = self.table.running[name].request
                 self._ends.append((at + self._duration, started))
             self._evict(at)
             self._ends.sort(key=lambda end: end[0])
