Survive SIGHUP during the start, and follow versions while stopping

Cause, three faults of the daemon's life: - SIGHUP before the handler is installed ends the process. Change: SIGHUP is ignored until it is handled; the file's state is noted before it is read; a reader follows the feed until it closes and others leave it out from its notice on; budget and log level apply at once, a change of the window is reported.

--- a/jujubefold/platform/__main__.py
+++ b/jujubefold/platform/__main__.py
@@ -2,33 +2,23 @@
 
 import asyncio
 import os
+import signal
 import sys
 
-from jujubefold.platform import announcements
-from jujubefold.platform import configuration
-from jujubefold.platform import headers
-from jujubefold.platform import store
-from jujubefold.sidecar import daemon
-
 SETTINGS_VARIABLE = 'JUJUBEFOLD_SETTINGS'
 SETTINGS_PATH = '/etc/jujubefold/settings.yaml'
 
-PLATFORM = daemon.Platform(
-    names=headers.NAMES,
-    configuration_table=configuration.TABLE,
-    configuration_key=configuration.KEY,
-    decode=configuration.decode,
-    new_feed=store.PlatformRowFeed,
-    new_announcements=announcements.AnnouncementHandler,
-    new_readiness=announcements.readiness,
-    new_metrics=announcements.metrics,
-)
-
 
 def main():
     """Run the sidecar until SIGTERM or SIGINT."""
+    # SIGHUP would end a process that has no handler for it yet. Most of the
+    # start is spent on the imports below; the settings are read after it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from jujubefold.platform import adapter
+    from jujubefold.sidecar import daemon
+
     path = os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
-    sys.exit(asyncio.run(daemon.serve(path, PLATFORM)))
+    sys.exit(asyncio.run(daemon.serve(path, adapter.PLATFORM)))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/jujubefold/platform/adapter.py
@@ -0,0 +1,18 @@
+"""Adapter: the parts of a sidecar that depend on this platform."""
+
+from jujubefold.platform import announcements
+from jujubefold.platform import configuration
+from jujubefold.platform import headers
+from jujubefold.platform import store
+from jujubefold.sidecar import daemon
+
+PLATFORM = daemon.Platform(
+    names=headers.NAMES,
+    configuration_table=configuration.TABLE,
+    configuration_key=configuration.KEY,
+    decode=configuration.decode,
+    new_feed=store.PlatformRowFeed,
+    new_announcements=announcements.AnnouncementHandler,
+    new_readiness=announcements.readiness,
+    new_metrics=announcements.metrics,
+)
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -12,7 +12,6 @@
 from jujubefold import callserver
 from jujubefold import clock
 from jujubefold import identity
-from jujubefold import logs
 from jujubefold.sidecar import announcements
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import departures
@@ -128,6 +127,7 @@
         self._event_log = event_log
         self._metrics = metrics.SidecarMetrics()
         self._stopping = False
+        self._closed = False
         self.stop_requested = asyncio.Event()
         self.versions = versions.Versions(
             platform.decode, self._version_changed, self._event_log
@@ -154,13 +154,7 @@
             service=options.upstream.service,
             fleet=self.fleet,
             versions=self.versions,
-            retry_table=retrybudget.RetryTable(
-                retrybudget.Policy(
-                    options.retries.ratio,
-                    options.retries.window,
-                    options.retries.slack,
-                )
-            ),
+            retry_table=retrybudget.RetryTable(_retry_policy(options)),
             clock=time_source,
             rng=self._rng,
             event_log=self._event_log,
@@ -271,7 +265,6 @@
         self._caller_server.drain(listening=True)
         for task in self._tasks:
             task.cancel()
-        self._update_versions_task()
         await asyncio.sleep(SHUTDOWN_NOTICE_S)
         self.fleet.announce_shutdown()
         removal = backgroundtasks.spawn(
@@ -299,6 +292,8 @@
     def reload(self, options):
         """Take over changed settings, and log those that need a restart.
 
+        The retry budget, the grace period and the log level change at once.
+
         Args:
             options: `Ok(options.Options)`, or `Error(errors.Invalid)`, which
                 is logged and leaves the settings as they are.
@@ -317,6 +312,15 @@
             for name in ('daemon', 'listen', 'upstream', 'store')
             if getattr(options.ok, name) != getattr(self._options, name)
         ]
+        if options.ok.retries.window != self._options.retries.window:
+            # Requests are counted by parts of the window.
+            restart_sections.append('retries.window')
+        else:
+            self.ingress.retry_table.policy = _retry_policy(options.ok)
+        if options.ok.logs != self._options.logs:
+            self._event_log.configure(
+                options.ok.logs.level, self.vm, self.incarnation
+            )
         self._options = options.ok
         self._event_log.record(
             'settings.changed', needs_restart=restart_sections
@@ -416,9 +420,9 @@
         """Start or stop following the configuration row.
 
         Only the daemons that `fleet.Fleet` selects as readers follow it; the
-        others receive versions from them.
+        others receive versions from them, also while this daemon stops.
         """
-        reads = self.fleet.should_read_versions and not self._stopping
+        reads = self.fleet.should_read_versions and not self._closed
         if reads and self._versions_task is None:
             self._versions_task = backgroundtasks.spawn(
                 self._versions_watcher.run()
@@ -448,6 +452,7 @@
     async def close(self):
         """Close everything at once, without waiting for requests."""
         self._stopping = True
+        self._closed = True
         self._update_versions_task()
         for task in self._tasks:
             task.cancel()
@@ -460,6 +465,11 @@
         await self._caller_server.close()
 
 
+def _retry_policy(options):
+    retries = options.retries
+    return retrybudget.Policy(retries.ratio, retries.window, retries.slack)
+
+
 async def serve(path, platform):
     """Run a sidecar until SIGTERM or SIGINT.
 
@@ -470,6 +480,8 @@
     Returns:
         Exit status: 0, or 3 if the settings are invalid.
     """
+    # Before the file is read, so that no change of it is missed.
+    watcher = SettingsWatcher(path)
     loaded = settings.load(path)
     output = eventlog.NonBlockingOutput(1)
     if loaded.is_error():
@@ -479,7 +491,7 @@
     time_source = clock.SystemClock()
     event_log = eventlog.EventLog(time_source, output)
     daemon = Daemon(loaded.ok, platform, time_source, event_log)
-    logs.configure(loaded.ok.logs.level, daemon.vm, daemon.incarnation, output)
+    event_log.configure(loaded.ok.logs.level, daemon.vm, daemon.incarnation)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(
         lambda _, context: event_log.record(
@@ -488,12 +500,13 @@
             error=repr(context.get('exception')),
         )
     )
-    await daemon.start()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, daemon.stop_requested.set)
-    watcher = SettingsWatcher(path, daemon)
-    loop.add_signal_handler(signal.SIGHUP, watcher.reload)
-    backgroundtasks.spawn(watcher.run())
+    await daemon.start()
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: watcher.reload(daemon.reload)
+    )
+    backgroundtasks.spawn(watcher.run(daemon.reload))
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
@@ -507,25 +520,31 @@
 
     Args:
         path: Path of the settings file.
-        daemon: The `Daemon` that takes over the settings.
     """
 
-    def __init__(self, path, daemon):
+    def __init__(self, path):
         self._path = pathlib.Path(path)
-        self._daemon = daemon
         self._file_state = self._read_file_state()
 
-    def reload(self):
-        """Read the file and hand its settings to the daemon."""
+    def reload(self, apply):
+        """Read the file and pass the result to a function.
+
+        Args:
+            apply: As `Daemon.reload`.
+        """
         self._file_state = self._read_file_state()
-        self._daemon.reload(settings.load(self._path))
+        apply(settings.load(self._path))
+
+    async def run(self, apply):
+        """Check the file periodically until cancelled.
 
-    async def run(self):
-        """Check the file periodically until cancelled."""
+        Args:
+            apply: As `Daemon.reload`; called after each change.
+        """
         while True:
-            await asyncio.sleep(SETTINGS_POLL_S)
             if self._read_file_state() != self._file_state:
-                self.reload()
+                self.reload(apply)
+            await asyncio.sleep(SETTINGS_POLL_S)
 
     def _read_file_state(self):
         try:
--- a/jujubefold/sidecar/eventlog.py
+++ b/jujubefold/sidecar/eventlog.py
@@ -82,6 +82,16 @@
         self._refilled_at = clock.monotonic()
         self._suppressed = 0
 
+    def configure(self, level, vm, incarnation):
+        """Write lines of a level and above to the output.
+
+        Args:
+            level: Name of the lowest level.
+            vm: Name of this VM, for each line.
+            incarnation: Incarnation of the daemon, for each line.
+        """
+        logs.configure(level, vm, incarnation, self._output)
+
     def record(self, event, **fields):
         """Log an event that is not about a single request.
 
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -389,7 +389,8 @@
     def _nearby_daemons(self):
         """Return a `distribution.Node` for this and each nearby daemon.
 
-        Nearby daemons are the reachable ones of the same failure domain.
+        Nearby daemons are the reachable ones of the same failure domain that
+        have not announced their shutdown.
         """
         nodes = [
             distribution.Node(self._own_member.vm, self._own_member.capacity)
@@ -398,6 +399,7 @@
             if (
                 peer.candidate.distance in balancer.SAME_DOMAIN
                 and peer.link.up
+                and not peer.link.peer_stopping
             ):
                 member = self.roster.members.get(vm)
                 if member is not None:
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -12,7 +12,7 @@
 
 from jujubefold import clock
 from jujubefold import errors
-from jujubefold.platform import __main__ as entry
+from jujubefold.platform import adapter
 from jujubefold.sidecar import daemon
 from jujubefold.sidecar import eventlog
 from jujubefold.sidecar import options
@@ -54,6 +54,9 @@
     def flush(self):
         pass
 
+    def configure(self, level, vm, incarnation):
+        self.records.append(('log.level', {'level': level}))
+
 
 def route(name, prefix, kind='idempotent', service='pickups', **overrides):
     """Return a row of the configuration's routes table."""
@@ -241,7 +244,7 @@
     async def restart(self, vm, daemon_options, feed=None):
         """Start a VM's sidecar with the given `options.Options`."""
         platform = dataclasses.replace(
-            entry.PLATFORM, new_feed=lambda *args: feed or self.feed
+            adapter.PLATFORM, new_feed=lambda *args: feed or self.feed
         )
         event_log = self.event_logs[vm] = RecordingEventLog()
         sidecar = daemon.Daemon(
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -2,15 +2,21 @@
 
 import asyncio
 
+import expression
+import msgspec
 import testtools
 
 from jujubefold.sidecar import balancer
 from jujubefold.sidecar import egress
+from jujubefold.sidecar import options
 from jujubefold.sidecar import roster
 from tests import sidecars
 
 # Seconds within which a new version must be in force on all daemons.
 APPLY_TIMEOUT_S = 2.0
+# Seconds within which daemons that can read the feed have a new version: the
+# interval between two reads, and the time to pass it on.
+FEED_TIMEOUT_S = 0.8
 
 
 def request_count(fleet, target):
@@ -738,6 +744,64 @@
 
         sidecars.run_scenario(scenario)
 
+    def test_version_is_in_force_in_time_while_its_readers_stop(self):
+        async def scenario(fleet):
+            for number in range(1, 6):
+                await fleet.add(f'vm-{number}')
+            await fleet.wait_until_linked()
+            readers = [fleet.daemons[name] for name in ('vm-1', 'vm-2')]
+            others = [fleet.daemons[f'vm-{n}'] for n in (3, 4, 5)]
+            stops = [
+                asyncio.ensure_future(sidecar.stop()) for sidecar in readers
+            ]
+            await sidecars.wait_until(
+                lambda: all(
+                    fleet.events(sidecar.vm).count('member.leaving') == 2
+                    for sidecar in others
+                ),
+                APPLY_TIMEOUT_S,
+            )
+            await fleet.configure(sidecars.document(2))
+            await sidecars.wait_until(
+                lambda: all(item.versions.number == 2 for item in others),
+                FEED_TIMEOUT_S,
+            )
+            await asyncio.gather(*stops)
+
+        sidecars.run_scenario(scenario)
+
+    def test_stopping_reader_still_sends_versions(self):
+        async def scenario(fleet):
+            for number in range(1, 5):
+                await fleet.add(f'vm-{number}')
+            await fleet.wait_until_linked()
+            stop = asyncio.ensure_future(fleet.daemons['vm-1'].stop())
+            other = asyncio.ensure_future(fleet.daemons['vm-2'].stop())
+            await asyncio.sleep(0.1)
+            await fleet.configure(sidecars.document(2))
+            await sidecars.wait_until(
+                lambda: all(
+                    fleet.daemons[vm].versions.number == 2
+                    for vm in ('vm-3', 'vm-4')
+                ),
+                FEED_TIMEOUT_S,
+            )
+            await asyncio.gather(stop, other)
+
+        sidecars.run_scenario(scenario)
+
+    def test_unknown_kind_is_served_and_logged(self):
+        async def scenario(fleet):
+            row = sidecars.route('odd', '/odd/', 'sometimes')
+            await fleet.configure(sidecars.document(2, [row]))
+            await fleet.add('vm-1')
+            await fleet.wait_until_linked()
+            response = await fleet.call('vm-1', '/odd/x')
+            self.assertEqual(200, response.status)
+            self.assertIn('version.unknown_value', fleet.events('vm-1'))
+
+        sidecars.run_scenario(scenario)
+
     def test_older_version_is_ignored(self):
         async def scenario(fleet):
             await fleet.configure(sidecars.document(7))
@@ -764,6 +828,35 @@
         sidecars.run_scenario(scenario)
 
 
+class TestReload(testtools.TestCase):
+    def test_changed_settings_are_applied_or_reported(self):
+        async def scenario(fleet):
+            sidecar = await fleet.add('vm-1')
+            changed = msgspec.structs.replace(
+                sidecar.options,
+                retries=options.Retries(0.1, 10.0, 7.0),
+                logs=options.Logs('ERROR'),
+                stop=options.Stop(1.5),
+            )
+            sidecar.reload(expression.Ok(changed))
+            policy = sidecar.ingress.retry_table.policy
+            self.assertEqual((0.1, 7.0), (policy.ratio, policy.slack))
+            records = fleet.event_logs['vm-1'].records
+            self.assertIn(('log.level', {'level': 'ERROR'}), records)
+            self.assertIn(('settings.changed', {'needs_restart': []}), records)
+            window = options.Retries(0.1, 5.0, 7.0)
+            sidecar.reload(
+                expression.Ok(msgspec.structs.replace(changed, retries=window))
+            )
+            self.assertEqual(10.0, sidecar.ingress.retry_table.policy.window)
+            self.assertIn(
+                ('settings.changed', {'needs_restart': ['retries.window']}),
+                records,
+            )
+
+        sidecars.run_scenario(scenario)
+
+
 class TestStop(testtools.TestCase):
     def test_stop_finishes_running_request_and_closes_idle_connection(self):
         async def scenario(fleet):
