Fetch large request bodies after admission, in parts

Cause: an offer carried its whole body, so an upload that a gate refused for lack of a slot had crossed both links for nothing, and small offers waited behind bodies of up to 360 KB.

Change: bodies over 16 KiB stay with their sender until the gate has admitted the request; it then fetches them one after the other in parts that occupy its link for 20 ms. The balancer adds the time that a body needs on the slower of the two links. What is fetched at once is limited to 32 MiB a daemon. Daemons that do not know of it are sent bodies whole.

Ruled out: splitting frames at the sender only, which still moves what is refused and fills the receiver's link from many senders at once.

--- a/jujubefold/sidecar/attempt.py
+++ b/jujubefold/sidecar/attempt.py
@@ -5,6 +5,7 @@
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import errors
+from jujubefold.sidecar import transfer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,7 +54,7 @@
         target: Path and query.
         headers: End-to-end pairs of name and value, without those of
             `HeaderNames.reserved` except the caller's service.
-        body: Whole body.
+        body: A `transfer.Body`.
         may_queue: Whether it may wait for a slot.
     """
 
@@ -69,7 +70,7 @@
     method: str
     target: bytes
     headers: list
-    body: bytes
+    body: transfer.Body
     may_queue: bool = True
 
 
--- a/jujubefold/sidecar/balancer.py
+++ b/jujubefold/sidecar/balancer.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from jujubefold.sidecar import limiter
+from jujubefold.sidecar import transfer
 
 # Seconds added to the expected latency, by distance: what a request may lose
 # by staying nearer.
@@ -46,6 +47,8 @@
         offers_since_report: Requests offered to it since then.
         penalized_until: Monotonic seconds until which it is chosen last.
         reachable: Whether its daemon can be sent offers now.
+        capacity: Megabits a second between this daemon and it; 0 if unknown
+            or on the same VM.
     """
 
     vm: str
@@ -56,6 +59,7 @@
     offers_since_report: int = 0
     penalized_until: float = 0.0
     reachable: bool = False
+    capacity: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,12 +72,14 @@
         excluded: Names of VMs that must not be offered the request again.
         full: Names of VMs whose gates had no free slot for it; it may still
             queue there.
+        body_size: Bytes that are transferred to it.
     """
 
     time_left: float
     duration: float
     excluded: frozenset = frozenset()
     full: frozenset = frozenset()
+    body_size: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,6 +149,7 @@
     seconds /= max(MIN_SUCCESS_RATE, 1 - load.failure_rate)
     if now < candidate.penalized_until:
         seconds += PENALTY_S
+    seconds += transfer.seconds(criteria.body_size, candidate.capacity)
     return seconds + DISTANCE_COST_S[candidate.distance]
 
 
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -203,6 +203,8 @@
         now = self._clock.monotonic()
         refusal = None
         if self.crashes.suspects:
+            attempt.body.fetch()
+            await attempt.body.read()
             refusal = crashes.refusal_for(
                 self.crashes, fingerprint(attempt), now
             )
@@ -223,6 +225,7 @@
             case calls.Refused(refusal=refusal):
                 return self._refuse(attempt, refusal)
             case calls.Queued():
+                attempt.body.fetch()
                 refusal = await self._wait(key)
                 if refusal is not None:
                     return self._refuse(attempt, refusal)
@@ -277,7 +280,8 @@
         """Send a request that holds a slot, and wait for its outcome.
 
         A request that is not idempotent is not cancelled when its caller
-        leaves, because how far it ran would be unknown.
+        leaves, because how far it ran would be unknown, unless it can't have
+        been sent yet.
         """
         waiter = eagertask.Waiter()
         task = eagertask.EagerTask(
@@ -288,7 +292,7 @@
         try:
             return await waiter
         except asyncio.CancelledError:
-            if attempt.idempotent:
+            if attempt.idempotent or not attempt.body.complete:
                 task.cancel()
             raise
 
@@ -314,6 +318,8 @@
         waiter.set_result(outcome)
 
     async def _forward(self, attempt):
+        attempt.body.fetch()
+        body = await attempt.body.read()
         now = self._clock.monotonic()
         upstream = self.instance_table.current
         if not instance.usable_slots(
@@ -336,8 +342,8 @@
             attempt.method,
             attempt.target,
             attempt.headers,
-            [attempt.body] if attempt.body else [],
-            len(attempt.body),
+            [body] if body else [],
+            len(body),
             attempt.request.encode('latin-1'),
         )
         head = callclient.encode_head(
@@ -474,7 +480,7 @@
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     digest.update(attempt.method.encode())
     digest.update(attempt.target)
-    digest.update(attempt.body)
+    digest.update(attempt.body.data)
     return digest.hexdigest()
 
 
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -19,6 +19,7 @@
 from jujubefold.sidecar import link
 from jujubefold.sidecar import peerserver
 from jujubefold.sidecar import roster
+from jujubefold.sidecar import transfer
 
 _MS = 1000
 # Minimum seconds between two load reports of this gate. Shorter than most
@@ -85,7 +86,11 @@
         # Whether reads of the platform's feed of versions are failing.
         self.feed_failing = False
         self.peer_server = peerserver.PeerServer(
-            egress, clock, self.make_hello, self._handle_server_message
+            egress,
+            clock,
+            self.make_hello,
+            self._handle_server_message,
+            transfer.window_bytes(own_member.capacity),
         )
 
     @property
@@ -133,6 +138,7 @@
                 member.vm,
                 member.service,
                 roster.distance(self._own_member, member),
+                capacity=_slower(self._own_member, member),
             ),
         )
         outgoing.start()
@@ -166,6 +172,7 @@
             self._versions.number,
             peerserver.load_message(self._egress),
             tuple(resume),
+            transfers=True,
         )
 
     # Offers
@@ -204,6 +211,10 @@
         if peer is None:
             return _unreachable_outcome()
         candidate.offers_since_report += 1
+        body = attempt.body.data
+        fetched = b''
+        if len(body) > transfer.INLINE_BYTES and peer.link.fetches_bodies:
+            body, fetched = b'', body
         now = self._clock.monotonic()
         offer = frames.Offer(
             peer.link.next_sequence(),
@@ -219,9 +230,10 @@
             attempt.method,
             attempt.target,
             attempt.headers,
-            attempt.body,
+            body,
+            len(fetched),
         )
-        result = await peer.link.offer(offer)
+        result = await peer.link.offer(offer, fetched)
         return self._outcome_of(candidate, result)
 
     def _outcome_of(self, candidate, result):
@@ -544,6 +556,11 @@
     )
 
 
+def _slower(one, other):
+    """Return the megabits a second between two members; 0 if unknown."""
+    return min(one.capacity, other.capacity)
+
+
 def _has_room(load):
     return load.running < load.slots
 
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -49,12 +49,14 @@
         version: Configuration version in force at the sender; 0 for none.
         load: Load of the sender's gate.
         resume: Sequence numbers of the sender's offers without a result.
+        transfers: Whether the sender understands `Offer.body_size`.
     """
 
     member: roster.Member
     version: int
     load: Load
     resume: tuple[int, ...] = ()
+    transfers: bool = False
 
 
 class Offer(Message, tag='offer'):
@@ -75,7 +77,9 @@
         method: HTTP method.
         target: HTTP request target.
         headers: End-to-end headers.
-        body: The whole body.
+        body: The whole body, unless it is transferred.
+        body_size: Bytes of a body that the receiver fetches once it has
+            admitted the request; 0 if `body` is whole.
     """
 
     sequence: int
@@ -92,6 +96,35 @@
     target: bytes
     headers: HeaderPairs
     body: bytes
+    body_size: int = 0
+
+
+class BodyRequest(Message, tag='pull'):
+    """Requests a part of an offer's body.
+
+    Args:
+        sequence: Identifies the offer.
+        offset: Position of the part's first byte.
+        size: Bytes of the part.
+    """
+
+    sequence: int
+    offset: int
+    size: int
+
+
+class BodyPart(Message, tag='part'):
+    """A part of an offer's body.
+
+    Args:
+        sequence: Identifies the offer.
+        offset: Position of the part's first byte.
+        data: The part.
+    """
+
+    sequence: int
+    offset: int
+    data: bytes
 
 
 class Cancel(Message, tag='cancel'):
@@ -212,6 +245,8 @@
 _MessageTypes = (
     Hello
     | Offer
+    | BodyRequest
+    | BodyPart
     | Cancel
     | Answered
     | Refused
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -25,6 +25,7 @@
 from jujubefold.sidecar import limiter
 from jujubefold.sidecar import retrybudget
 from jujubefold.sidecar import trafficsplit
+from jujubefold.sidecar import transfer
 
 # Maximum number of offers of one request before it is refused. Each offer
 # costs a round trip, and the least loaded gates are tried first.
@@ -236,7 +237,7 @@
                 method=request.method,
                 target=request.target,
                 headers=headers,
-                body=b''.join(request.chunks),
+                body=_take_body(request),
             ),
             trafficsplit.choose(self._traffic_splits, route),
             route.retry.attempts,
@@ -258,6 +259,7 @@
                     duration,
                     tried_vms,
                     full_vms,
+                    call.attempt.body.size,
                 ),
                 now,
                 self._rng,
@@ -452,6 +454,13 @@
         )
 
 
+def _take_body(request):
+    """Return a request's body and free the chunks that it came in."""
+    body = transfer.WholeBody(b''.join(request.chunks))
+    request.chunks.clear()
+    return body
+
+
 def _refund_unsent_retry(call, sent):
     """Return a retry to the budget unless it was sent to an upstream."""
     if call.retry_bucket is not None and not sent:
--- a/jujubefold/sidecar/link.py
+++ b/jujubefold/sidecar/link.py
@@ -116,6 +116,7 @@
 class _PendingOffer:
     waiter: eagertask.Waiter
     incarnation: int
+    body: bytes
 
 
 class OutgoingLink:
@@ -139,6 +140,7 @@
         address: Address of its peer server.
         incarnation: Incarnation of the other daemon; 0 before the first hello.
         peer_stopping: Whether the other daemon has announced that it stops.
+        fetches_bodies: Whether the other daemon fetches large bodies.
     """
 
     def __init__(
@@ -156,6 +158,7 @@
         self.address = address
         self.incarnation = 0
         self.peer_stopping = False
+        self.fetches_bodies = False
         self._clock = clock
         self._rng = rng
         self._make_hello = make_hello
@@ -204,13 +207,14 @@
         self._sequence += 1
         return self._sequence
 
-    async def offer(self, offer):
+    async def offer(self, offer, body=b''):
         """Send an offer and wait for its result.
 
         If the waiting task is cancelled, so is the offer.
 
         Args:
             offer: A `frames.Offer` with a sequence from `next_sequence`.
+            body: Body that the other daemon fetches, as bytes.
 
         Returns:
             An `OfferResult`.
@@ -218,7 +222,9 @@
         if not self.up:
             return OfferResult(refusal=_NOT_RECEIVED)
         waiter = eagertask.Waiter()
-        self._pending[offer.sequence] = _PendingOffer(waiter, self.incarnation)
+        self._pending[offer.sequence] = _PendingOffer(
+            waiter, self.incarnation, body
+        )
         self._connection.send(offer)
         try:
             return await waiter
@@ -316,12 +322,27 @@
                 self._resolve(
                     message.sequence, OfferResult(refusal=_NOT_RECEIVED)
                 )
+            case frames.BodyRequest():
+                self._send_part(connection, message)
+                return
             case frames.Pong():
                 return
             case frames.ShutdownNotice():
                 self.peer_stopping = True
         self._on_message(self, message)
 
+    def _send_part(self, connection, message):
+        pending = self._pending.get(message.sequence)
+        if pending is not None:
+            end = message.offset + message.size
+            connection.send(
+                frames.BodyPart(
+                    message.sequence,
+                    message.offset,
+                    pending.body[message.offset : end],
+                )
+            )
+
     def _handle_hello(self, connection, hello):
         if hello.member.vm != self.vm:
             # The address now belongs to another VM, which has its own link.
@@ -335,6 +356,7 @@
         ]
         self.incarnation = hello.member.incarnation
         self.peer_stopping = False
+        self.fetches_bodies = hello.transfers
         self._down_at = None
         self._fail_offers(lost_sequences)
         self._on_state_changed(self)
--- a/jujubefold/sidecar/peerserver.py
+++ b/jujubefold/sidecar/peerserver.py
@@ -15,6 +15,7 @@
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import frames
 from jujubefold.sidecar import link
+from jujubefold.sidecar import transfer
 
 # Seconds for which an offer without a connection waits for its sender to
 # reconnect; slightly longer than the sender tries to.
@@ -23,6 +24,14 @@
 RESULT_RETENTION_S = 2.0
 
 _MS = 1000
+# A sender whose body found no memory may retry soon: most are fetched within
+# tens of milliseconds.
+_NO_MEMORY = calls.Refusal(
+    errors.Outcome.DID_NOT_RUN,
+    calls.Reason.QUEUE_FULL,
+    retry_after=0.2,
+    detail='no memory to buffer the request body',
+)
 _STOPPING = calls.Refusal(
     errors.Outcome.DID_NOT_RUN,
     calls.Reason.DRAINING,
@@ -39,12 +48,14 @@
         task: The running request; None when it has ended.
         result: Message that was sent as the result; None while it runs.
         finished_at: Monotonic seconds at which it ended.
+        body: The request's `transfer.Body`, while it runs.
     """
 
     connection: link.Connection
     task: eagertask.EagerTask | None = None
     result: object = None
     finished_at: float = 0.0
+    body: transfer.Body | None = None
 
 
 class PeerServer:
@@ -56,13 +67,21 @@
         make_hello: Returns this daemon's `frames.Hello`.
         on_message: Called with a connection and each message that is not an
             offer, a cancellation or a ping.
+        window: Bytes of request bodies that are requested ahead.
 
     Attributes:
         closing: Whether new offers are refused because the daemon is
             stopping.
     """
 
-    def __init__(self, egress, clock, make_hello, on_message):
+    def __init__(
+        self,
+        egress,
+        clock,
+        make_hello,
+        on_message,
+        window=transfer.MAX_WINDOW_BYTES,
+    ):
         self._egress = egress
         self._clock = clock
         self._make_hello = make_hello
@@ -71,6 +90,7 @@
         self._connections = set()
         self._offers = {}
         self._orphaned_at = {}
+        self._transfers = transfer.TransferTable(window)
         self._stopping = False
         self.closing = False
 
@@ -148,6 +168,8 @@
         for key, entry in self._offers.items():
             if entry.connection is connection and entry.task is not None:
                 self._orphaned_at[key] = now
+                transfer.suspend(self._transfers, key)
+        self._request_parts()
 
     def _handle_message(self, connection, message):
         match message:
@@ -159,6 +181,11 @@
                     return
                 self._handle_offer(connection, message)
                 return
+            case frames.BodyPart() if connection.peer is not None:
+                self._handle_part(
+                    (*connection.peer, message.sequence), message
+                )
+                return
             case frames.Cancel() if connection.peer is not None:
                 self._cancel((*connection.peer, message.sequence))
                 return
@@ -197,6 +224,9 @@
         entry.connection = connection
         if entry.result is not None:
             connection.send(entry.result)
+        else:
+            transfer.resume(self._transfers, key)
+            self._request_parts()
 
     def _cancel(self, key):
         entry = self._offers.get(key)
@@ -212,13 +242,18 @@
         entry = self._offers[key] = _ReceivedOffer(connection)
         if self.closing:
             # The process would exit before the request has ended.
-            outcome = attempts.Outcome(refusal=_STOPPING)
-            entry.result = result_message(
-                offer.sequence, outcome, self._egress
-            )
-            entry.finished_at = now
-            connection.send(entry.result)
+            self._refuse(entry, offer, _STOPPING)
+            return
+        if not transfer.has_memory(self._transfers, offer.body_size):
+            self._refuse(entry, offer, _NO_MEMORY)
             return
+        if offer.body_size:
+            entry.body = transfer.RemoteBody(
+                offer.body_size,
+                functools.partial(self._fetch, key, offer.body_size),
+            )
+        else:
+            entry.body = transfer.WholeBody(offer.body)
         attempt = attempts.Attempt(
             key=key,
             request=offer.request,
@@ -232,17 +267,47 @@
             method=offer.method,
             target=offer.target,
             headers=offer.headers,
-            body=offer.body,
+            body=entry.body,
             may_queue=offer.may_queue,
         )
         entry.task = eagertask.EagerTask(
             self._egress.run(attempt),
-            functools.partial(self._finish, offer.sequence, entry),
+            functools.partial(self._finish, key, entry),
         )
         entry.task.start()
 
-    def _finish(self, sequence, entry, task):
+    def _refuse(self, entry, offer, refusal):
+        outcome = attempts.Outcome(refusal=refusal)
+        entry.result = result_message(offer.sequence, outcome, self._egress)
+        entry.finished_at = self._clock.monotonic()
+        entry.connection.send(entry.result)
+
+    # Bodies
+
+    def _fetch(self, key, size):
+        transfer.start(self._transfers, key, size)
+        if not self._offers[key].connection.open:
+            transfer.suspend(self._transfers, key)
+        self._request_parts()
+
+    def _handle_part(self, key, message):
+        size = len(message.data)
+        if transfer.record_part(self._transfers, key, message.offset, size):
+            self._request_parts()
+            self._offers[key].body.add(message.data)
+
+    def _request_parts(self):
+        for part in transfer.next_parts(self._transfers):
+            self._offers[part.key].connection.send(
+                frames.BodyRequest(part.key[-1], part.offset, part.size)
+            )
+
+    def _finish(self, key, entry, task):
+        sequence = key[-1]
         entry.task = None
+        entry.body = None
+        transfer.stop(self._transfers, key)
+        self._request_parts()
         entry.finished_at = self._clock.monotonic()
         if task.error is None:
             outcome = task.result
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -217,20 +217,30 @@
         """Write a configuration."""
         await self.feed.put('op', 'config', body)
 
-    async def add(self, vm, domain='a', service='pickups', slots=4, feed=None):
+    async def add(
+        self,
+        vm,
+        domain='a',
+        service='pickups',
+        slots=4,
+        feed=None,
+        capacity=0.0,
+    ):
         """Add a VM with a sidecar and an announced upstream."""
         upstream = Upstream(f'i-{vm}', slots)
         await upstream.start()
         self.upstreams[vm] = upstream
-        await self.add_daemon(vm, domain, service, feed)
+        await self.add_daemon(vm, domain, service, feed, capacity)
         await self.announce(vm)
         return self.daemons[vm]
 
-    async def add_daemon(self, vm, domain='a', service='pickups', feed=None):
+    async def add_daemon(
+        self, vm, domain='a', service='pickups', feed=None, capacity=0.0
+    ):
         """Start a sidecar for a VM whose upstream already exists."""
         ports = iter([free_port() for _ in range(5)])
         daemon_options = options.Options(
-            options.Daemon(vm, 'r', domain),
+            options.Daemon(vm, 'r', domain, capacity),
             options.Listen(
                 *(f'{LOOPBACK}:{next(ports)}' for _ in range(5)),
             ),
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -28,6 +28,8 @@
         [(b'host', b'h')],
         b'\x00',
     ),
+    frames.BodyRequest(1, 8, 4),
+    frames.BodyPart(1, 8, b'part'),
     frames.Cancel(1),
     frames.Answered(1, 200, 12, [(b'a', b'b')], b'body', LOAD),
     frames.Refused(1, 'did-not-run', 'no-slot', 50, '', False, LOAD),
