Link to a few far daemons, and let readers pass on members

Cause: each daemon kept a link to every other one, so hellos, load reports and descriptors grew with the square of the fleet, and each read the members' table itself. Two greetings on 195 x 156 links between domains alone are about 11 MB.

Change: `peering` selects three daemons of each service in each other failure domain, by a hash of both names, and twelve of a service that has fewer than three reachable upstreams near by. Those that can't be reached are replaced. Only the readers of a failure domain follow the members and pass changes on; whoever lacks a change for a second reads it itself (`readers`, pure). Crash reports are passed on once in each failure domain. Bytes sent are counted and logged by kind.

Ruled out: links opened on demand, which cost the first request a greeting and know no load.

--- a/jujubefold/platform/store.py
+++ b/jujubefold/platform/store.py
@@ -211,8 +211,10 @@
 
 def _row(item):
     if item.deleted:
-        return rowfeed.Row(item.key, None)
-    return rowfeed.Row(item.key, base64.b64decode(item.value))
+        return rowfeed.Row(item.key, None, item.row_version)
+    return rowfeed.Row(
+        item.key, base64.b64decode(item.value), item.row_version
+    )
 
 
 def _not_run(reason):
--- a/jujubefold/sidecar/balancer.py
+++ b/jujubefold/sidecar/balancer.py
@@ -149,7 +149,9 @@
     seconds /= max(MIN_SUCCESS_RATE, 1 - load.failure_rate)
     if now < candidate.penalized_until:
         seconds += PENALTY_S
-    seconds += transfer.seconds(criteria.body_size, candidate.capacity)
+    if criteria.body_size > transfer.INLINE_BYTES:
+        seconds += load.fetch_backlog
+        seconds += transfer.seconds(criteria.body_size, candidate.capacity)
     return seconds + DISTANCE_COST_S[candidate.distance]
 
 
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -19,6 +19,7 @@
 from jujubefold.sidecar import eventlog
 from jujubefold.sidecar import feedwatcher
 from jujubefold.sidecar import fleet
+from jujubefold.sidecar import frames
 from jujubefold.sidecar import ingress
 from jujubefold.sidecar import metrics
 from jujubefold.sidecar import options as settings
@@ -28,10 +29,10 @@
 
 MEMBERS_TABLE = 'jujubefold-members'
 # Daemons that start at the same time may miss each other's row, so the first
-# reads follow closely. A daemon that starts later connects to all others
-# itself, and the rows only confirm it.
+# reads follow closely. A daemon that starts later connects to all others of
+# its failure domain itself.
 MEMBERS_INTERVALS = feedwatcher.PollIntervals(
-    initial=1.5, maximum=12.0, wait=15.0
+    initial=1.0, maximum=4.0, wait=15.0
 )
 # A version must be in force within seconds of its publication, or of the end
 # of an outage in which the store accepted calls without answering them.
@@ -130,7 +131,10 @@
         self._closed = False
         self.stop_requested = asyncio.Event()
         self.versions = versions.Versions(
-            platform.decode, self._version_changed, self._event_log
+            platform.decode,
+            self._version_changed,
+            self._event_log,
+            self._metrics.count_version_fault,
         )
         self.egress = egress.Egress(
             platform.names,
@@ -148,6 +152,7 @@
             time_source,
             self._rng,
             self._event_log,
+            location.bootstrap,
         )
         self.ingress = ingress.Ingress(
             names=platform.names,
@@ -166,7 +171,11 @@
         self._receiver = announcements.AnnouncementReceiver(
             self.egress,
             departures.Departures(
-                self._feed, location.vm, time_source, self._event_log
+                self._feed,
+                location.vm,
+                time_source,
+                self._event_log,
+                location.bootstrap,
             ),
         )
         self._caller_server = self._new_server(self.ingress)
@@ -194,6 +203,14 @@
         self._timer = None
         self._previous_version = 0
         self._versions_task = None
+        self._members_task = None
+        self._members_watcher = self._new_watcher(
+            MEMBERS_TABLE,
+            self._replace_members,
+            self._update_members,
+            MEMBERS_INTERVALS,
+            lambda available: None,
+        )
         self._versions_watcher = self._new_watcher(
             platform.configuration_table,
             self._update_configuration,
@@ -234,14 +251,6 @@
             address=self._own_member.address,
             failure_domain=self._own_member.failure_domain,
         )
-        members = self._new_watcher(
-            MEMBERS_TABLE,
-            self._replace_members,
-            self._update_members,
-            MEMBERS_INTERVALS,
-            lambda available: None,
-        )
-        self._tasks.append(backgroundtasks.spawn(members.run()))
         self._tasks.append(
             backgroundtasks.spawn(self._receiver.load_departures())
         )
@@ -337,7 +346,7 @@
         )
 
     def _versions_availability_changed(self, available):
-        self.fleet.feed_failing = not available
+        self.fleet.version_exchange.feed_failing = not available
 
     def _new_watcher(self, table, replace, update, intervals, notify):
         return feedwatcher.FeedWatcher(
@@ -357,26 +366,48 @@
                 self.versions.apply(row.value, 'store')
 
     def _replace_members(self, rows):
-        self._update_members(rows)
-        self.fleet.roster.complete = True
         listed = {row.key for row in rows}
-        for vm in tuple(self.fleet.roster.members):
-            if vm not in listed and not self.fleet.is_linked(vm):
-                self.fleet.remove_member(vm)
+        missing = [
+            vm
+            for vm in self.fleet.roster.members
+            if vm not in listed and not self.fleet.is_linked(vm)
+        ]
+        self.fleet.roster.complete = True
+        self._apply_members(rows, missing)
 
     def _update_members(self, rows):
+        left = [row.key for row in rows if row.value is None]
+        self._apply_members(rows, left)
+
+    def _decode_members(self, rows):
+        """Yield the `roster.Member` in each valid row."""
         for row in rows:
             if row.value is None:
-                self.fleet.remove_member(row.key)
                 continue
             member = roster.decode(row.value)
             if member.is_ok():
-                self.fleet.add_member(member.ok)
+                yield member.ok
             else:
                 self._event_log.record(
                     'member.invalid', peer=row.key, detail=member.error.reason
                 )
 
+    def _apply_members(self, rows, left):
+        known = self.fleet.roster.members
+        changes = frames.MembersChanged(
+            self.fleet.readers.members_version,
+            self._members_watcher.version,
+            max((row.version for row in rows), default=0),
+            tuple(
+                member
+                for member in self._decode_members(rows)
+                if known.get(member.vm) != member
+            ),
+            tuple(left),
+        )
+        self.fleet.apply_members(changes)
+        self.fleet.forward_members(changes)
+
     def _version_changed(self, configuration, source):
         limits = configuration.limits
         self._metrics.version.set({}, configuration.mesh.number)
@@ -384,7 +415,7 @@
         self._caller_server.timeouts = callserver.Timeouts(
             head=limits.head_timeout, idle=limits.idle_timeout
         )
-        self.fleet.announce_version(self._previous_version, source)
+        self.fleet.version_exchange.announce(self._previous_version, source)
         self._previous_version = configuration.mesh.number
 
     def _slots_changed(self):
@@ -410,6 +441,7 @@
         now = self._clock.monotonic()
         self.fleet.sweep()
         self._update_versions_task()
+        self._update_members_task()
         self.ingress.cancel_expired(now)
         self._event_log.flush()
         self._timer = asyncio.get_running_loop().call_later(
@@ -431,12 +463,26 @@
             self._versions_task.cancel()
             self._versions_task = None
 
+    def _update_members_task(self):
+        """Start or stop following the members, as readers do."""
+        reads = self.fleet.should_read_members and not self._closed
+        if reads and self._members_task is None:
+            self._members_watcher.skip_to(self.fleet.readers.members_version)
+            self._members_task = backgroundtasks.spawn(
+                self._members_watcher.run()
+            )
+        elif not reads and self._members_task is not None:
+            self._members_task.cancel()
+            self._members_task = None
+
     def _render_metrics(self):
         load = self.egress.load()
         self._metrics.running.set({}, load.running)
         self._metrics.waiting.set({}, load.waiting)
         self._metrics.slots.set({}, load.slots)
         self._metrics.links.set({}, self.fleet.linked_count)
+        self._metrics.set_link_bytes('near', self.fleet.traffic.near)
+        self._metrics.set_link_bytes('far', self.fleet.traffic.far)
         return self._metrics.render()
 
     # Stopping
@@ -454,6 +500,7 @@
         self._stopping = True
         self._closed = True
         self._update_versions_task()
+        self._update_members_task()
         for task in self._tasks:
             task.cancel()
         if self._timer is not None:
--- a/jujubefold/sidecar/departures.py
+++ b/jujubefold/sidecar/departures.py
@@ -35,15 +35,16 @@
         vm: Name of this VM.
         clock: A `clock.Clock`.
         event_log: An `eventlog.EventLog`.
+        bootstrap: Whether there are none yet.
     """
 
-    def __init__(self, feed, vm, clock, event_log):
+    def __init__(self, feed, vm, clock, event_log, bootstrap=False):
         self._feed = feed
         self._vm = vm
         self._clock = clock
         self._event_log = event_log
         self._departed = {}
-        self._loaded = False
+        self._loaded = bootstrap
 
     async def load(self):
         """Read the recorded departures.
@@ -53,17 +54,18 @@
             None if the platform could not be read.
         """
         deadline = self._clock.monotonic() + READ_TIMEOUT_S
-        while True:
+        while not self._loaded:
             result = await self._feed.get(TABLE, self._vm)
             if result.is_ok():
                 self._merge(result.ok)
-                return dict(self._departed)
+                break
             if self._clock.monotonic() >= deadline:
                 self._event_log.record(
                     'departures.unknown', detail=result.error.reason
                 )
                 return None
             await asyncio.sleep(RETRY_INTERVAL_S)
+        return dict(self._departed)
 
     async def record(self, id_, started_ms):
         """Write a departure; return whether it was written in time.
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import functools
 import hashlib
 import itertools
@@ -74,6 +75,9 @@
         on_slots_changed: Called without arguments when the number of usable
             slots changes.
         event_log: An `eventlog.EventLog`.
+
+    Attributes:
+        fetch_backlog: As in `limiter.Load`; set by the peer server.
     """
 
     def __init__(
@@ -89,6 +93,7 @@
         self.slot_table = limiter.SlotTable()
         self.instance_table = instance.InstanceTable()
         self.crashes = crashes.new_table()
+        self.fetch_backlog = 0.0
         self._names = names
         self._clock = clock
         self._daemon_id = daemon_id
@@ -110,7 +115,7 @@
 
     def load(self):
         """Return the gate's `limiter.Load`."""
-        return limiter.load(self.slot_table)
+        return limiter.load(self.slot_table, self.fetch_backlog)
 
     def start(self):
         """Start the periodic check of queued requests and connections."""
@@ -221,11 +226,21 @@
             attempt.deadline,
             attempt.may_queue,
         )
+        if not attempt.body.complete:
+            refusal = limiter.refusal_for_fetch(
+                self.slot_table, request, attempt.body.fetch_seconds, now
+            )
+            if refusal is not None:
+                return self._refuse(attempt, refusal)
+            attempt.body.fetch()
+            await attempt.body.read()
+            now = self._clock.monotonic()
+            # Once its body is here, it may wait here.
+            request = dataclasses.replace(request, may_queue=True)
         match limiter.acquire(self.slot_table, request, now):
             case calls.Refused(refusal=refusal):
                 return self._refuse(attempt, refusal)
             case calls.Queued():
-                attempt.body.fetch()
                 refusal = await self._wait(key)
                 if refusal is not None:
                     return self._refuse(attempt, refusal)
@@ -280,8 +295,7 @@
         """Send a request that holds a slot, and wait for its outcome.
 
         A request that is not idempotent is not cancelled when its caller
-        leaves, because how far it ran would be unknown, unless it can't have
-        been sent yet.
+        leaves, because how far it ran would be unknown.
         """
         waiter = eagertask.Waiter()
         task = eagertask.EagerTask(
@@ -292,7 +306,7 @@
         try:
             return await waiter
         except asyncio.CancelledError:
-            if attempt.idempotent or not attempt.body.complete:
+            if attempt.idempotent:
                 task.cancel()
             raise
 
@@ -318,8 +332,7 @@
         waiter.set_result(outcome)
 
     async def _forward(self, attempt):
-        attempt.body.fetch()
-        body = await attempt.body.read()
+        body = attempt.body.data
         now = self._clock.monotonic()
         upstream = self.instance_table.current
         if not instance.usable_slots(
--- a/jujubefold/sidecar/feedwatcher.py
+++ b/jujubefold/sidecar/feedwatcher.py
@@ -68,6 +68,20 @@
         self._version = None
         self._failing = False
 
+    @property
+    def version(self):
+        """Store version up to which changes were read; 0 for none."""
+        return self._version or 0
+
+    def skip_to(self, version):
+        """Do not read changes that were received in another way.
+
+        Args:
+            version: Store version up to which they were.
+        """
+        if self._version is not None:
+            self._version = max(self._version, version)
+
     async def run(self):
         """Follow the table until cancelled."""
         retry_delay = MIN_RETRY_S
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -8,34 +8,28 @@
 
 from jujubefold import calls
 from jujubefold import callserver
-from jujubefold import crashes
 from jujubefold import errors
-from jujubefold import messages
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import balancer
+from jujubefold.sidecar import crashreports
 from jujubefold.sidecar import distribution
 from jujubefold.sidecar import frames
 from jujubefold.sidecar import limiter
 from jujubefold.sidecar import link
+from jujubefold.sidecar import peering
 from jujubefold.sidecar import peerserver
+from jujubefold.sidecar import readers
 from jujubefold.sidecar import roster
 from jujubefold.sidecar import transfer
+from jujubefold.sidecar import versionexchange
 
 _MS = 1000
 # Minimum seconds between two load reports of this gate. Shorter than most
 # requests, so that a report is still valid when a request is placed by it.
 MIN_LOAD_INTERVAL_S = 0.1
-# Seconds to wait for an announced version to arrive over the platform's feed
-# before it is fetched from a daemon that announced it. Sending a document
-# costs a small link much more than the feed does, so only daemons whose feed
-# fails should fetch from others.
-FEED_GRACE_S = 0.8
-# The same for a daemon whose feed is failing or that has no version yet.
-FEED_FAILING_GRACE_S = 0.1
-# Seconds between two announcements of a reader that it is still following the
-# platform, and seconds without one after which a daemon follows it itself.
-READER_ANNOUNCE_INTERVAL_S = 0.7
-READER_TIMEOUT_S = 1.6
+
+# Seconds between two log lines with the bytes sent over links.
+TRAFFIC_LOG_INTERVAL_S = 10.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -61,10 +55,32 @@
         clock: A `clock.Clock`.
         rng: A `random.Random`.
         event_log: An `eventlog.EventLog`.
+        bootstrap: Whether the whole fleet starts for the first time.
+
+    Attributes:
+        roster: The `roster.RosterTable`.
+        readers: The `readers.ReaderTable`.
+        traffic: The `link.Traffic` of all links.
+        version_exchange: The `versionexchange.VersionExchange`.
+        peer_server: The `peerserver.PeerServer`.
     """
 
-    def __init__(self, own_member, egress, versions, clock, rng, event_log):
+    def __init__(
+        self,
+        own_member,
+        egress,
+        versions,
+        clock,
+        rng,
+        event_log,
+        bootstrap=False,
+    ):
         self.roster = roster.RosterTable(own_member)
+        self._peering = peering.PeeringTable(own_member)
+        self._peering_changed = False
+        self.traffic = link.Traffic()
+        self._traffic_logged_at = clock.monotonic()
+        self.readers = readers.ReaderTable(clock.monotonic(), bootstrap)
         self._own_member = own_member
         self._egress = egress
         self._versions = versions
@@ -79,20 +95,27 @@
         )
         self._reported_load = limiter.Load()
         self._load_reported_at = 0.0
-        self._awaited_version = None
-        self._version_sources = []
-        self._reader_seen_at = clock.monotonic()
-        self._reader_announced_at = 0.0
-        # Whether reads of the platform's feed of versions are failing.
-        self.feed_failing = False
+        self.version_exchange = versionexchange.VersionExchange(
+            self, versions, clock, rng
+        )
         self.peer_server = peerserver.PeerServer(
             egress,
             clock,
             self.make_hello,
             self._handle_server_message,
-            transfer.window_bytes(own_member.capacity),
+            transfer.new_table(own_member.capacity),
+            self.traffic,
+            own_member.failure_domain,
+        )
+        self._crash_reports = crashreports.CrashReports(
+            own_member, egress, self, clock, event_log
         )
 
+    @property
+    def own_vm(self):
+        """Name of this daemon's VM."""
+        return self._own_member.vm
+
     @property
     def linked_count(self):
         """Number of other daemons whose link is up."""
@@ -116,12 +139,19 @@
             start=member.incarnation,
         )
         self._candidates_by_service.clear()
+        peering.add(self._peering, member)
+        self._peering_changed = True
         peer = self._peers.get(member.vm)
         if peer is not None and peer.link.address == member.address:
             peer.link.reconnect_now()
             peer.candidate.service = member.service
             return
         self._remove_peer(member.vm)
+        if peering.is_near(self._peering, member):
+            self._open_link(member)
+
+    def _open_link(self, member):
+        self._candidates_by_service.clear()
         outgoing = link.OutgoingLink(
             member.vm,
             member.address,
@@ -131,6 +161,9 @@
             self._handle_link_message,
             self._handle_link_state,
             self._handle_displaced,
+            self.traffic.near
+            if peering.is_near(self._peering, member)
+            else self.traffic.far,
         )
         self._peers[member.vm] = Peer(
             outgoing,
@@ -151,10 +184,82 @@
         """
         if not roster.remove(self.roster, vm):
             return
+        peering.remove(self._peering, vm)
+        self._peering_changed = True
         self._event_log.record('member.forgotten', peer=vm)
         if not self.is_linked(vm):
             self._remove_peer(vm)
 
+    def _update_far_links(self):
+        """Open and close links after a change of members or of links."""
+        self._peering_changed = False
+        wanted = peering.selected(self._peering)
+        for vm in wanted:
+            if vm not in self._peers:
+                self._open_link(self.roster.members[vm])
+        for vm, peer in tuple(self._peers.items()):
+            if (
+                vm in wanted
+                or vm not in self.roster.members
+                or peer.candidate.distance in balancer.SAME_DOMAIN
+            ):
+                continue
+            if peer.link.pending:
+                self._peering_changed = True
+            else:
+                self._remove_peer(vm)
+
+    def apply_members(self, changes):
+        """Apply changes of members that were read or received.
+
+        Args:
+            changes: A `frames.MembersChanged`.
+        """
+        for member in changes.joined:
+            self.add_member(member)
+        for vm in changes.left:
+            self.remove_member(vm)
+        readers.record_members(
+            self.readers, changes.base, changes.version, changes.changed
+        )
+
+    def forward_members(self, changes):
+        """Send changes of members to the daemons that this reader supplies.
+
+        Args:
+            changes: A `frames.MembersChanged` read from the platform.
+        """
+        for vm in distribution.recipients(
+            self._own_member.vm, self.nearby_daemons()
+        ):
+            self.send(vm, changes)
+
+    @property
+    def is_reader(self):
+        """Whether this daemon is a reader of its failure domain."""
+        names = distribution.readers(self.nearby_daemons())
+        return self._own_member.vm in names
+
+    @property
+    def should_read_versions(self):
+        """Whether this daemon should read versions from the platform."""
+        return readers.should_read_versions(
+            self.readers,
+            bool(self._versions.number),
+            self.is_reader,
+            self._clock.monotonic(),
+        )
+
+    @property
+    def should_read_members(self):
+        """Whether this daemon should read members from the platform."""
+        return readers.should_read_members(
+            self.readers,
+            self.roster.complete,
+            self.is_reader,
+            self._clock.monotonic(),
+        )
+
     def _remove_peer(self, vm):
         self._candidates_by_service.clear()
         peer = self._peers.pop(vm, None)
@@ -268,7 +373,7 @@
     def _handle_link_message(self, outgoing, message):
         peer = self._peers.get(outgoing.vm)
         if isinstance(message, frames.Hello):
-            self._handle_hello(message)
+            self._handle_hello(message, outgoing)
             peer = self._peers.get(message.member.vm)
             if peer is not None:
                 self._update_load(peer, message.load)
@@ -276,13 +381,14 @@
             self._update_load(peer, message)
         elif isinstance(message, frames.ShutdownNotice) and peer is not None:
             peer.candidate.reachable = False
+            self._mark_down(outgoing.vm)
             self._event_log.record('member.leaving', peer=outgoing.vm)
         else:
             self._handle_message(message, outgoing)
 
     def _handle_server_message(self, connection, message):
         if isinstance(message, frames.Hello):
-            self._handle_hello(message)
+            self._handle_hello(message, connection)
             peer = self._peers.get(message.member.vm)
             if peer is not None:
                 peer.link.reconnect_now()
@@ -300,22 +406,26 @@
         match message:
             case frames.VersionInForce():
                 if message.is_reader:
-                    self._reader_seen_at = self._clock.monotonic()
-                self._handle_newer_version(message.version, channel)
+                    readers.record_reader(
+                        self.readers,
+                        message.members_changed,
+                        self._clock.monotonic(),
+                    )
+                self.version_exchange.handle_announcement(
+                    message.version, channel
+                )
             case frames.ConfigurationRequest():
-                if self._versions.number > message.version:
-                    channel.send(self._document(message.version))
+                self.version_exchange.handle_request(message, channel)
             case frames.ConfigurationDocument():
-                self._apply_document(message, channel)
+                self.version_exchange.handle_document(message, channel)
+            case frames.MembersChanged():
+                self.apply_members(message)
             case frames.CrashEvidence():
-                self._handle_crash_evidence(message)
+                self._crash_reports.handle(message)
 
-    def _handle_hello(self, hello):
+    def _handle_hello(self, hello, channel):
         self.add_member(hello.member)
-        if hello.version > self._versions.number:
-            peer = self._peers.get(hello.member.vm)
-            if peer is not None:
-                self._handle_newer_version(hello.version, peer.link)
+        self.version_exchange.handle_announcement(hello.version, channel)
 
     def _update_load(self, peer, load):
         balancer.update_load(
@@ -335,70 +445,44 @@
                 pending=outgoing.pending,
             )
         peer.candidate.reachable = up and not outgoing.peer_stopping
+        if peer.candidate.reachable:
+            if outgoing.vm in self._peering.down:
+                self._peering.down.discard(outgoing.vm)
+                self._peering_changed = True
+        else:
+            self._mark_down(outgoing.vm)
         if not up and outgoing.vm not in self.roster.members:
             self._remove_peer(outgoing.vm)
 
+    def _mark_down(self, vm):
+        if vm in self.roster.members and vm not in self._peering.down:
+            self._peering.down.add(vm)
+            self._peering_changed = True
+
     def _handle_displaced(self, outgoing):
         """Remove a member whose address now belongs to another VM."""
         self._event_log.record(
             'member.displaced', peer=outgoing.vm, address=outgoing.address
         )
         roster.remove(self.roster, outgoing.vm)
+        peering.remove(self._peering, outgoing.vm)
         self._remove_peer(outgoing.vm)
 
-    # Versions
+    # Links
 
-    @property
-    def should_read_versions(self):
-        """Whether this daemon should read versions from the platform.
-
-        True if it has no version, is one of its failure domain's readers, or
-        has received nothing from a reader for `READER_TIMEOUT_S`.
-        """
-        if not self._versions.number:
-            return True
-        if self._own_member.vm in distribution.readers(self._nearby_daemons()):
-            return True
-        elapsed = self._clock.monotonic() - self._reader_seen_at
-        return elapsed > READER_TIMEOUT_S
-
-    def announce_version(self, previous, source):
-        """Announce the version that is now in force to other daemons.
-
-        If it came from the platform, its document is sent to the daemons that
-        this reader supplies. Others receive only its number.
+    def send(self, vm, message):
+        """Send a message to a daemon over its link, if there is one."""
+        peer = self._peers.get(vm)
+        if peer is not None:
+            peer.link.send(message)
 
-        Args:
-            previous: Number of the version in force before.
-            source: Where it was received from; 'store' for the platform.
-        """
-        informed = ()
-        if source == 'store' and self._versions.number:
-            informed = distribution.recipients(
-                self._own_member.vm, self._nearby_daemons()
-            )
-            if informed:
-                document = self._document(previous)
-                for vm in informed:
-                    self._peers[vm].link.send(document)
-        message = frames.VersionInForce(self._versions.number, False)
-        for vm in self._announcement_targets():
-            if vm not in informed:
-                self._peers[vm].link.send(message)
-
-    def _document(self, base):
-        base, body = self._versions.compressed(base)
-        return frames.ConfigurationDocument(self._versions.number, base, body)
-
-    def _apply_document(self, message, channel):
-        if message.version <= self._versions.number:
-            return
-        if not self._versions.apply_compressed(
-            message.base, message.body, 'peer'
-        ):
-            channel.send(frames.ConfigurationRequest(0))
+    def broadcast_far(self, message):
+        """Send a message over the links to other failure domains."""
+        for peer in self._peers.values():
+            if peer.candidate.distance not in balancer.SAME_DOMAIN:
+                peer.link.send(message)
 
-    def _nearby_daemons(self):
+    def nearby_daemons(self):
         """Return a `distribution.Node` for this and each nearby daemon.
 
         Nearby daemons are the reachable ones of the same failure domain that
@@ -418,7 +502,7 @@
                     nodes.append(distribution.Node(vm, member.capacity))
         return nodes
 
-    def _announcement_targets(self):
+    def announcement_targets(self):
         """Return the VMs whose daemons a version is announced to."""
         near, far = [], []
         for vm, peer in self._peers.items():
@@ -427,79 +511,15 @@
                 (near if is_near else far).append(vm)
         return distribution.successors(self._own_member.vm, near, far)
 
-    def _announce_reader(self, now):
-        """Announce periodically that this reader follows the platform."""
-        if (
-            now - self._reader_announced_at < READER_ANNOUNCE_INTERVAL_S
-            or self.feed_failing
-        ):
-            return
-        self._reader_announced_at = now
-        message = frames.VersionInForce(self._versions.number, True)
-        for vm in distribution.recipients(
-            self._own_member.vm, self._nearby_daemons()
-        ):
-            self._peers[vm].link.send(message)
-
-    def _handle_newer_version(self, number, channel):
-        if number <= self._versions.number:
-            return
-        if self._awaited_version is None or number > self._awaited_version[0]:
-            feed_failing = self.feed_failing or not self._versions.number
-            grace = FEED_FAILING_GRACE_S if feed_failing else FEED_GRACE_S
-            now = self._clock.monotonic()
-            fetch_at = (
-                now + grace
-                if self._awaited_version is None
-                else self._awaited_version[1]
-            )
-            self._awaited_version = (number, fetch_at)
-            self._version_sources.clear()
-        self._version_sources.append(channel)
-
-    def _fetch_awaited_version(self, now):
-        if self._awaited_version is None or now < self._awaited_version[1]:
-            return
-        number, _ = self._awaited_version
-        self._awaited_version = None
-        sources, self._version_sources = self._version_sources, []
-        if number > self._versions.number:
-            self._rng.choice(sources).send(
-                frames.ConfigurationRequest(self._versions.number)
-            )
-
-    # Crashes
-
-    def _handle_crash_evidence(self, message):
-        report = messages.CrashReport(
-            message.fingerprint,
-            message.upstream,
-            message.count,
-            message.blame_milli,
+    def is_near(self, channel):
+        """Return whether a link or connection is to the own domain."""
+        if isinstance(channel, link.Connection):
+            return channel.domain == self._own_member.failure_domain
+        peer = self._peers.get(channel.vm)
+        return (
+            peer is not None
+            and peer.candidate.distance in balancer.SAME_DOMAIN
         )
-        now = self._clock.monotonic()
-        for effect in crashes.merge_report(self._egress.crashes, report, now):
-            self._event_log.record(
-                effect.event.name, detail=effect.event.detail
-            )
-
-    def _broadcast_crashes(self):
-        table = self._egress.crashes
-        reports = tuple(table.outbox.values())
-        table.outbox.clear()
-        table.pending_clearances.clear()
-        for report in reports:
-            if report.count and report.upstream.startswith(
-                f'{self._own_member.vm}/'
-            ):
-                self.peer_server.broadcast(
-                    frames.CrashEvidence(
-                        report.fingerprint,
-                        report.upstream,
-                        report.count,
-                        report.blame_milli,
-                    )
-                )
 
     # Periodic work
 
@@ -527,13 +547,25 @@
     def sweep(self):
         """Check links and offers, and send pending updates to others."""
         now = self._clock.monotonic()
+        if self._peering_changed:
+            self._update_far_links()
         for peer in tuple(self._peers.values()):
             peer.link.sweep(now)
         self.peer_server.sweep(now)
-        self._broadcast_crashes()
+        self._crash_reports.send_new()
         self._broadcast_load_change(now)
-        self._fetch_awaited_version(now)
-        self._announce_reader(now)
+        self.version_exchange.sweep(now)
+        if now - self._traffic_logged_at > TRAFFIC_LOG_INTERVAL_S:
+            self._log_traffic(now)
+
+    def _log_traffic(self, now):
+        self._traffic_logged_at = now
+        self._event_log.record(
+            'link.traffic',
+            links=self.linked_count,
+            near=dict(self.traffic.near),
+            far=dict(self.traffic.far),
+        )
 
     def announce_shutdown(self):
         """Ask all other daemons to send no more offers."""
@@ -553,6 +585,7 @@
         message.slots,
         message.mean_duration_ms / _MS,
         message.failure_percent / 100,
+        message.fetch_backlog_ms / _MS,
     )
 
 
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -32,6 +32,8 @@
         mean_duration_ms: Mean milliseconds for which a request holds a slot.
         failure_percent: Percentage of recent requests that the upstream
             failed.
+        fetch_backlog_ms: Milliseconds for which the gate's link is busy with
+            bodies that are being fetched.
     """
 
     running: int
@@ -39,6 +41,7 @@
     slots: int
     mean_duration_ms: int
     failure_percent: int
+    fetch_backlog_ms: int = 0
 
 
 class Hello(Message, tag='hello'):
@@ -199,10 +202,31 @@
     Args:
         version: Its number.
         is_reader: Whether the sender reads versions from the platform.
+        members_changed: Store version of the last change of members that the
+            sender, a reader, knows; 0 if it does not follow them.
     """
 
     version: int
     is_reader: bool
+    members_changed: int = 0
+
+
+class MembersChanged(Message, tag='members'):
+    """Changes of members that a reader read from the platform.
+
+    Args:
+        base: Store version after which they were made.
+        version: Store version up to which they are complete.
+        changed: Store version of the last one.
+        joined: Members that were added or changed.
+        left: VM names of those that were removed.
+    """
+
+    base: int
+    version: int
+    changed: int
+    joined: tuple[roster.Member, ...]
+    left: tuple[str, ...]
 
 
 class ConfigurationRequest(Message, tag='fetch'):
@@ -255,6 +279,7 @@
     | Pong
     | ShutdownNotice
     | VersionInForce
+    | MembersChanged
     | ConfigurationRequest
     | ConfigurationDocument
     | CrashEvidence
--- a/jujubefold/sidecar/limiter.py
+++ b/jujubefold/sidecar/limiter.py
@@ -94,6 +94,8 @@
         slots: Slots that may be used now.
         mean_duration: Mean seconds for which a request holds a slot.
         failure_rate: Share of recent requests that the upstream failed.
+        fetch_backlog: Seconds for which the gate's link is busy with bodies
+            that are being fetched.
     """
 
     running: int = 0
@@ -101,6 +103,7 @@
     slots: int = 0
     mean_duration: float = INITIAL_DURATION_S
     failure_rate: float = 0.0
+    fetch_backlog: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -159,6 +162,37 @@
     return calls.Queued()
 
 
+def refusal_for_fetch(table, request, fetch_seconds, now):
+    """Return the refusal of a request whose body is not here yet, or None.
+
+    It needs no slot while its body is fetched. It is refused if it would come
+    too late then, before anything is transferred.
+
+    Args:
+        table: A `SlotTable`.
+        request: A `Request`.
+        fetch_seconds: Seconds until its body is expected to be complete.
+        now: Monotonic seconds.
+
+    Returns:
+        A `calls.Refusal` or None.
+    """
+    if not table.slots:
+        return _refused(calls.Reason.NO_UPSTREAM, MIN_RETRY_AFTER_S).refusal
+    expected = expected_duration(table, request.route)
+    ready_at = now + fetch_seconds
+    if ready_at + expected * MIN_REMAINING_SHARE > request.deadline:
+        return _refused(calls.Reason.DEADLINE, 0.0).refusal
+    starts = _predicted_starts(table, now, request)
+    start = max(ready_at, starts[request.key])
+    if start + expected > _admission_limit(request):
+        retry_after = max(fetch_seconds, _retry_after(table, starts, now))
+        return _refused(
+            calls.Reason.QUEUE_FULL, min(MAX_RETRY_AFTER_S, retry_after)
+        ).refusal
+    return None
+
+
 def release(table, key, now, failed=False, record=True):
     """Free a request's slot, or remove it from the queue.
 
@@ -236,14 +270,20 @@
     return tuple((key, refusal) for key in keys)
 
 
-def load(table):
-    """Return the `Load` of a table."""
+def load(table, fetch_backlog=0.0):
+    """Return the `Load` of a table.
+
+    Args:
+        table: A `SlotTable`.
+        fetch_backlog: As in `Load`.
+    """
     return Load(
         len(table.running),
         len(table.waiting),
         table.slots,
         table.mean_duration * table.warmup_factor,
         table.failure_rate,
+        fetch_backlog,
     )
 
 
--- a/jujubefold/sidecar/link.py
+++ b/jujubefold/sidecar/link.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 
@@ -57,12 +58,30 @@
     sent: bool = False
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Traffic:
+    """Bytes sent over links, by kind of message.
+
+    Args:
+        near: To daemons of the own failure domain, and before they are known.
+        far: To those of others.
+    """
+
+    near: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    far: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
 class Connection(asyncio.Protocol):
     """A connection that carries frames; either end of a link.
 
     Args:
         on_message: Called with this connection and each message.
         on_lost: Called with this connection once it is closed.
+        sent_bytes: Counter by kind of message to add what is sent to.
 
     Attributes:
         peer: VM and incarnation of the other daemon, or None; set by
@@ -71,7 +90,8 @@
         received_data: Whether data was received since it was last reset.
     """
 
-    def __init__(self, on_message, on_lost):
+    def __init__(self, on_message, on_lost, sent_bytes):
+        self.sent_bytes = sent_bytes
         self._on_message = on_message
         self._on_lost = on_lost
         self._decoder = frames.FrameDecoder()
@@ -88,7 +108,9 @@
     def send(self, message):
         """Send a message unless the connection is closed."""
         if self.open:
-            self._transport.write(frames.encode(message))
+            frame = frames.encode(message)
+            self.sent_bytes[message.__struct_config__.tag] += len(frame)
+            self._transport.write(frame)
 
     def abort(self):
         """Close the connection and discard unsent data."""
@@ -131,9 +153,11 @@
             returns a `frames.Hello`.
         on_message: Called with this link and each received message, except
             pongs and hellos from other VMs.
-        on_state_changed: Called with this link when it comes up or goes down.
+        on_state_changed: Called with this link when it comes up or goes down,
+            and when it could not be opened.
         on_displaced: Called with this link when a daemon of another VM
             answers at the address.
+        sent_bytes: As in `Connection`.
 
     Attributes:
         vm: VM of the other daemon.
@@ -153,7 +177,9 @@
         on_message,
         on_state_changed,
         on_displaced,
+        sent_bytes,
     ):
+        self._sent_bytes = sent_bytes
         self.vm = vm
         self.address = address
         self.incarnation = 0
@@ -272,7 +298,9 @@
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     _, connection = await loop.create_connection(
                         lambda lost=lost: Connection(
-                            self._handle_message, lambda _: _set_result(lost)
+                            self._handle_message,
+                            lambda _: _set_result(lost),
+                            self._sent_bytes,
                         ),
                         host,
                         int(port),
@@ -281,8 +309,10 @@
                 # The daemon's process has ended, and with it its offers.
                 self._fail_offers(tuple(self._pending))
                 delay = min(MAX_RECONNECT_DELAY_S, delay * 2)
+                self._on_state_changed(self)
             except (OSError, TimeoutError):
                 delay = min(MAX_RECONNECT_DELAY_S, delay * 2)
+                self._on_state_changed(self)
             else:
                 delay = MIN_RECONNECT_DELAY_S
                 self._handle_connected(connection)
--- a/jujubefold/sidecar/metrics.py
+++ b/jujubefold/sidecar/metrics.py
@@ -61,6 +61,16 @@
             registry=self._registry,
             buckets=metrics.STORE_BUCKETS_S,
         )
+        self._version_faults = aioprometheus.Counter(
+            'jujubefold_version_faults_total',
+            'Unknown values and rejected configurations, by effect.',
+            registry=self._registry,
+        )
+        self._link_bytes = aioprometheus.Counter(
+            'jujubefold_link_sent_bytes_total',
+            'Bytes sent to other daemons, by kind of message and scope.',
+            registry=self._registry,
+        )
         self.version = self._gauge(
             'jujubefold_version_in_force', 'Configuration version in force.'
         )
@@ -110,6 +120,25 @@
         self._store_calls.inc({'operation': operation, 'outcome': outcome})
         self._store_seconds.observe({'operation': operation}, seconds)
 
+    def count_version_fault(self, effect):
+        """Count a fault of a configuration document.
+
+        Args:
+            effect: `unknown`, `invalid` or `damaged`; see
+                `versions.Versions`.
+        """
+        self._version_faults.inc({'effect': effect})
+
+    def set_link_bytes(self, scope, sent_bytes):
+        """Set how many bytes were sent over links.
+
+        Args:
+            scope: `near` for the own failure domain, else `far`.
+            sent_bytes: Counter of bytes by kind of message.
+        """
+        for kind, size in sent_bytes.items():
+            self._link_bytes.set({'kind': kind, 'scope': scope}, size)
+
     def render(self):
         """Return all metrics in the text exposition format, as bytes."""
         body, _ = renderer.render(self._registry, ['text/plain'])
--- a/jujubefold/sidecar/options.py
+++ b/jujubefold/sidecar/options.py
@@ -25,12 +25,15 @@
         region: Region of the VM.
         failure_domain: Failure domain of the VM.
         capacity: Bandwidth of the VM's network link in megabits per second.
+        bootstrap: Whether the whole fleet starts for the first time, so that
+            nothing is kept from an earlier start.
     """
 
     vm: Name
     region: Name
     failure_domain: Name
     capacity: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    bootstrap: bool = False
 
 
 class Listen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/jujubefold/sidecar/peerserver.py
+++ b/jujubefold/sidecar/peerserver.py
@@ -67,7 +67,9 @@
         make_hello: Returns this daemon's `frames.Hello`.
         on_message: Called with a connection and each message that is not an
             offer, a cancellation or a ping.
-        window: Bytes of request bodies that are requested ahead.
+        transfers: The `transfer.TransferTable` of this daemon's link.
+        traffic: The `link.Traffic` of this daemon.
+        domain: Failure domain of this daemon.
 
     Attributes:
         closing: Whether new offers are refused because the daemon is
@@ -80,7 +82,9 @@
         clock,
         make_hello,
         on_message,
-        window=transfer.MAX_WINDOW_BYTES,
+        transfers,
+        traffic,
+        domain,
     ):
         self._egress = egress
         self._clock = clock
@@ -90,7 +94,9 @@
         self._connections = set()
         self._offers = {}
         self._orphaned_at = {}
-        self._transfers = transfer.TransferTable(window)
+        self._transfers = transfers
+        self._traffic = traffic
+        self._domain = domain
         self._stopping = False
         self.closing = False
 
@@ -157,7 +163,7 @@
 
     def _accept(self):
         connection = link.Connection(
-            self._handle_message, self._handle_disconnect
+            self._handle_message, self._handle_disconnect, self._traffic.near
         )
         self._connections.add(connection)
         return connection
@@ -198,6 +204,8 @@
         member = hello.member
         connection.peer = (member.vm, member.incarnation)
         connection.domain = member.failure_domain
+        if connection.domain != self._domain:
+            connection.sent_bytes = self._traffic.far
         # Offers still unread in an older connection are about to be reported
         # as not received, so that connection must not deliver them any more.
         for other in tuple(self._connections):
@@ -251,6 +259,9 @@
             entry.body = transfer.RemoteBody(
                 offer.body_size,
                 functools.partial(self._fetch, key, offer.body_size),
+                functools.partial(
+                    transfer.backlog_seconds, self._transfers, offer.body_size
+                ),
             )
         else:
             entry.body = transfer.WholeBody(offer.body)
@@ -297,6 +308,7 @@
             self._offers[key].body.add(message.data)
 
     def _request_parts(self):
+        self._egress.fetch_backlog = transfer.backlog_seconds(self._transfers)
         for part in transfer.next_parts(self._transfers):
             self._offers[part.key].connection.send(
                 frames.BodyRequest(part.key[-1], part.offset, part.size)
@@ -364,4 +376,5 @@
         load.slots,
         round(load.mean_duration * _MS),
         round(load.failure_rate * 100),
+        round(load.fetch_backlog * _MS),
     )
--- a/jujubefold/sidecar/rowfeed.py
+++ b/jujubefold/sidecar/rowfeed.py
@@ -16,10 +16,12 @@
     Args:
         key: Unique in its table.
         value: Its bytes; None if the row was deleted.
+        version: Store version of its last change; 0 if unknown.
     """
 
     key: str
     value: bytes | None
+    version: int = dataclasses.field(default=0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,14 +134,13 @@
         if self.fault is not None:
             return expression.Error(self.fault)
         rows = self._tables.get(table, {})
-        return expression.Ok(
-            Rows(tuple(Row(*item) for item in rows.items()), self._version)
-        )
+        return expression.Ok(Rows(tuple(rows.values()), self._version))
 
     async def get(self, table, key):
         if self.fault is not None:
             return expression.Error(self.fault)
-        return expression.Ok(self._tables.get(table, {}).get(key))
+        row = self._tables.get(table, {}).get(key)
+        return expression.Ok(None if row is None else row.value)
 
     async def changes(self, table, after, wait):
         loop = asyncio.get_running_loop()
@@ -169,15 +170,16 @@
     async def put(self, table, key, value):
         if self.fault is not None:
             return expression.Error(self.fault)
-        self._tables.setdefault(table, {})[key] = value
-        self._append_change(table, Row(key, value))
+        row = Row(key, value, self._version + 1)
+        self._tables.setdefault(table, {})[key] = row
+        self._append_change(table, row)
         return expression.Ok(None)
 
     async def remove(self, table, key):
         if self.fault is not None:
             return expression.Error(self.fault)
         if self._tables.get(table, {}).pop(key, None) is not None:
-            self._append_change(table, Row(key, None))
+            self._append_change(table, Row(key, None, self._version + 1))
         return expression.Ok(None)
 
     def _append_change(self, table, row):
--- a/jujubefold/sidecar/transfer.py
+++ b/jujubefold/sidecar/transfer.py
@@ -45,6 +45,11 @@
     def data(self):
         """The whole body as bytes; only when it is complete."""
 
+    @property
+    def fetch_seconds(self):
+        """Seconds that it is expected to take until it is complete."""
+        return 0.0
+
     def fetch(self):
         """Start to fetch it, unless that was done before."""
 
@@ -79,10 +84,13 @@
     Args:
         size: Bytes of the whole body.
         on_fetch: Called without arguments when it is to be fetched.
+        estimate: Called without arguments; returns the seconds that this is
+            expected to take.
     """
 
-    def __init__(self, size, on_fetch):
+    def __init__(self, size, on_fetch, estimate):
         self.size = size
+        self._estimate = estimate
         self._on_fetch = on_fetch
         self._parts = []
         self._received = 0
@@ -98,6 +106,10 @@
             self._parts = [b''.join(self._parts)]
         return self._parts[0] if self._parts else b''
 
+    @property
+    def fetch_seconds(self):
+        return 0.0 if self.complete else self._estimate()
+
     def fetch(self):
         on_fetch, self._on_fetch = self._on_fetch, None
         if on_fetch is not None:
@@ -143,10 +155,12 @@
 
     Args:
         window: Bytes that may be requested and not received yet.
+        capacity: Megabits a second of this daemon's link; 0 if unknown.
         transfers: `Transfer` by key.
     """
 
     window: int
+    capacity: float = 0.0
     transfers: dict[object, Transfer] = dataclasses.field(default_factory=dict)
 
 
@@ -189,6 +203,28 @@
     return size * _BITS_PER_BYTE / (capacity * _BITS_PER_MEGABIT)
 
 
+def new_table(capacity):
+    """Return a `TransferTable` for a link.
+
+    Args:
+        capacity: Megabits a second; 0 if unknown.
+    """
+    return TransferTable(window_bytes(capacity), capacity)
+
+
+def backlog_seconds(table, size=0):
+    """Return for how long the link is busy with bodies.
+
+    Args:
+        table: A `TransferTable`.
+        size: Bytes of a further body.
+    """
+    missing = sum(
+        item.size - item.received for item in table.transfers.values()
+    )
+    return seconds(missing + size, table.capacity)
+
+
 def has_memory(table, size):
     """Return whether another body may be fetched.
 
--- /dev/null
+++ b/jujubefold/sidecar/versionexchange.py
@@ -0,0 +1,138 @@
+"""Version exchange: sends versions to other daemons and fetches them."""
+
+from jujubefold.sidecar import distribution
+from jujubefold.sidecar import frames
+from jujubefold.sidecar import readers
+
+# Seconds to wait for an announced version to arrive over the platform's feed
+# before it is fetched from a daemon that announced it. Sending a document
+# costs a small link much more than the feed does, so only daemons whose feed
+# fails should fetch from others.
+FEED_GRACE_S = 0.8
+# The same for a daemon whose feed is failing or that has no version yet.
+FEED_FAILING_GRACE_S = 0.1
+
+
+class VersionExchange:
+    """Passes versions on between daemons.
+
+    Args:
+        fleet: The `fleet.Fleet`.
+        versions: The `versions.Versions`.
+        clock: A `clock.Clock`.
+        rng: A `random.Random`.
+
+    Attributes:
+        feed_failing: Whether reads of the platform's feed are failing.
+    """
+
+    def __init__(self, fleet, versions, clock, rng):
+        self.feed_failing = False
+        self._fleet = fleet
+        self._versions = versions
+        self._clock = clock
+        self._rng = rng
+        self._awaited = None
+        self._sources = []
+        self._announced_at = 0.0
+
+    def announce(self, previous, source):
+        """Announce the version that is now in force to other daemons.
+
+        If it came from the platform, its document is sent to the daemons that
+        this reader supplies. Others receive only its number.
+
+        Args:
+            previous: Number of the version in force before.
+            source: Where it was received from; 'store' for the platform.
+        """
+        fleet = self._fleet
+        supplied = ()
+        if source == 'store' and self._versions.number:
+            supplied = distribution.recipients(
+                fleet.own_vm, fleet.nearby_daemons()
+            )
+            if supplied:
+                document = self._document(previous)
+                for vm in supplied:
+                    fleet.send(vm, document)
+        message = frames.VersionInForce(self._versions.number, False)
+        for vm in fleet.announcement_targets():
+            if vm not in supplied:
+                fleet.send(vm, message)
+
+    def handle_announcement(self, number, channel):
+        """Fetch a version later, unless it arrives over the feed before.
+
+        Args:
+            number: Number of a version that another daemon has.
+            channel: `link.OutgoingLink` or `link.Connection` to that daemon.
+        """
+        if number <= self._versions.number:
+            return
+        if self._awaited is None or number > self._awaited[0]:
+            feed_failing = self.feed_failing or not self._versions.number
+            grace = FEED_FAILING_GRACE_S if feed_failing else FEED_GRACE_S
+            fetch_at = (
+                self._clock.monotonic() + grace
+                if self._awaited is None
+                else self._awaited[1]
+            )
+            self._awaited = (number, fetch_at)
+            self._sources.clear()
+        self._sources.append(channel)
+
+    def handle_request(self, message, channel):
+        """Answer a `frames.ConfigurationRequest` if this daemon's is newer."""
+        if self._versions.number > message.version:
+            channel.send(self._document(message.version))
+
+    def handle_document(self, message, channel):
+        """Put the version in a `frames.ConfigurationDocument` in force."""
+        if message.version <= self._versions.number:
+            return
+        if not self._versions.apply_compressed(
+            message.base, message.body, 'peer'
+        ):
+            channel.send(frames.ConfigurationRequest(0))
+
+    def sweep(self, now):
+        """Fetch a version that is overdue, and announce this reader.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        self._fetch_awaited(now)
+        self._announce_reader(now)
+
+    def _fetch_awaited(self, now):
+        if self._awaited is None or now < self._awaited[1]:
+            return
+        number, _ = self._awaited
+        self._awaited = None
+        sources, self._sources = self._sources, []
+        if number > self._versions.number:
+            # Documents are large, and traffic between domains is charged.
+            near = [item for item in sources if self._fleet.is_near(item)]
+            self._rng.choice(near or sources).send(
+                frames.ConfigurationRequest(self._versions.number)
+            )
+
+    def _announce_reader(self, now):
+        """Announce periodically that this reader follows the platform."""
+        interval = readers.ANNOUNCE_INTERVAL_S
+        if now - self._announced_at < interval or self.feed_failing:
+            return
+        self._announced_at = now
+        fleet = self._fleet
+        message = frames.VersionInForce(
+            self._versions.number, True, fleet.readers.members_changed
+        )
+        for vm in distribution.recipients(
+            fleet.own_vm, fleet.nearby_daemons()
+        ):
+            fleet.send(vm, message)
+
+    def _document(self, base):
+        base, body = self._versions.compressed(base)
+        return frames.ConfigurationDocument(self._versions.number, base, body)
--- a/jujubefold/sidecar/versions.py
+++ b/jujubefold/sidecar/versions.py
@@ -68,17 +68,23 @@
         changed: Called with each `Configuration` put in force, and its
             source.
         event_log: An `eventlog.EventLog`.
+        count_fault: Called with `unknown` for each value that was read in
+            another way, and with `invalid` or `damaged` for each document
+            that was not put in force.
 
     Attributes:
         current: The `Configuration` in force.
     """
 
-    def __init__(self, decode, changed, event_log):
+    def __init__(
+        self, decode, changed, event_log, count_fault=lambda effect: None
+    ):
         self._bodies = collections.OrderedDict()
         self.current = Configuration(mesh.Mesh())
         self._decode = decode
         self._changed = changed
         self._event_log = event_log
+        self._count_fault = count_fault
 
     @property
     def number(self):
@@ -117,6 +123,7 @@
         try:
             body = distribution.decompress(data, self._bodies.get(base, b''))
         except ValueError as error:
+            self._count_fault('damaged')
             self._event_log.record(
                 'version.damaged', source=source, detail=str(error)
             )
@@ -135,6 +142,7 @@
             return
         decoded = self._decode(body)
         if decoded.is_error():
+            self._count_fault('invalid')
             self._event_log.record(
                 'version.invalid',
                 source=source,
@@ -157,6 +165,8 @@
             source=source,
             routes=len(configuration.mesh.routes),
         )
+        for _ in configuration.unknown_values:
+            self._count_fault('unknown')
         for item in configuration.unknown_values[:MAX_UNKNOWN_LOGGED]:
             self._event_log.record(
                 'version.unknown_value',
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -32,6 +32,48 @@
         self.assertAlmostEqual(0.2, limiter.expected_duration(table, 'r'))
 
 
+class TestFetches(testtools.TestCase):
+    """Uploads of 60 KB to a gate whose link carries 3.5 Mbit/s."""
+
+    FETCH_S = 60_000 * 8 / 3.5e6
+
+    def admitted(self, backlog, objective=1.8, deadline=3.6):
+        """Return whether an upload is fetched behind others."""
+        table = table_of(6, duration=0.33)
+        return (
+            limiter.refusal_for_fetch(
+                table,
+                request(1, objective=objective, deadline=deadline),
+                (backlog + 1) * self.FETCH_S,
+                0.0,
+            )
+            is None
+        )
+
+    def test_uploads_are_fetched_while_they_will_be_on_time(self):
+        self.assertTrue(self.admitted(0))
+        self.assertTrue(self.admitted(6))
+        self.assertFalse(self.admitted(12))
+
+    def test_refusal_tells_when_the_link_is_free(self):
+        refusal = limiter.refusal_for_fetch(
+            table_of(6), request(1, objective=0.5, deadline=3.0), 1.2, 0.0
+        )
+        self.assertEqual(calls.Reason.QUEUE_FULL, refusal.reason)
+        self.assertIs(errors.Outcome.DID_NOT_RUN, refusal.ran)
+        self.assertEqual(1.2, refusal.retry_after)
+
+    def test_upload_needs_an_upstream_and_enough_time(self):
+        for table, seconds, reason in (
+            (table_of(0), 0.1, calls.Reason.NO_UPSTREAM),
+            (table_of(1), 3.0, calls.Reason.DEADLINE),
+        ):
+            refusal = limiter.refusal_for_fetch(
+                table, request(1, deadline=3.0), seconds, 0.0
+            )
+            self.assertEqual(reason, refusal.reason)
+
+
 class TestAdmission(testtools.TestCase):
     def test_concurrency_equals_the_slots(self):
         table = table_of(2)
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -16,6 +16,8 @@
     'jujubefold_request_seconds': {'service'},
     'jujubefold_store_calls_total': {'operation', 'outcome'},
     'jujubefold_store_seconds': {'operation'},
+    'jujubefold_link_sent_bytes_total': {'kind', 'scope'},
+    'jujubefold_version_faults_total': {'effect'},
     'jujubefold_version_in_force': set(),
     'jujubefold_links': set(),
     'jujubefold_gate_running': set(),
@@ -32,6 +34,8 @@
     sidecar_metrics.count_response('s', 'r', 200, 0.1)
     sidecar_metrics.count_unrouted(calls.Reason.NO_ROUTE)
     sidecar_metrics.count_store_call('read', 'ok', 0.01)
+    sidecar_metrics.set_link_bytes('far', {'offer': 100})
+    sidecar_metrics.count_version_fault('invalid')
     for gauge in (
         sidecar_metrics.version,
         sidecar_metrics.links,
