Avoid upstreams that fail fast, and try them again when they are quiet

Cause: an upstream that sheds or fails its requests within milliseconds looks like the least loaded one; its failure rate only scaled its short time.

Change: a failure rate above 0.15 costs its share of the time to the objective. The rate halves every 2 s without a sample, at the gate and in what others believe of it, so that a recovered upstream gets requests again.

Ruled out: adding the cost from the first failure on; one failure in a hundred then took a third of an upstream's requests away (played load).

Before, played load of 100 requests a second to five gates: more than 0.05 of the requests go to the failing one, 2 tests failed; after: none.

--- a/jujubefold/sidecar/balancer.py
+++ b/jujubefold/sidecar/balancer.py
@@ -20,6 +20,9 @@
 # An answer counts as on time if it is expected within this share of the time
 # to the objective; the rest allows for the variance of durations.
 ON_TIME_SHARE = 0.8
+# Failure rate up to which an upstream counts as sound; a single failure among
+# successes is a tenth.
+SOUND_FAILURE_RATE = 0.15
 # Lower bound of the success rate in the estimate of latency.
 MIN_SUCCESS_RATE = 0.1
 # Seconds after which a load report no longer indicates the queue length.
@@ -146,7 +149,14 @@
     load = candidate.load
     rounds = max(0.0, _occupancy(candidate, now) + 1 - load.slots) / load.slots
     seconds = load.mean_duration * rounds + criteria.duration
-    seconds /= max(MIN_SUCCESS_RATE, 1 - load.failure_rate)
+    failure_rate = limiter.decayed_failure_rate(
+        load.failure_rate, now - candidate.reported_at
+    )
+    seconds /= max(MIN_SUCCESS_RATE, 1 - failure_rate)
+    # A failure mostly loses the request. An upstream that fails fast would
+    # otherwise look like the least loaded one.
+    excess = max(0.0, failure_rate - SOUND_FAILURE_RATE)
+    seconds += excess * max(criteria.time_left, criteria.duration)
     if now < candidate.penalized_until:
         seconds += PENALTY_S
     if criteria.body_size > transfer.INLINE_BYTES:
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -115,7 +115,9 @@
 
     def load(self):
         """Return the gate's `limiter.Load`."""
-        return limiter.load(self.slot_table, self.fetch_backlog)
+        return limiter.load(
+            self.slot_table, self._clock.monotonic(), self.fetch_backlog
+        )
 
     def start(self):
         """Start the periodic check of queued requests and connections."""
--- a/jujubefold/sidecar/limiter.py
+++ b/jujubefold/sidecar/limiter.py
@@ -39,6 +39,9 @@
 # Weight of the newest sample in moving averages; about the last 10 requests
 # determine the average.
 EWMA_WEIGHT = 0.1
+# Seconds without a sample after which the failure rate counts half. An
+# upstream that is avoided because it fails gets no samples.
+FAILURE_HALF_LIFE_S = 2.0
 # Seconds that a request is assumed to take before the first one has ended.
 INITIAL_DURATION_S = 0.05
 # Seconds; with shorter values callers retry before any slot is free.
@@ -118,6 +121,7 @@
         durations: Mean seconds by route, without the warm-up factor.
         mean_duration: Mean seconds of all requests, without that factor.
         failure_rate: Share of recent requests that the upstream failed.
+        sampled_at: Monotonic seconds of the last of them.
     """
 
     slots: int = 0
@@ -127,6 +131,7 @@
     durations: dict[str, float] = dataclasses.field(default_factory=dict)
     mean_duration: float = INITIAL_DURATION_S
     failure_rate: float = 0.0
+    sampled_at: float = 0.0
 
 
 def acquire(table, request, now):
@@ -270,11 +275,12 @@
     return tuple((key, refusal) for key in keys)
 
 
-def load(table, fetch_backlog=0.0):
+def load(table, now, fetch_backlog=0.0):
     """Return the `Load` of a table.
 
     Args:
         table: A `SlotTable`.
+        now: Monotonic seconds.
         fetch_backlog: As in `Load`.
     """
     return Load(
@@ -282,11 +288,21 @@
         len(table.waiting),
         table.slots,
         table.mean_duration * table.warmup_factor,
-        table.failure_rate,
+        decayed_failure_rate(table.failure_rate, now - table.sampled_at),
         fetch_backlog,
     )
 
 
+def decayed_failure_rate(rate, age):
+    """Return the failure rate that is assumed some time after a sample.
+
+    Args:
+        rate: Share of requests that failed.
+        age: Seconds since the last sample.
+    """
+    return rate * 0.5 ** (max(0.0, age) / FAILURE_HALF_LIFE_S)
+
+
 def expected_duration(table, route):
     """Return the seconds for which a request is expected to hold a slot.
 
@@ -398,7 +414,9 @@
 
     Durations of failed requests do not count.
     """
-    table.failure_rate += EWMA_WEIGHT * (failed - table.failure_rate)
+    rate = decayed_failure_rate(table.failure_rate, now - table.sampled_at)
+    table.failure_rate = rate + EWMA_WEIGHT * (failed - rate)
+    table.sampled_at = now
     if failed:
         return
     duration = (now - run.started_at) / run.warmup_factor
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -1,9 +1,11 @@
 """Tests of the selection of an upstream."""
 
+import heapq
 import random
 
 import testtools
 
+from jujubefold import calls
 from jujubefold.sidecar import balancer
 from jujubefold.sidecar import limiter
 
@@ -136,3 +138,89 @@
         )
         self.assertGreater(new, 0.3)
         self.assertLess(old, 0.15)
+
+
+class FailingUpstreamLoad:
+    """Plays requests to gates of which one fails for some time.
+
+    Args:
+        share: Share of its requests that it fails, within 5 ms.
+        start: Seconds at which it begins to fail.
+        end: Seconds at which it has recovered.
+        per_s: Requests a second, in total.
+    """
+
+    GATES = 5
+    DURATION_S = 0.1
+    SECONDS = 30.0
+
+    def __init__(self, share, start, end, per_s):
+        self._failing = (share, start, end)
+        self._rng = random.Random(7)
+        self._tables = [limiter.SlotTable(slots=6) for _ in range(self.GATES)]
+        self._candidates = [
+            candidate(f'vm-{number}', 'domain') for number in range(self.GATES)
+        ]
+        self._events = []
+        now = 0.0
+        while now < self.SECONDS:
+            now += self._rng.expovariate(per_s)
+            heapq.heappush(self._events, (now, len(self._events), None))
+        # Seconds and gate of each request that was sent.
+        self.sent = []
+
+    def run(self):
+        while self._events:
+            now, key, ended = heapq.heappop(self._events)
+            if ended is None:
+                self._arrive(now, key)
+            else:
+                gate, failed = ended
+                limiter.release(self._tables[gate], key, now, failed)
+                self._report(gate, now)
+        return self
+
+    def share_of_failing(self, start, end):
+        """Return the share of requests that the failing gate was sent."""
+        gates = [gate for at, gate in self.sent if start <= at < end]
+        return gates.count(0) / len(gates)
+
+    def _arrive(self, now, key):
+        criteria = balancer.Criteria(0.5, self.DURATION_S)
+        choice = balancer.choose(self._candidates, criteria, now, self._rng)
+        gate = self._candidates.index(choice.candidate)
+        request = limiter.Request(key, 'r', 0, now, now + 0.5, now + 2.0)
+        if not isinstance(
+            limiter.acquire(self._tables[gate], request, now), calls.Admitted
+        ):
+            limiter.release(self._tables[gate], key, now)
+            return
+        self.sent.append((now, gate))
+        self._report(gate, now)
+        share, start, end = self._failing
+        failed = (
+            gate == 0 and start <= now < end and self._rng.random() < share
+        )
+        seconds = 0.005 if failed else self._rng.uniform(0.05, 0.15)
+        heapq.heappush(self._events, (now + seconds, key, (gate, failed)))
+
+    def _report(self, gate, now):
+        balancer.update_load(
+            self._candidates[gate], limiter.load(self._tables[gate], now), now
+        )
+
+
+class TestFailingUpstream(testtools.TestCase):
+    def test_upstream_that_fails_fast_attracts_no_requests(self):
+        """An even share is a fifth; the others have room for all."""
+        for share in (0.45, 1.0):
+            load = FailingUpstreamLoad(share, 5.0, 15.0, per_s=100).run()
+            self.assertLess(load.share_of_failing(7.0, 15.0), 0.05, share)
+
+    def test_upstream_that_recovered_gets_requests_again(self):
+        load = FailingUpstreamLoad(1.0, 5.0, 15.0, per_s=100).run()
+        self.assertGreater(load.share_of_failing(22.0, 30.0), 0.1)
+
+    def test_upstream_that_fails_rarely_keeps_its_share(self):
+        load = FailingUpstreamLoad(0.01, 0.0, 30.0, per_s=100).run()
+        self.assertGreater(load.share_of_failing(2.0, 30.0), 0.1)
