Reject deregistrations and members' rows that can't be read

Cause: a deregistration whose body could not be read ended its upstream for good, whoever sent it; a member's row with an address that is no `ip:port` ended the task that keeps its link. Change: both are rejected and reported.

--- a/jujubefold/platform/announcements.py
+++ b/jujubefold/platform/announcements.py
@@ -78,14 +78,21 @@
                 exchange, upstream_id, b''.join(request.chunks)
             )
         elif call == DEREGISTER:
-            self._receiver.handle_deregistration(
-                upstream_id,
-                _decode_started_ms(b''.join(request.chunks)),
-                _acknowledger(exchange),
+            self._handle_deregistration(
+                exchange, upstream_id, b''.join(request.chunks)
             )
         else:
             exchange.reply(_empty_json(404))
 
+    def _handle_deregistration(self, exchange, upstream_id, body):
+        deregistration = _decode_deregistration(body)
+        if deregistration is None:
+            exchange.reply(_empty_json(400))
+            return
+        self._receiver.handle_deregistration(
+            upstream_id, deregistration.born, _acknowledger(exchange)
+        )
+
     def _handle_heartbeat(self, exchange, upstream_id, body):
         announcement = _decode_heartbeat(upstream_id, body)
         if (
@@ -120,10 +127,12 @@
     )
 
 
-def _decode_started_ms(body):
-    """Return the instance's start in a body; None if it has none."""
+def _decode_deregistration(body):
+    """Return the `_Deregistration` in a body; None if it is invalid."""
+    if not body:
+        return _Deregistration()
     try:
-        return _deregistration_decoder.decode(body).born
+        return _deregistration_decoder.decode(body)
     except (msgspec.DecodeError, UnicodeError):
         return None
 
--- a/jujubefold/sidecar/roster.py
+++ b/jujubefold/sidecar/roster.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import re
 
 import expression
 import msgspec
@@ -31,6 +32,7 @@
     capacity: float = 0.0
 
 
+_ADDRESS = re.compile(r'[0-9.]+:[0-9]{1,5}')
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(Member)
 
@@ -41,15 +43,26 @@
 
 
 def decode(value):
-    """Decode the bytes of a member's row.
+    """Decode and check the bytes of a member's row.
 
     Returns:
         `Ok(Member)` or `Error(errors.Invalid)`.
     """
     try:
-        return expression.Ok(_decoder.decode(value))
+        member = _decoder.decode(value)
     except (msgspec.DecodeError, UnicodeError) as error:
-        return expression.Error(errors.Invalid(str(error), 'member'))
+        return _invalid(str(error))
+    if not member.vm:
+        return _invalid('a member needs a VM name')
+    if not _ADDRESS.fullmatch(member.address):
+        return _invalid(f'{member.address!r} is not an `ip:port`')
+    if not 0 <= member.capacity < math.inf:
+        return _invalid('a capacity must not be negative')
+    return expression.Ok(member)
+
+
+def _invalid(reason):
+    return expression.Error(errors.Invalid(reason, 'member'))
 
 
 def distance(local, other):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -653,6 +653,20 @@
 
         sidecars.run_scenario(scenario)
 
+    def test_invalid_deregistration_does_not_end_an_upstream(self):
+        async def scenario(fleet):
+            await fleet.add('vm-1')
+            await fleet.wait_until_linked()
+            for body in ('{', '[]', '{"born": "x"}', '{"born": 1.5}'):
+                response = await fleet.call_lifecycle_api(
+                    'vm-1', 'deregister', body
+                )
+                self.assertEqual(400, response.status, body)
+            response = await fleet.call('vm-1', '/read/x')
+            self.assertEqual(200, response.status)
+
+        sidecars.run_scenario(scenario)
+
     def test_invalid_announcements_are_rejected(self):
         async def scenario(fleet):
             await fleet.add('vm-1')
