--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -82,3 +82,61 @@
             list(frames.FrameDecoder().feed(data))
         except ValueError:
             pass
+
+
+class OldLoad(msgspec.Struct, array_like=True, tag='load'):
+    """Load as the release before `fetch_backlog_ms` has it."""
+
+    running: int
+    waiting: int
+    slots: int
+    mean_duration_ms: int
+    failure_percent: int
+
+
+class OldHello(msgspec.Struct, array_like=True, tag='hello'):
+    """Hello as the release before `transfers` has it."""
+
+    member: roster.Member
+    version: int
+    load: OldLoad
+    resume: tuple[int, ...] = ()
+
+
+class OldVersionInForce(msgspec.Struct, array_like=True, tag='newer'):
+    """VersionInForce as the release before `members_changed` has it."""
+
+    version: int
+    is_reader: bool
+
+
+class TestOtherReleases(testtools.TestCase):
+    """Messages of the release before, and of this one to it."""
+
+    def decode_old(self, message, kind):
+        body = frames.encode(message)[4:]
+        return msgspec.msgpack.decode(body, type=kind)
+
+    def decode_new(self, message):
+        body = msgspec.msgpack.encode(message)
+        data = len(body).to_bytes(4, 'big') + body
+        (found,) = frames.FrameDecoder().feed(data)
+        return found
+
+    def test_older_daemons_ignore_added_fields(self):
+        new = frames.Hello(MEMBER, 3, LOAD, (1,), transfers=True)
+        found = self.decode_old(new, OldHello)
+        self.assertEqual((MEMBER, 3, (1,)), (found.member, 3, found.resume))
+        announcement = frames.VersionInForce(4, True, 9)
+        found = self.decode_old(announcement, OldVersionInForce)
+        self.assertEqual((4, True), (found.version, found.is_reader))
+
+    def test_added_fields_have_defaults_without_them(self):
+        old = OldHello(MEMBER, 3, OldLoad(1, 2, 3, 40, 5), (1,))
+        found = self.decode_new(old)
+        self.assertEqual(frames.Hello(MEMBER, 3, LOAD, (1,)), found)
+        self.assertFalse(found.transfers)
+        self.assertEqual(
+            frames.VersionInForce(4, True),
+            self.decode_new(OldVersionInForce(4, True)),
+        )
