Offer an upload elsewhere if only this gate's link is too slow for it

Cause: a refusal for lack of time to fetch the body ended the request, though another gate may have a faster or idle link. Change: it counts as a full queue.

--- a/jujubefold/sidecar/limiter.py
+++ b/jujubefold/sidecar/limiter.py
@@ -185,12 +185,11 @@
     if not table.slots:
         return _refused(calls.Reason.NO_UPSTREAM, MIN_RETRY_AFTER_S).refusal
     expected = expected_duration(table, request.route)
-    ready_at = now + fetch_seconds
-    if ready_at + expected * MIN_REMAINING_SHARE > request.deadline:
+    if now + expected * MIN_REMAINING_SHARE > request.deadline:
         return _refused(calls.Reason.DEADLINE, 0.0).refusal
     starts = _predicted_starts(table, now, request)
-    start = max(ready_at, starts[request.key])
-    if start + expected > _admission_limit(request):
+    end = max(now + fetch_seconds, starts[request.key]) + expected
+    if end > min(_admission_limit(request), request.deadline):
         retry_after = max(fetch_seconds, _retry_after(table, starts, now))
         return _refused(
             calls.Reason.QUEUE_FULL, min(MAX_RETRY_AFTER_S, retry_after)
