--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -20,7 +20,8 @@
 GRACE_S = 6.0
 HEARTBEAT_INTERVAL_S = 0.4
 
-_SETTINGS = """
+# Settings of a daemon, to be formatted with its addresses.
+SETTINGS = """
 [daemon]
 vm = "{vm}"
 region = "r"
@@ -99,7 +100,7 @@
         await self.start_upstream()
         settings = self._folder / f'{self.name}.toml'
         settings.write_text(
-            _SETTINGS.format(
+            SETTINGS.format(
                 vm=self.name,
                 failure_domain=self._failure_domain,
                 advertised=self.peers.address,
--- a/tests/test_daemonstart.py
+++ b/tests/test_daemonstart.py
@@ -12,40 +12,27 @@
 import testtools
 
 from jujubefold.sidecar import daemon
+from soak import testbed as testbeds
 from tests import sidecars
 
 ROOT = pathlib.Path(__file__).parents[1]
-SETTINGS = """
-[daemon]
-vm = "vm-1"
-region = "r"
-failure_domain = "a"
-[listen]
-callers = "{0}"
-peers = "{1}"
-readiness = "{2}"
-announcements = "{3}"
-metrics = "{4}"
-[upstream]
-service = "pickups"
-address = "127.0.0.1:1"
-drain = 2.0
-[store]
-address = "127.0.0.1:1"
-[retries]
-ratio = 0.2
-window = 10.0
-slack = 56.0
-[stop]
-grace = {grace}
-"""
 
 
 def settings_text(grace=6.0):
-    addresses = [
-        f'{sidecars.LOOPBACK}:{sidecars.free_port()}' for _ in range(5)
-    ]
-    return SETTINGS.format(*addresses, grace=grace)
+    names = ('callers', 'peers', 'readiness', 'announcements', 'metrics')
+    addresses = {
+        name: f'{sidecars.LOOPBACK}:{sidecars.free_port()}' for name in names
+    }
+    return testbeds.SETTINGS.format(
+        vm='vm-1',
+        failure_domain='a',
+        advertised=addresses['peers'],
+        upstream='127.0.0.1:1',
+        store='127.0.0.1:1',
+        drain=2.0,
+        grace=grace,
+        **addresses,
+    )
 
 
 def survives_hangup(pid):
