Let a sender that is cut off hold up no other upload

Cause: requested parts of a body fill the window of the receiving gate; a sender that was cut off without a reset kept it until keepalive closed the connection, 4 s, and no other body was fetched. Found by reading. Change: a body without a part for 0.5 s is suspended; a late part resumes it.

--- a/jujubefold/sidecar/peerserver.py
+++ b/jujubefold/sidecar/peerserver.py
@@ -146,6 +146,8 @@
         Args:
             now: Monotonic seconds.
         """
+        transfer.suspend_stalled(self._transfers, now)
+        self._request_parts()
         for key, orphaned_at in tuple(self._orphaned_at.items()):
             if now - orphaned_at > ORPHAN_TIMEOUT_S:
                 del self._orphaned_at[key]
@@ -303,13 +305,17 @@
 
     def _handle_part(self, key, message):
         size = len(message.data)
-        if transfer.record_part(self._transfers, key, message.offset, size):
+        now = self._clock.monotonic()
+        if transfer.record_part(
+            self._transfers, key, message.offset, size, now
+        ):
             self._request_parts()
             self._offers[key].body.add(message.data)
 
     def _request_parts(self):
         self._egress.fetch_backlog = transfer.backlog_seconds(self._transfers)
-        for part in transfer.next_parts(self._transfers):
+        now = self._clock.monotonic()
+        for part in transfer.next_parts(self._transfers, now):
             self._offers[part.key].connection.send(
                 frames.BodyRequest(part.key[-1], part.offset, part.size)
             )
--- a/jujubefold/sidecar/transfer.py
+++ b/jujubefold/sidecar/transfer.py
@@ -18,6 +18,9 @@
 MAX_WINDOW_BYTES = 1024 * 1024
 # Parts in a window: the next one is on its way while one is received.
 PARTS_PER_WINDOW = 2
+# Seconds without a requested part after which other bodies are fetched
+# meanwhile: its sender may be cut off.
+STALL_S = 0.5
 # Bytes of bodies that are fetched at the same time. One body alone may be
 # larger.
 MAX_FETCHED_BYTES = 32 * 1024 * 1024
@@ -140,12 +143,15 @@
         size: Bytes of the whole body.
         received: Bytes received so far, from the start.
         requested: Bytes requested so far, from the start.
-        suspended: Whether its sender is not connected.
+        progress_at: Monotonic seconds of the last part, or of the request for
+            the first one.
+        suspended: Whether its sender is not connected or sends nothing.
     """
 
     size: int
     received: int = 0
     requested: int = 0
+    progress_at: float = 0.0
     suspended: bool = False
 
 
@@ -268,7 +274,24 @@
         transfer.suspended = False
 
 
-def record_part(table, key, offset, size):
+def suspend_stalled(table, now):
+    """Suspend bodies of which requested parts don't arrive.
+
+    A part that arrives after all resumes its body.
+
+    Args:
+        table: A `TransferTable`.
+        now: Monotonic seconds.
+    """
+    for key, transfer in table.transfers.items():
+        if (
+            transfer.requested > transfer.received
+            and now - transfer.progress_at > STALL_S
+        ):
+            suspend(table, key)
+
+
+def record_part(table, key, offset, size, now):
     """Note a part that was received.
 
     Args:
@@ -276,6 +299,7 @@
         key: Key of the transfer.
         offset: Position of the part's first byte.
         size: Its bytes.
+        now: Monotonic seconds.
 
     Returns:
         Whether it is the next part of a body being fetched. Others come from
@@ -287,17 +311,20 @@
     if not 0 < size <= transfer.size - offset:
         return False
     transfer.received += size
+    transfer.progress_at = now
+    transfer.suspended = False
     transfer.requested = max(transfer.requested, transfer.received)
     if transfer.received == transfer.size:
         stop(table, key)
     return True
 
 
-def next_parts(table):
+def next_parts(table, now):
     """Yield each `Part` to request now, and note it as requested.
 
     Args:
         table: A `TransferTable`.
+        now: Monotonic seconds.
     """
     free = table.window - sum(
         item.requested - item.received for item in table.transfers.values()
@@ -309,6 +336,8 @@
             if size > free:
                 return
             free -= size
+            if transfer.requested == transfer.received:
+                transfer.progress_at = now
             part = Part(key, transfer.requested, size)
             transfer.requested += size
             yield part
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -25,9 +25,9 @@
     parts = list(parts)
     while parts:
         part = parts.pop(0)
-        if transfer.record_part(table, part.key, part.offset, part.size):
+        if transfer.record_part(table, part.key, part.offset, part.size, 0.0):
             received.setdefault(part.key, []).append((part.offset, part.size))
-        parts.extend(transfer.next_parts(table))
+        parts.extend(transfer.next_parts(table, 0.0))
     return received
 
 
@@ -45,7 +45,7 @@
         table = table_of()
         transfer.start(table, 'a', 20 * KIB)
         transfer.start(table, 'b', 20 * KIB)
-        first = list(transfer.next_parts(table))
+        first = list(transfer.next_parts(table, 0.0))
         self.assertEqual(
             [('a', 0, 8 * KIB), ('a', 8 * KIB, 8 * KIB)],
             [(part.key, part.offset, part.size) for part in first],
@@ -58,27 +58,49 @@
     def test_sender_that_is_not_connected_holds_up_nobody(self):
         table = table_of()
         transfer.start(table, 'a', 20 * KIB)
-        lost = list(transfer.next_parts(table))
+        lost = list(transfer.next_parts(table, 0.0))
         transfer.start(table, 'b', 8 * KIB)
-        self.assertEqual([], list(transfer.next_parts(table)))
+        self.assertEqual([], list(transfer.next_parts(table, 0.0)))
         transfer.suspend(table, 'a')
         self.assertEqual(
-            ['b'], [part.key for part in transfer.next_parts(table)]
+            ['b'], [part.key for part in transfer.next_parts(table, 0.0)]
         )
-        transfer.record_part(table, 'b', 0, 8 * KIB)
+        transfer.record_part(table, 'b', 0, 8 * KIB, 0.0)
         transfer.resume(table, 'a')
-        again = list(transfer.next_parts(table))
+        again = list(transfer.next_parts(table, 0.0))
         self.assertEqual(lost, again)
 
+    def test_sender_that_sends_nothing_holds_up_nobody(self):
+        table = table_of()
+        transfer.start(table, 'a', 20 * KIB)
+        list(transfer.next_parts(table, 1.0))
+        transfer.start(table, 'b', 8 * KIB)
+        for now, expected in (
+            (1.0 + transfer.STALL_S - 0.1, []),
+            (1.0 + transfer.STALL_S + 0.1, ['b']),
+        ):
+            transfer.suspend_stalled(table, now)
+            parts = transfer.next_parts(table, now)
+            self.assertEqual(expected, [part.key for part in parts])
+        # A part that was only late resumes its body.
+        self.assertTrue(transfer.record_part(table, 'a', 0, 8 * KIB, 2.0))
+        transfer.record_part(table, 'b', 0, 8 * KIB, 2.0)
+        parts = transfer.next_parts(table, 2.0)
+        self.assertEqual(['a', 'a'], [part.key for part in parts])
+
     def test_parts_of_an_earlier_connection_are_ignored(self):
         table = table_of()
         transfer.start(table, 'a', 20 * KIB)
-        list(transfer.next_parts(table))
-        self.assertTrue(transfer.record_part(table, 'a', 0, 8 * KIB))
+        list(transfer.next_parts(table, 0.0))
+        self.assertTrue(transfer.record_part(table, 'a', 0, 8 * KIB, 0.0))
         for offset, size in ((0, 8 * KIB), (16 * KIB, 4 * KIB), (8 * KIB, 0)):
-            self.assertFalse(transfer.record_part(table, 'a', offset, size))
-        self.assertFalse(transfer.record_part(table, 'a', 8 * KIB, 13 * KIB))
-        self.assertFalse(transfer.record_part(table, 'b', 0, 1))
+            self.assertFalse(
+                transfer.record_part(table, 'a', offset, size, 0.0)
+            )
+        self.assertFalse(
+            transfer.record_part(table, 'a', 8 * KIB, 13 * KIB, 0.0)
+        )
+        self.assertFalse(transfer.record_part(table, 'b', 0, 1, 0.0))
 
     def test_memory_is_limited_except_for_a_single_body(self):
         table = table_of()
@@ -102,7 +124,7 @@
         received = dict.fromkeys(range(len(sizes)), 0)
         for key, size in enumerate(sizes):
             transfer.start(table, key, size)
-        in_transit = list(transfer.next_parts(table))
+        in_transit = list(transfer.next_parts(table, 0.0))
         while in_transit:
             self.assertLessEqual(outstanding(table), window)
             if rng.random() < 0.1:
@@ -113,10 +135,10 @@
             elif in_transit:
                 part = in_transit.pop(0)
                 if transfer.record_part(
-                    table, part.key, part.offset, part.size
+                    table, part.key, part.offset, part.size, 0.0
                 ):
                     received[part.key] += part.size
-            in_transit.extend(transfer.next_parts(table))
+            in_transit.extend(transfer.next_parts(table, 0.0))
         self.assertEqual(dict(enumerate(sizes)), received)
 
 
@@ -125,8 +147,8 @@
         table = transfer.new_table(capacity=8.0)
         transfer.start(table, 'a', 500_000)
         self.assertAlmostEqual(0.5, transfer.backlog_seconds(table))
-        list(transfer.next_parts(table))
-        transfer.record_part(table, 'a', 0, 8 * 1000)
+        list(transfer.next_parts(table, 0.0))
+        transfer.record_part(table, 'a', 0, 8 * 1000, 0.0)
         self.assertAlmostEqual(0.492, transfer.backlog_seconds(table))
         self.assertAlmostEqual(0.992, transfer.backlog_seconds(table, 500_000))
 
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -178,6 +178,27 @@
 
         self.run_with(scenario)
 
+    def test_sender_that_is_cut_off_holds_up_no_other_upload(self):
+        async def scenario(fleet):
+            await fleet.add('vm-9', service='routes', capacity=SLOW_LINK)
+            await fleet.wait_until_linked()
+            silent = fleet.daemons['vm-9'].fleet._peers['vm-2'].link
+            silent._send_part = lambda connection, message: None
+            table = fleet.daemons['vm-2'].fleet.peer_server._transfers
+            lost = asyncio.ensure_future(
+                fleet.call('vm-9', '/up/lost', 'POST', BODY)
+            )
+            await sidecars.wait_until(lambda: table.transfers, 2.0)
+            response = await fleet.call(
+                'vm-1', '/up/x', 'POST', BODY, **{'X-Deadline-Ms': '1400'}
+            )
+            self.assertEqual(200, response.status)
+            self.assertNotEqual(200, (await lost).status)
+            requests = fleet.upstreams['vm-2'].requests
+            self.assertEqual(['/up/x'], [item.target for item in requests])
+
+        self.run_with(scenario)
+
     def test_small_request_overtakes_an_upload(self):
         async def scenario(fleet):
             parts = self.record_parts(fleet)
