Leave bodies that are suspended out of a link's backlog

Cause: a body whose sender is cut off was counted as work of the gate's link, so that other uploads were refused or placed elsewhere for its sake. Before: 0.992 s where 0.5 s are due; after: 0.5 s.

--- a/jujubefold/sidecar/transfer.py
+++ b/jujubefold/sidecar/transfer.py
@@ -226,7 +226,9 @@
         size: Bytes of a further body.
     """
     missing = sum(
-        item.size - item.received for item in table.transfers.values()
+        item.size - item.received
+        for item in table.transfers.values()
+        if not item.suspended
     )
     return seconds(missing + size, table.capacity)
 
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -151,6 +151,8 @@
         transfer.record_part(table, 'a', 0, 8 * 1000, 0.0)
         self.assertAlmostEqual(0.492, transfer.backlog_seconds(table))
         self.assertAlmostEqual(0.992, transfer.backlog_seconds(table, 500_000))
+        transfer.suspend(table, 'a')
+        self.assertAlmostEqual(0.5, transfer.backlog_seconds(table, 500_000))
 
 
 class TestBodies(testtools.TestCase):
