--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -240,23 +240,29 @@
         names = distribution.readers(self.nearby_daemons())
         return self._own_member.vm in names
 
-    @property
-    def should_read_versions(self):
-        """Whether this daemon should read versions from the platform."""
+    def should_read_versions(self, is_reader):
+        """Return whether to read versions from the platform.
+
+        Args:
+            is_reader: This daemon's `is_reader`.
+        """
         return readers.should_read_versions(
             self.readers,
             bool(self._versions.number),
-            self.is_reader,
+            is_reader,
             self._clock.monotonic(),
         )
 
-    @property
-    def should_read_members(self):
-        """Whether this daemon should read members from the platform."""
+    def should_read_members(self, is_reader):
+        """Return whether to read members from the platform.
+
+        Args:
+            is_reader: This daemon's `is_reader`.
+        """
         return readers.should_read_members(
             self.readers,
             self.roster.complete,
-            self.is_reader,
+            is_reader,
             self._clock.monotonic(),
         )
 
--- a/jujubefold/sidecar/peering.py
+++ b/jujubefold/sidecar/peering.py
@@ -10,6 +10,7 @@
 import dataclasses
 import hashlib
 
+from jujubefold.sidecar import balancer
 from jujubefold.sidecar import roster
 
 # Links to each service in each other failure domain.
@@ -42,11 +43,7 @@
 
 def is_near(table, member):
     """Return whether a member is in the own failure domain."""
-    local = table.local
-    return (member.region, member.failure_domain) == (
-        local.region,
-        local.failure_domain,
-    )
+    return roster.distance(table.local, member) in balancer.SAME_DOMAIN
 
 
 def add(table, member):
