--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -128,6 +128,7 @@
         self._event_log = event_log
         self._metrics = metrics.SidecarMetrics()
         self._stopping = False
+        self._closed = False
         self.stop_requested = asyncio.Event()
         self.versions = versions.Versions(
             platform.decode,
@@ -201,6 +202,8 @@
         self._tasks = []
         self._timer = None
         self._previous_version = 0
+        self._versions_task = None
+        self._members_task = None
         self._members_watcher = self._new_watcher(
             MEMBERS_TABLE,
             self._replace_members,
@@ -437,27 +440,40 @@
     def _sweep(self):
         now = self._clock.monotonic()
         self.fleet.sweep()
-        self._update_feeds()
+        self._update_versions_task()
+        self._update_members_task()
         self.ingress.cancel_expired(now)
         self._event_log.flush()
         self._timer = asyncio.get_running_loop().call_later(
             SWEEP_INTERVAL_S, self._sweep
         )
 
-    def _update_feeds(self):
-        """Start or stop following the versions and the members.
+    def _update_versions_task(self):
+        """Start or stop following the configuration row.
 
-        Only the daemons that `fleet.Fleet` selects as readers follow them; the
-        others receive them from these, also while this daemon stops.
+        Only the daemons that `fleet.Fleet` selects as readers follow it; the
+        others receive versions from them, also while this daemon stops.
         """
-        is_reader = self.fleet.is_reader
-        self._versions_watcher.follow(
-            self.fleet.should_read_versions(is_reader)
-        )
-        reads_members = self.fleet.should_read_members(is_reader)
-        if reads_members and not self._members_watcher.active:
+        reads = self.fleet.should_read_versions and not self._closed
+        if reads and self._versions_task is None:
+            self._versions_task = backgroundtasks.spawn(
+                self._versions_watcher.run()
+            )
+        elif not reads and self._versions_task is not None:
+            self._versions_task.cancel()
+            self._versions_task = None
+
+    def _update_members_task(self):
+        """Start or stop following the members, as readers do."""
+        reads = self.fleet.should_read_members and not self._closed
+        if reads and self._members_task is None:
             self._members_watcher.skip_to(self.fleet.readers.members_version)
-        self._members_watcher.follow(reads_members)
+            self._members_task = backgroundtasks.spawn(
+                self._members_watcher.run()
+            )
+        elif not reads and self._members_task is not None:
+            self._members_task.cancel()
+            self._members_task = None
 
     def _render_metrics(self):
         load = self.egress.load()
@@ -482,8 +498,9 @@
     async def close(self):
         """Close everything at once, without waiting for requests."""
         self._stopping = True
-        self._versions_watcher.follow(False)
-        self._members_watcher.follow(False)
+        self._closed = True
+        self._update_versions_task()
+        self._update_members_task()
         for task in self._tasks:
             task.cancel()
         if self._timer is not None:
--- a/jujubefold/sidecar/feedwatcher.py
+++ b/jujubefold/sidecar/feedwatcher.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 
-from jujubefold import backgroundtasks
 from jujubefold import errors
 from jujubefold.sidecar import rowfeed
 
@@ -68,30 +67,12 @@
         self._event_log = event_log
         self._version = None
         self._failing = False
-        self._task = None
 
     @property
     def version(self):
         """Store version up to which changes were read; 0 for none."""
         return self._version or 0
 
-    @property
-    def active(self):
-        """Whether the table is being followed."""
-        return self._task is not None
-
-    def follow(self, active):
-        """Start or stop following the table, unless it is so already.
-
-        Args:
-            active: Whether to follow it.
-        """
-        if active and self._task is None:
-            self._task = backgroundtasks.spawn(self.run())
-        elif not active and self._task is not None:
-            self._task.cancel()
-            self._task = None
-
     def skip_to(self, version):
         """Do not read changes that were received in another way.
 
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -240,29 +240,23 @@
         names = distribution.readers(self.nearby_daemons())
         return self._own_member.vm in names
 
-    def should_read_versions(self, is_reader):
-        """Return whether to read versions from the platform.
-
-        Args:
-            is_reader: This daemon's `is_reader`.
-        """
+    @property
+    def should_read_versions(self):
+        """Whether this daemon should read versions from the platform."""
         return readers.should_read_versions(
             self.readers,
             bool(self._versions.number),
-            is_reader,
+            self.is_reader,
             self._clock.monotonic(),
         )
 
-    def should_read_members(self, is_reader):
-        """Return whether to read members from the platform.
-
-        Args:
-            is_reader: This daemon's `is_reader`.
-        """
+    @property
+    def should_read_members(self):
+        """Whether this daemon should read members from the platform."""
         return readers.should_read_members(
             self.readers,
             self.roster.complete,
-            is_reader,
+            self.is_reader,
             self._clock.monotonic(),
         )
 
--- a/jujubefold/sidecar/limiter.py
+++ b/jujubefold/sidecar/limiter.py
@@ -148,16 +148,17 @@
     Returns:
         `calls.Admitted`, `calls.Queued` or `calls.Refused`.
     """
-    refused = _refused_outright(table, request, now)
-    if refused is not None:
-        return refused
+    if not table.slots:
+        return _refused(calls.Reason.NO_UPSTREAM, MIN_RETRY_AFTER_S)
+    expected = expected_duration(table, request.route)
+    if now + expected * MIN_REMAINING_SHARE > request.deadline:
+        return _refused(calls.Reason.DEADLINE, 0.0)
     if len(table.running) < table.slots and not table.waiting:
         _start(table, request, now)
         return calls.Admitted()
     if not request.may_queue:
         return _refused(calls.Reason.NO_SLOT, MIN_RETRY_AFTER_S)
     starts = _predicted_starts(table, now, request)
-    expected = expected_duration(table, request.route)
     if starts[request.key] + expected > _admission_limit(request):
         return _refused(
             calls.Reason.QUEUE_FULL, _retry_after(table, starts, now)
@@ -181,11 +182,12 @@
     Returns:
         A `calls.Refusal` or None.
     """
-    refused = _refused_outright(table, request, now)
-    if refused is not None:
-        return refused.refusal
-    starts = _predicted_starts(table, now, request)
+    if not table.slots:
+        return _refused(calls.Reason.NO_UPSTREAM, MIN_RETRY_AFTER_S).refusal
     expected = expected_duration(table, request.route)
+    if now + expected * MIN_REMAINING_SHARE > request.deadline:
+        return _refused(calls.Reason.DEADLINE, 0.0).refusal
+    starts = _predicted_starts(table, now, request)
     end = max(now + fetch_seconds, starts[request.key]) + expected
     if end > min(_admission_limit(request), request.deadline):
         retry_after = max(fetch_seconds, _retry_after(table, starts, now))
@@ -312,16 +314,6 @@
     )
 
 
-def _refused_outright(table, request, now):
-    """Return `calls.Refused` if a free slot would not help, or None."""
-    if not table.slots:
-        return _refused(calls.Reason.NO_UPSTREAM, MIN_RETRY_AFTER_S)
-    expected = expected_duration(table, request.route)
-    if now + expected * MIN_REMAINING_SHARE > request.deadline:
-        return _refused(calls.Reason.DEADLINE, 0.0)
-    return None
-
-
 def _start(table, request, now):
     table.running[request.key] = Run(request, now, table.warmup_factor)
 
--- a/jujubefold/sidecar/peering.py
+++ b/jujubefold/sidecar/peering.py
@@ -10,7 +10,6 @@
 import dataclasses
 import hashlib
 
-from jujubefold.sidecar import balancer
 from jujubefold.sidecar import roster
 
 # Links to each service in each other failure domain.
@@ -43,7 +42,11 @@
 
 def is_near(table, member):
     """Return whether a member is in the own failure domain."""
-    return roster.distance(table.local, member) in balancer.SAME_DOMAIN
+    local = table.local
+    return (member.region, member.failure_domain) == (
+        local.region,
+        local.failure_domain,
+    )
 
 
 def add(table, member):
--- a/tests/test_fleetlinks.py
+++ b/tests/test_fleetlinks.py
@@ -53,7 +53,7 @@
         return [
             vm
             for vm, sidecar in fleet.daemons.items()
-            if sidecar._members_watcher.active
+            if sidecar._members_task is not None
         ]
 
     async def wait_until_supplied(self, fleet):
