Log when a daemon hears of a version, asks for it, and starts to read

A late daemon logged only `version.in_force`, which does not tell whether it heard of the version late, asked for it in vain, or waited.

--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -514,6 +514,8 @@
         others receive versions from them, also while this daemon stops.
         """
         reads = self.fleet.should_read_versions and not self._closed
+        if reads != (self._versions_task is not None):
+            self._log_reads(self._platform.configuration_table, reads)
         if reads and self._versions_task is None:
             self._versions_task = backgroundtasks.spawn(
                 self._versions_watcher.run()
@@ -525,6 +527,8 @@
     def _update_members_task(self):
         """Start or stop following the members, as readers do."""
         reads = self.fleet.should_read_members and not self._closed
+        if reads != (self._members_task is not None):
+            self._log_reads(enlistment.MEMBERS_TABLE, reads)
         if reads and self._members_task is None:
             self._members_watcher.skip_to(self.fleet.readers.members_version)
             self._members_task = backgroundtasks.spawn(
@@ -534,12 +538,23 @@
             self._members_task.cancel()
             self._members_task = None
 
+    def _log_reads(self, table, reads):
+        """Log whether this daemon now follows a table of the platform."""
+        self._event_log.record(
+            'reader.started' if reads else 'reader.stopped',
+            table=table,
+            is_reader=self.fleet.is_reader,
+            reader_age=self.fleet.reader_age,
+            version=self.versions.number,
+        )
+
     def _render_metrics(self):
         table = self.egress.slot_table
         self._metrics.running.set({}, len(table.running))
         self._metrics.waiting.set({}, len(table.waiting))
         self._metrics.slots.set({}, table.slots)
         self._metrics.limit.set({}, self.egress.instance_table.limit or 0)
+        self._metrics.known_version.set({}, self.fleet.version_exchange.known)
         self._metrics.links.set({}, self.fleet.linked_count)
         self._metrics.set_link_bytes('near', self.fleet.traffic.near)
         self._metrics.set_link_bytes('far', self.fleet.traffic.far)
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 
 from jujubefold import calls
 from jujubefold import callserver
@@ -101,7 +102,7 @@
         self._reported_load = limiter.Load()
         self._load_reported_at = 0.0
         self.version_exchange = versionexchange.VersionExchange(
-            self, versions, clock, rng, store_era
+            self, versions, clock, rng, store_era, event_log
         )
         self.peer_server = peerserver.PeerServer(
             egress,
@@ -248,6 +249,14 @@
         names = distribution.readers(self.nearby_daemons())
         return self._own_member.vm in names
 
+    @property
+    def reader_age(self):
+        """Seconds since a reader announced itself; None if none ever did."""
+        seen_at = self.readers.versions_seen_at
+        if math.isinf(seen_at):
+            return None
+        return round(self._clock.monotonic() - seen_at, 3)
+
     @property
     def should_read_versions(self):
         """Whether this daemon should read versions from the platform."""
--- a/jujubefold/sidecar/link.py
+++ b/jujubefold/sidecar/link.py
@@ -100,6 +100,11 @@
         self.domain = ''
         self.received_data = False
 
+    @property
+    def peer_vm(self):
+        """Name of the other daemon's VM; '' while it is unknown."""
+        return '' if self.peer is None else self.peer[0]
+
     @property
     def open(self):
         """Whether messages can be sent."""
@@ -201,6 +206,11 @@
         self._down_at = None
         self._ready_connection = None
 
+    @property
+    def peer_vm(self):
+        """Name of the other daemon's VM."""
+        return self.vm
+
     @property
     def up(self):
         """Whether the connection is open and the hello was received."""
--- a/jujubefold/sidecar/metrics.py
+++ b/jujubefold/sidecar/metrics.py
@@ -26,6 +26,7 @@
 
     Attributes:
         version: Gauge of the configuration version in force.
+        known_version: Gauge of the newest version that this daemon knows of.
         links: Gauge of the daemons that can be offered requests.
         running: Gauge of the requests that hold a slot.
         waiting: Gauge of the requests that wait for a slot.
@@ -81,6 +82,10 @@
         self.version = self._gauge(
             'jujubefold_version_in_force', 'Configuration version in force.'
         )
+        self.known_version = self._gauge(
+            'jujubefold_version_known',
+            'Newest configuration version that the daemon was told of.',
+        )
         self.links = self._gauge(
             'jujubefold_links', 'Other daemons that can be offered requests.'
         )
--- a/jujubefold/sidecar/versionexchange.py
+++ b/jujubefold/sidecar/versionexchange.py
@@ -24,22 +24,32 @@
         clock: A `clock.Clock`.
         rng: A `random.Random`.
         store_era: The `storeera.StoreEra` of this daemon.
+        event_log: An `eventlog.EventLog`.
 
     Attributes:
         feed_failing: Whether reads of the platform's feed are failing.
     """
 
-    def __init__(self, fleet, versions, clock, rng, store_era):
+    def __init__(self, fleet, versions, clock, rng, store_era, event_log):
         self.feed_failing = False
         self._fleet = fleet
         self._versions = versions
         self._clock = clock
         self._rng = rng
         self._store_era = store_era
+        self._event_log = event_log
         self._awaited = None
         self._sources = []
         self._announced_at = 0.0
 
+    @property
+    def known(self):
+        """Number of the newest version that any daemon told this one of."""
+        awaited = versions_module.Stamp()
+        if self._awaited is not None:
+            awaited, _ = self._awaited
+        return max(awaited, self._versions.stamp).number
+
     def announce(self, previous, source):
         """Announce the version that is now in force to other daemons.
 
@@ -86,8 +96,24 @@
             )
             self._awaited = (stamp, fetch_at)
             self._sources.clear()
+            self._log_heard(stamp, channel)
         self._sources.append(channel)
 
+    def _log_heard(self, stamp, channel):
+        """Log a newer version that another daemon announced first."""
+        now = self._clock.monotonic()
+        _, fetch_at = self._awaited
+        self._event_log.record(
+            'version.heard',
+            version=stamp.number,
+            era=stamp.era,
+            in_force=self._versions.number,
+            peer=channel.peer_vm,
+            reader_age=self._fleet.reader_age,
+            feed_failing=self.feed_failing,
+            fetch_in=round(fetch_at - now, 3),
+        )
+
     def handle_request(self, message, channel):
         """Answer a `frames.ConfigurationRequest` if this daemon's is newer."""
         stamp = versions_module.Stamp(message.version, message.era)
@@ -126,7 +152,14 @@
         if stamp > self._versions.stamp:
             # Documents are large, and traffic between domains is charged.
             near = [item for item in sources if self._fleet.is_near(item)]
-            self._rng.choice(near or sources).send(
+            source = self._rng.choice(near or sources)
+            self._event_log.record(
+                'version.requested',
+                version=stamp.number,
+                era=stamp.era,
+                peer=source.peer_vm,
+            )
+            source.send(
                 frames.ConfigurationRequest(
                     self._versions.number,
                     self._versions.stamp.era,
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -19,6 +19,7 @@
     'jujubefold_link_sent_bytes_total': {'kind', 'scope'},
     'jujubefold_version_faults_total': {'effect'},
     'jujubefold_version_in_force': set(),
+    'jujubefold_version_known': set(),
     'jujubefold_store_era_changes_total': set(),
     'jujubefold_links': set(),
     'jujubefold_gate_running': set(),
@@ -41,6 +42,7 @@
     sidecar_metrics.count_era_change()
     for gauge in (
         sidecar_metrics.version,
+        sidecar_metrics.known_version,
         sidecar_metrics.links,
         sidecar_metrics.running,
         sidecar_metrics.waiting,
