Refuse the largest answer when all buffered ones wait for memory

Three answers without end, read side by side, filled the 32 MiB for answers of a gate, and then each waited for memory that only the others could release. Until the first deadline (1.5 s in the test) no answer of more than one read came through that gate, and a good one of 1 MiB was late. Whoever holds memory and waits for more can now be refused: once only such reservations are left, the largest is, and its request ends with 502 at once.

Ruled out: refusing whoever can't grow, which would hit small answers.

--- a/jujubefold/bodymemory.py
+++ b/jujubefold/bodymemory.py
@@ -12,11 +12,15 @@
         size: Bytes held now.
         pending: Further bytes requested and not granted yet.
         on_granted: Called without arguments when `pending` is granted.
+        on_refused: Called without arguments if `pending` can't be granted,
+            because all memory is held by reservations that wait for more and
+            this one is the largest; it must then be released.
     """
 
     size: int = 0
     pending: int = 0
     on_granted: object = None
+    on_refused: object = None
 
 
 class Budget:
@@ -61,6 +65,7 @@
         reservation.pending = size
         reservation.on_granted = on_granted
         self._waiting.append(reservation)
+        self._refuse_if_stuck()
         return False
 
     def release(self, reservation):
@@ -72,6 +77,7 @@
         self._used -= reservation.size
         reservation.size = 0
         self._grant()
+        self._refuse_if_stuck()
 
     def _hold(self, reservation, size):
         self._used += size
@@ -88,3 +94,11 @@
             first.pending = 0
             first.on_granted = None
             on_granted()
+
+    def _refuse_if_stuck(self):
+        """Refuse the largest reservation if only waiting ones hold memory."""
+        holders = [item for item in self._waiting if item.size]
+        if holders and sum(item.size for item in holders) == self._used:
+            largest = max(holders, key=lambda item: item.size)
+            if largest.on_refused is not None:
+                largest.on_refused()
--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -358,8 +358,10 @@
             self._error = (FailureKind.TOO_LARGE, 'answer body too large')
         elif answer.memory.pending:
             answer.memory.pending += size
-        elif not budget.reserve(answer.memory, size, self._memory_granted):
-            self._transport.pause_reading()
+        else:
+            answer.memory.on_refused = self._memory_refused
+            if not budget.reserve(answer.memory, size, self._memory_granted):
+                self._transport.pause_reading()
 
     def _memory_granted(self):
         self.last_activity = self._pool.now
@@ -367,6 +369,14 @@
             return
         self._transport.resume_reading()
 
+    def _memory_refused(self):
+        # Not at once: this may be called from the parser.
+        self._pool.loop.call_soon(self._abort_waiting)
+
+    def _abort_waiting(self):
+        if self.waits_for_memory:
+            self.abort(FailureKind.TOO_LARGE, 'no memory for the answer body')
+
     def _finish(self):
         waiter, self._waiter = self._waiter, None
         answer, self._answer = self._answer, None
--- a/tests/test_bodymemory.py
+++ b/tests/test_bodymemory.py
@@ -73,6 +73,26 @@
         budget.release(second)
         self.assertEqual(['third'], granted)
 
+    def test_largest_is_refused_if_all_holders_wait_for_more(self):
+        budget = bodymemory.Budget(10)
+        refused = []
+        held = [
+            bodymemory.Reservation(
+                on_refused=lambda index=index: refused.append(index)
+            )
+            for index in range(3)
+        ]
+        budget.reserve(held[0], 4, None)
+        budget.reserve(held[1], 5, None)
+        # Whoever holds memory and does not wait will release it.
+        self.assertFalse(budget.reserve(held[0], 2, lambda: None))
+        self.assertFalse(budget.reserve(held[2], 7, lambda: None))
+        self.assertEqual([], refused)
+        self.assertFalse(budget.reserve(held[1], 2, lambda: None))
+        self.assertEqual([1], refused)
+        budget.release(held[1])
+        self.assertEqual(6, held[0].size)
+
 
 class TestDaemonMemory(testtools.TestCase):
     def test_many_large_bodies_stay_within_the_limit(self):
--- a/tests/test_endlessanswers.py
+++ b/tests/test_endlessanswers.py
@@ -166,3 +166,23 @@
                 self.run_case(
                     (start, piece[:6]), '/write/endless', 'POST', TRICKLE_S
                 )
+
+    def test_endless_bodies_do_not_hold_up_other_answers(self):
+        async def scenario(fleet):
+            await fleet.add('vm-1', slots=4)
+            await fleet.wait_until_linked()
+            upstream = fleet.upstreams['vm-1']
+            handler = EndlessUpstream(upstream, *BODIES['chunks'])
+            upstream.handler = handler.handle
+            endless = [
+                asyncio.ensure_future(fleet.call('vm-1', '/read/endless'))
+                for _ in range(3)
+            ]
+            await self.wait_until_stalled(handler)
+            async with asyncio.timeout(ANSWER_S):
+                good = await fleet.call('vm-1', '/read/good')
+            self.assertEqual((200, GOOD), (good.status, good.body))
+            for response in await asyncio.gather(*endless):
+                self.assertIn(response.status, (502, 504))
+
+        sidecars.run_scenario(scenario)
