End requests to an earlier start of the upstream at their deadline

A gate swept only the connections to the current start of its upstream. If the path to the start before was lost without closing its connection, or that answered without end, a request that must run once held its slot for good, as nobody closes it: with one slot, no further request ran on that VM. Pools of earlier starts are now swept until their last exchange has ended. test_answer_of_a_replaced_upstream_is_cut_at_the_deadline failed before.

--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -110,6 +110,9 @@
         self._event_log = event_log
         self._answers = bodymemory.Budget(ANSWER_BUFFER_BYTES)
         self._pool = None
+        # Pools of earlier starts of the upstream, until their last exchange
+        # has ended.
+        self._retired_pools = []
         self._waiters = {}
         self._timer = None
         self._paced_timer = None
@@ -136,8 +139,8 @@
         for timer in (self._timer, self._paced_timer):
             if timer is not None:
                 timer.cancel()
-        if self._pool is not None:
-            self._pool.close()
+        for pool in self._pools():
+            pool.close()
 
     # The upstream's state
 
@@ -175,6 +178,7 @@
     def _connect_to(self, address):
         if self._pool is not None:
             self._pool.retire()
+            self._retired_pools.append(self._pool)
         self._pool = callclient.Pool(
             address,
             self.instance_table.current.slots + SPARE_CONNECTIONS,
@@ -185,6 +189,11 @@
             close_delimited=True,
         )
 
+    def _pools(self):
+        if self._pool is None:
+            return ()
+        return (*self._retired_pools, self._pool)
+
     def update_slots(self):
         """Update the usable slots and the warm-up factor of the upstream."""
         now = self._clock.monotonic()
@@ -540,8 +549,11 @@
         now = self._clock.monotonic()
         self._evict(limiter.evict_overdue(self.slot_table, now))
         self.update_slots()
-        if self._pool is not None:
-            self._pool.sweep()
+        for pool in self._pools():
+            pool.sweep()
+        self._retired_pools = [
+            item for item in self._retired_pools if item.size
+        ]
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(SWEEP_S, self._sweep)
 
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -151,11 +151,15 @@
 
     async def stop(self):
         """Simulate a crash: stop listening and reset all connections."""
-        self._server.close()
+        self.close_listener()
         for writer in tuple(self._writers):
             reset_connection(writer)
         await asyncio.sleep(0.01)
 
+    def close_listener(self):
+        """Stop listening, and keep the connections that are open."""
+        self._server.close()
+
     async def answer(
         self, request, writer, status='200 OK', body=b'ok', extra=''
     ):
--- a/tests/test_endlessanswers.py
+++ b/tests/test_endlessanswers.py
@@ -186,3 +186,29 @@
                 self.assertIn(response.status, (502, 504))
 
         sidecars.run_scenario(scenario)
+
+    def test_answer_of_a_replaced_upstream_is_cut_at_the_deadline(self):
+        async def scenario(fleet):
+            await fleet.add('vm-1', slots=1)
+            await fleet.wait_until_linked()
+            upstream = fleet.upstreams['vm-1']
+            start, piece = BODIES['until close']
+            handler = EndlessUpstream(upstream, start, piece[:6], TRICKLE_S)
+            upstream.handler = handler.handle
+            call = asyncio.ensure_future(
+                fleet.call('vm-1', '/write/endless', 'POST')
+            )
+            await sidecars.wait_until(lambda: handler.written, 1.0)
+            # The path to the start before is lost, but not its connection.
+            upstream.close_listener()
+            replacement = sidecars.Upstream('i-2', slots=1)
+            await replacement.start(upstream.address)
+            fleet.upstreams['vm-1'] = replacement
+            self.assertEqual(200, await fleet.announce('vm-1', born=2))
+            self.assertIn((await call).status, (502, 504))
+            await sidecars.wait_until(lambda: handler.closed_at, ANSWER_S)
+            gate = fleet.daemons['vm-1'].egress
+            self.assertEqual(0, len(gate.slot_table.running))
+            await upstream.stop()
+
+        sidecars.run_scenario(scenario)
