Tell of a version before its document is here, so that none waits in turn

Callers on grown Lueshui got 404 for routes of a version that was acknowledged 2.6 to 3.4 s before (2.5 are allowed). Both readers of a failure domain had lost the store without notice. A reader notices that after up to 3.4 s, and tells the daemons that it supplies all the while that it follows the store.

The class: a wait that is meant to run once runs once a hop, and a failure is detected by who has failed. Now a number is passed on at once, by the same number of messages, so all waits run at the same time. A daemon that is told of a version which its own feed should have brought reads again at once, on another connection, so that a silent feed is found after 1.8 s instead of 3.4, and one whose connection only went silent is mended.

Ruled out by the new log lines: an answer that is lost (each request was followed by the version), and daemons that are behind (the news itself came within 0.1 s). Ruled out as a fix: reading more often, which costs calls to the platform all the time and still leaves a wait a hop.

--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -224,6 +224,7 @@
         self._versions_task = None
         self._members_task = None
         self._restore_task = None
+        self.fleet.version_exchange.on_feed_late = self._read_versions_again
         # Era in which the members were last read in full; if that was a copy,
         # the VMs missing from it, and until when they may write their rows.
         self._members_era = 0
@@ -524,6 +525,18 @@
             self._versions_task.cancel()
             self._versions_task = None
 
+    def _read_versions_again(self):
+        """Read the versions again at once, if this daemon follows them.
+
+        Their feed has not brought a version that other daemons know. Its
+        connection may be silent, or the store that this daemon reaches.
+        """
+        if self._versions_task is not None:
+            self._versions_task.cancel()
+            self._versions_task = backgroundtasks.spawn(
+                self._versions_watcher.run()
+            )
+
     def _update_members_task(self):
         """Start or stop following the members, as readers do."""
         reads = self.fleet.should_read_members and not self._closed
--- a/jujubefold/sidecar/feedwatcher.py
+++ b/jujubefold/sidecar/feedwatcher.py
@@ -67,6 +67,7 @@
         self._event_log = event_log
         self._cursor = None
         self._failing = False
+        self._confirmed = False
 
     @property
     def cursor(self):
@@ -86,8 +87,10 @@
         """Follow the table until cancelled."""
         retry_delay = MIN_RETRY_S
         interval = self._intervals.initial
+        self._confirmed = False
         while True:
             result = await self._read_once()
+            self._confirmed = result.is_ok()
             if result.is_ok():
                 retry_delay = MIN_RETRY_S
                 self._note_success()
@@ -102,9 +105,9 @@
     async def _read_once(self):
         apply = self._update
         if self._cursor is not None:
-            # The store may have returned in another era, which an answer
-            # shows; so the first call after a failure waits for nothing.
-            wait = 0.0 if self._failing else self._intervals.wait
+            # The first call after a start or a failure waits for nothing: it
+            # shows soon whether the store answers, and in which era.
+            wait = self._intervals.wait if self._confirmed else 0.0
             result = await self._feed.changes(
                 self._table, self._cursor.version, wait
             )
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -102,7 +102,7 @@
         self._reported_load = limiter.Load()
         self._load_reported_at = 0.0
         self.version_exchange = versionexchange.VersionExchange(
-            self, versions, clock, rng, store_era, event_log
+            self, versions, clock, store_era, event_log
         )
         self.peer_server = peerserver.PeerServer(
             egress,
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -201,10 +201,11 @@
 
 
 class VersionInForce(Message, tag='newer'):
-    """Announces the configuration version in force at the sender.
+    """Announces a configuration version to other daemons.
 
     Args:
-        version: Its number.
+        version: Its number. The version is in force at the sender or, unless
+            that is a reader, awaited by it.
         is_reader: Whether the sender reads versions from the platform.
         members_changed: Store version of the last change of members that the
             sender, a reader, knows; 0 if it does not follow them.
--- a/tests/test_feedwatcher.py
+++ b/tests/test_feedwatcher.py
@@ -134,6 +134,36 @@
 
         self.play(scenario)
 
+    def test_first_read_after_a_start_shows_at_once_whether_it_fails(self):
+        async def main():
+            feed = rowfeed.MemoryRowFeed()
+            waits = []
+            changes = feed.changes
+
+            async def recorded(table, after, wait):
+                waits.append(wait)
+                return await changes(table, after, wait)
+
+            feed.changes = recorded
+            watcher = feedwatcher.FeedWatcher(
+                feed,
+                't',
+                lambda rows: None,
+                lambda rows: None,
+                feedwatcher.PollIntervals(0.01, 0.01, WAIT_S),
+                lambda available: None,
+                random.Random(1),
+                sidecars.RecordingEventLog(),
+            )
+            for _ in range(2):
+                task = asyncio.ensure_future(watcher.run())
+                await asyncio.sleep(0.2)
+                task.cancel()
+            # The first start reads the table in full before.
+            self.assertEqual([WAIT_S, 0.0, WAIT_S], waits)
+
+        asyncio.run(main())
+
     def test_row_at_a_version_that_was_given_out_again_is_not_missed(self):
         async def scenario(feed, received, event_log):
             feed.era = 1
