Announce versions to daemons at growing distances

Announcements went to the next three daemons in the order of names: 9 hops through a failure domain of 26, each of which may meet a busy daemon, and three frozen neighbours cut the way of everybody behind them. They now go to the next one and to two that are further by a factor each (1, 3 and 9 of 26): 6 hops at most, 7 of 39, 15 of 137, by as many messages as before. test_announcement_reaches_a_large_domain_in_few_hops and test_three_frozen_neighbours_cut_nobody_off failed before.

--- a/jujubefold/sidecar/distribution.py
+++ b/jujubefold/sidecar/distribution.py
@@ -64,10 +64,11 @@
 
 
 def successors(local, near, far):
-    """Return the VM names of the daemons that follow in the order of names.
+    """Return the VM names of the daemons that versions are announced to.
 
-    Each daemon announces new versions to its successors, so that these reach
-    all daemons.
+    They follow in the order of names, at distances that grow by a factor. So
+    an announcement reaches all daemons in few hops, and also if some that
+    follow each other are frozen.
 
     Args:
         local: Name of this daemon's VM.
@@ -121,4 +122,15 @@
 def _following(local, names, count):
     names = sorted(names)
     start = bisect.bisect(names, local)
-    return (names[start:] + names[:start])[:count]
+    names = names[start:] + names[:start]
+    if len(names) <= count:
+        return names
+    return [names[distance - 1] for distance in _distances(len(names), count)]
+
+
+def _distances(size, count):
+    """Yield increasing distances from 1, below a ring's size."""
+    distance = 0
+    for index in range(count):
+        distance = max(distance + 1, round(size ** (index / count)))
+        yield distance
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -42,20 +42,43 @@
         )
         self.assertEqual((), distribution.recipients(other, fleet))
 
+    def hops(self, count, silent=()):
+        """Return after how many hops an announcement has reached each VM.
+
+        Args:
+            count: Number of VMs; the first one announces a version.
+            silent: VMs that pass nothing on although they are linked.
+        """
+        names = [f'vm-{number:03}' for number in range(count)]
+        reached = {names[0]: 0}
+        pending = [names[0]]
+        for vm in pending:
+            if vm in silent:
+                continue
+            for successor in distribution.successors(
+                vm, set(names) - {vm}, ()
+            ):
+                if successor not in reached:
+                    reached[successor] = reached[vm] + 1
+                    pending.append(successor)
+        return reached
+
     def test_successors_connect_all_daemons(self):
-        names = [f'vm-{number:02}' for number in range(30)]
-        reached = {names[0]}
-        while True:
-            more = reached.union(
-                *(
-                    distribution.successors(vm, set(names) - {vm}, ())
-                    for vm in reached
-                )
-            )
-            if more == reached:
-                break
-            reached = more
-        self.assertEqual(set(names), reached)
+        for count in range(1, 60):
+            self.assertEqual(count, len(self.hops(count)))
+
+    def test_announcement_reaches_a_large_domain_in_few_hops(self):
+        # Each hop may meet a daemon that is busy for some tenths of a second.
+        for count, most in ((8, 3), (26, 6), (39, 7), (137, 15)):
+            self.assertLessEqual(max(self.hops(count).values()), most, count)
+
+    def test_three_frozen_neighbours_cut_nobody_off(self):
+        for count in (8, 26, 39):
+            for first in range(1, count - 3):
+                silent = {
+                    f'vm-{number:03}' for number in range(first, first + 3)
+                }
+                self.assertEqual(count, len(self.hops(count, silent)))
 
 
 class TestCompression(testtools.TestCase):
