--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -537,16 +537,6 @@
                 (near if is_near else far).append(vm)
         return distribution.successors(self._own_member.vm, near, far)
 
-    def is_near(self, channel):
-        """Return whether a link or connection is to the own domain."""
-        if isinstance(channel, link.Connection):
-            return channel.domain == self._own_member.failure_domain
-        peer = self._peers.get(channel.vm)
-        return (
-            peer is not None
-            and peer.candidate.distance in balancer.SAME_DOMAIN
-        )
-
     # Periodic work
 
     def broadcast_load(self):
--- a/jujubefold/sidecar/link.py
+++ b/jujubefold/sidecar/link.py
@@ -101,7 +101,7 @@
         self.received_data = False
 
     @property
-    def peer_vm(self):
+    def vm(self):
         """Name of the other daemon's VM; '' while it is unknown."""
         return '' if self.peer is None else self.peer[0]
 
@@ -206,11 +206,6 @@
         self._down_at = None
         self._ready_connection = None
 
-    @property
-    def peer_vm(self):
-        """Name of the other daemon's VM."""
-        return self.vm
-
     @property
     def up(self):
         """Whether the connection is open and the hello was received."""
--- a/jujubefold/sidecar/versionexchange.py
+++ b/jujubefold/sidecar/versionexchange.py
@@ -163,7 +163,7 @@
             version=awaited.stamp.number,
             era=awaited.stamp.era,
             in_force=self._versions.number,
-            peer=channel.peer_vm,
+            peer=channel.vm,
             reader_age=self._fleet.reader_age,
             feed_failing=self.feed_failing,
             fetch_in=round(awaited.fetch_at - self._clock.monotonic(), 3),
@@ -229,7 +229,7 @@
             'version.requested',
             version=awaited.stamp.number,
             era=awaited.stamp.era,
-            peer=source.peer_vm,
+            peer=source.vm,
         )
         source.send(
             frames.ConfigurationRequest(
--- a/tests/test_versionexchange.py
+++ b/tests/test_versionexchange.py
@@ -17,7 +17,7 @@
     """Records the messages sent to another daemon."""
 
     def __init__(self, vm):
-        self.peer_vm = vm
+        self.vm = vm
         self.sent = []
 
     def send(self, message):
