Tell other daemons at once of the store's new era

Whoever learns of an era now tells its successors, once. test_reader_that_hears_nothing_from_the_store_is_told_of_the_era failed before.

--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -479,6 +479,7 @@
         self._metrics.count_era_change()
         if self._closed:
             return
+        self.fleet.version_exchange.announce_era()
         if self._restore_task is not None:
             self._restore_task.cancel()
         self._restore_task = backgroundtasks.spawn(
--- a/jujubefold/sidecar/versionexchange.py
+++ b/jujubefold/sidecar/versionexchange.py
@@ -115,6 +115,13 @@
         if stamp <= self._passed_on:
             return
         self._passed_on = stamp
+        self._announce(stamp, excluded)
+
+    def announce_era(self):
+        """Tell other daemons at once of the store's new era."""
+        self._announce(self._versions.stamp)
+
+    def _announce(self, stamp, excluded=()):
         message = frames.VersionInForce(
             stamp.number,
             is_reader=False,
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -10,6 +10,8 @@
 import socket
 import struct
 
+import expression
+
 from jujubefold import clock
 from jujubefold import errors
 from jujubefold.platform import adapter
@@ -24,6 +26,9 @@
 LOOPBACK = f'127.1.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}'
 # Below the range of ephemeral ports, which outgoing connections use.
 _ports = itertools.cycle(range(10_000, 30_000))
+# Seconds after which a call that the store does not answer fails, in addition
+# to those for which it waits for changes.
+STORE_TIMEOUT_S = 1.0
 SEAL = 'X-Server-Seal: s\r\n'
 ROUTE_COLUMNS = [
     'name',
@@ -39,6 +44,38 @@
 ]
 
 
+class SilenceableFeed(rowfeed.RowFeed):
+    """A feed whose calls are not answered while it is silent."""
+
+    def __init__(self, feed):
+        self.silent = False
+        self._feed = feed
+
+    async def read(self, table):
+        return await self._answer(self._feed.read(table), 0.0)
+
+    async def get(self, table, key):
+        return await self._answer(self._feed.get(table, key), 0.0)
+
+    async def changes(self, table, after, wait):
+        return await self._answer(self._feed.changes(table, after, wait), wait)
+
+    async def put(self, table, key, value):
+        return await self._answer(self._feed.put(table, key, value), 0.0)
+
+    async def remove(self, table, key):
+        return await self._answer(self._feed.remove(table, key), 0.0)
+
+    async def _answer(self, call, wait):
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait + STORE_TIMEOUT_S
+        result = await call
+        if not self.silent:
+            return result
+        await asyncio.sleep(deadline - loop.time())
+        return expression.Error(store_unavailable())
+
+
 class RecordingEventLog(eventlog.EventLog):
     """Records events in memory instead of logging them."""
 
--- a/tests/test_silentreaders.py
+++ b/tests/test_silentreaders.py
@@ -1,62 +1,22 @@
 """Tests of versions whose readers lose the store without notice."""
 
-import asyncio
-
-import expression
 import testtools
 
-from jujubefold.sidecar import rowfeed
 from tests import sidecars
 
 # Seconds after its acknowledgement within which a version is in force on all
 # daemons that can be reached.
 APPLY_S = 2.0
-# Seconds after which a call that the store does not answer fails, in addition
-# to those for which it waits for changes.
-STORE_TIMEOUT_S = 1.0
-
 NEAR = tuple(f'a-{number:02}' for number in range(1, 13))
 FAR = ('b-1', 'b-2', 'c-1', 'c-2')
 
 
-class SilenceableFeed(rowfeed.RowFeed):
-    """A feed whose calls are not answered while it is silent."""
-
-    def __init__(self, feed):
-        self.silent = False
-        self._feed = feed
-
-    async def read(self, table):
-        return await self._answer(self._feed.read(table), 0.0)
-
-    async def get(self, table, key):
-        return await self._answer(self._feed.get(table, key), 0.0)
-
-    async def changes(self, table, after, wait):
-        return await self._answer(self._feed.changes(table, after, wait), wait)
-
-    async def put(self, table, key, value):
-        return await self._answer(self._feed.put(table, key, value), 0.0)
-
-    async def remove(self, table, key):
-        return await self._answer(self._feed.remove(table, key), 0.0)
-
-    async def _answer(self, call, wait):
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + wait + STORE_TIMEOUT_S
-        result = await call
-        if not self.silent:
-            return result
-        await asyncio.sleep(deadline - loop.time())
-        return expression.Error(sidecars.store_unavailable())
-
-
 class TestSilentReaders(testtools.TestCase):
     def run_with(self, scenario):
         """Run a scenario with domain a, whose readers are a-01 and a-02."""
 
         async def start(fleet):
-            feeds = {vm: SilenceableFeed(fleet.feed) for vm in NEAR}
+            feeds = {vm: sidecars.SilenceableFeed(fleet.feed) for vm in NEAR}
             for vm in (*NEAR, *FAR):
                 await fleet.add(vm, domain=vm[0], feed=feeds.get(vm))
             await fleet.wait_until_linked(len(NEAR) - 1 + len(FAR) // 2)
--- a/tests/test_storeera.py
+++ b/tests/test_storeera.py
@@ -15,6 +15,8 @@
 # Seconds after the store's return from which the platform counts it as stable;
 # within them all daemons know the era.
 STABLE_S = 3.0
+# Seconds after one daemon has noticed the era within which all know it.
+TOLD_S = 1.0
 # Seconds from then within which rows that were lost are written again, and a
 # version that the operator wrote is in force.
 RESTORED_S = 2.0
@@ -288,6 +290,20 @@
 
         self.run_with(scenario)
 
+    def test_reader_that_hears_nothing_from_the_store_is_told_of_the_era(self):
+        async def scenario(fleet):
+            feed = sidecars.SilenceableFeed(fleet.feed)
+            # The first by name, and so a reader.
+            reader = await fleet.add('a-0', feed=feed)
+            await fleet.wait_until_linked()
+            feed.silent = True
+            fleet.feed.restore(fleet.feed.copy())
+            await sidecars.wait_until(
+                lambda: reader._store_era.known == fleet.feed.era, TOLD_S
+            )
+
+        self.run_with(scenario)
+
     def test_return_costs_few_calls(self):
         calls = []
 
