Let the soak watch the version that each daemon has in force

The soak published versions and asked for the newest one only after all faults were over, so versions that are late, or go backward, could not fail it. It now polls each daemon's metric: a number never falls within a process, and a version is in force 2 s after its publication, and 1 s more for a busy machine, at each daemon that had no fault for 3 s while the store and one daemon's way to it had none. A daemon that is only cut off from the store is not excused. `--kinds` limits the faults that are drawn, so that there are such times.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,12 +10,15 @@
 from soak import checks
 from soak import faults
 from soak import testbed as testbeds
+from soak import versionwatch
 
 # Concurrent callers.
 CALLERS = 8
 
 
-async def run_seed(seed, seconds, size, folder):
+async def run_seed(
+    seed, seconds, size, folder, kinds=faults.KINDS + faults.LATER_KINDS
+):
     """Run a testbed under the faults of one seed and check the results.
 
     Args:
@@ -23,6 +26,7 @@
         seconds: For how long faults are started.
         size: Number of daemons.
         folder: Path of the folder for settings and logs.
+        kinds: Names of the kinds of faults to draw from.
 
     Returns:
         One line for each violated guarantee.
@@ -41,11 +45,14 @@
         tasks = [
             asyncio.ensure_future(callers.run(done)) for _ in range(CALLERS)
         ]
+        watch = versionwatch.VersionWatch(testbed)
+        watching = asyncio.ensure_future(watch.run())
         loop = asyncio.get_running_loop()
         started = loop.time()
         await faults.run(
             testbed,
             seconds,
+            kinds,
             lambda text: print(
                 f'{loop.time() - started:.2f} {text}', file=fault_log
             ),
@@ -56,6 +63,8 @@
         violations.extend(
             [line async for line in checks.lost_members(testbed)]
         )
+        watching.cancel()
+        violations.extend(watch.violations)
         done.set()
         await asyncio.gather(*tasks)
         violations.extend(checks.violations(testbed, callers))
@@ -65,6 +74,9 @@
         print(
             f'seed {seed}: {served} of {len(callers.results)} served', end=''
         )
+        print(
+            f', {watch.checked} times held to have a version in time', end=''
+        )
         print(f', {len(violations)} guarantees violated')
         return violations
     finally:
@@ -83,7 +95,16 @@
     parser.add_argument(
         '--size', type=int, default=4, help='number of daemons'
     )
+    parser.add_argument(
+        '--kinds',
+        default=','.join(faults.KINDS + faults.LATER_KINDS),
+        help='kinds of faults to draw from, separated by commas',
+    )
     options = parser.parse_args()
+    kinds = tuple(options.kinds.split(','))
+    unknown = set(kinds) - {*faults.KINDS, *faults.LATER_KINDS}
+    if unknown:
+        parser.error(f'unknown kinds: {", ".join(sorted(unknown))}')
     seeds = [options.seed]
     if options.seed is None:
         seeds = random.sample(range(10**9), options.seeds)
@@ -91,7 +112,7 @@
     for seed in seeds:
         folder = tempfile.mkdtemp(prefix=f'soak-{seed}-')
         violations = asyncio.run(
-            run_seed(seed, options.seconds, options.size, folder)
+            run_seed(seed, options.seconds, options.size, folder, kinds)
         )
         for line in violations[:5]:
             print(f'  {line}')
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """Random faults injected into a testbed, drawn from its seed."""
 
 import asyncio
+import contextlib
 import random
 import signal
 
@@ -27,6 +28,13 @@
 # Drawn apart from the faults above, so that a seed still draws the same of
 # those.
 LATER_KINDS = ('limit', 'leave', 'store_return')
+# Faults of a VM's process or links, and those of the store or of many VMs.
+VM_FAULTS = frozenset(
+    ('delay', 'one_way', 'silence', 'reset', 'kill', 'pause', 'term')
+)
+COMMON_FAULTS = frozenset(
+    ('store_mode', 'store_compact', 'store_return', 'herd')
+)
 STORE_MODES = ('busy', 'many', 'reset', 'silent', 'lost')
 # Range of the duration of a fault, in seconds.
 DURATION_S = (0.3, 3.0)
@@ -39,22 +47,33 @@
 LIMIT_DURATION_S = (4.0, 8.0)
 
 
-async def run(testbed, seconds, log):
+async def run(testbed, seconds, kinds, log):
     """Inject faults for some time, then wait until all are undone.
 
     Args:
         testbed: A `testbed.Testbed`.
         seconds: For how long new faults are started.
+        kinds: Names of the kinds of faults to draw from.
         log: Called with one line of text for each fault.
     """
     end = asyncio.get_running_loop().time() + seconds
     later = random.Random(testbed.seed)
     await asyncio.gather(
-        _inject(testbed, KINDS, INTERVAL_S, testbed.rng, end, log),
-        _inject(testbed, LATER_KINDS, LATER_INTERVAL_S, later, end, log),
+        *(
+            _inject(testbed, drawn, interval, rng, end, log)
+            for drawn, interval, rng in (
+                (_among(KINDS, kinds), INTERVAL_S, testbed.rng),
+                (_among(LATER_KINDS, kinds), LATER_INTERVAL_S, later),
+            )
+            if drawn
+        )
     )
 
 
+def _among(names, kinds):
+    return tuple(name for name in names if name in kinds)
+
+
 async def _inject(testbed, kinds, interval, rng, end, log):
     """Start faults of some kinds until a time, and wait until they end."""
     loop = asyncio.get_running_loop()
@@ -64,13 +83,23 @@
         vm = rng.choice(testbed.vms)
         duration = rng.uniform(*DURATION_S)
         log(f'{kind} {vm.name} {duration:.2f}')
-        tasks.append(
-            asyncio.ensure_future(_FAULTS[kind](testbed, vm, duration))
-        )
+        tasks.append(asyncio.ensure_future(_play(testbed, kind, vm, duration)))
         await asyncio.sleep(rng.uniform(*interval))
     await asyncio.gather(*tasks)
 
 
+async def _play(testbed, kind, vm, duration):
+    """Play a fault, and note what is disturbed by it meanwhile."""
+    with contextlib.ExitStack() as disturbed:
+        if kind in VM_FAULTS:
+            disturbed.enter_context(vm.calm.broken())
+        elif kind in COMMON_FAULTS:
+            disturbed.enter_context(testbed.calm.broken())
+        elif kind == 'store_cut':
+            disturbed.enter_context(vm.store_calm.broken())
+        await _FAULTS[kind](testbed, vm, duration)
+
+
 async def _delay(testbed, vm, duration):
     vm.peers.link.delay = testbed.rng.choice((0.005, 0.05, 0.4))
     await asyncio.sleep(duration)
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -1,13 +1,16 @@
 """Testbed: daemon processes with their upstreams and a shared store."""
 
 import asyncio
+import contextlib
 import dataclasses
+import math
 import os
 import pathlib
 import random
 import signal
 import subprocess
 import sys
+import time
 
 import msgspec
 
@@ -66,6 +69,29 @@
     arrivals: list = dataclasses.field(default_factory=list)
 
 
+class Calm:
+    """Whether something is, and since when it has been, without faults."""
+
+    def __init__(self):
+        self._faults = 0
+        self._since = -math.inf
+
+    @contextlib.contextmanager
+    def broken(self):
+        """Count a fault while the context is entered."""
+        self._faults += 1
+        try:
+            yield
+        finally:
+            self._faults -= 1
+            # Loop time is the same clock, and needs a running loop.
+            self._since = time.monotonic()
+
+    def since(self, start):
+        """Return whether there has been no fault since a loop time."""
+        return not self._faults and self._since <= start
+
+
 class Vm:
     """A daemon process with its upstream.
 
@@ -82,12 +108,16 @@
     def __init__(self, name, failure_domain, folder, store, rng):
         self.name = name
         self.callers = ''
+        self.metrics = ''
         self.upstream = sidecars.Upstream(f'i-{name}')
         self.peers = None
         self.store = proxy.Proxy(store)
         # Loop time of the latest kill or resumption of the daemon, or of the
         # planned end of a pause. Connections lost near it are excused.
         self.disrupted_at = -1e9
+        # Faults of its process and its links, and of its way to the store.
+        self.calm = Calm()
+        self.store_calm = Calm()
         # Loop time at which the daemon acknowledged that the upstream drains.
         self.draining_since = None
         # Pairs of a request that reached the upstream after its drain time,
@@ -113,6 +143,7 @@
             for name in names
         }
         self.callers = self._listen_addresses['callers']
+        self.metrics = self._listen_addresses['metrics']
         self.peers = proxy.Proxy(self._listen_addresses['peers'])
         await self.peers.start()
         await self.store.start()
@@ -237,6 +268,11 @@
 
     # The daemon
 
+    @property
+    def process_id(self):
+        """Process id of the daemon's newest start."""
+        return self._process.pid
+
     def start_daemon(self):
         """Start the daemon's process, unless it runs.
 
@@ -305,8 +341,12 @@
         self.rng = random.Random(seed)
         self.store = rowstore.RowStore()
         self.store.era = '1'
+        # Faults of the store, and of all VMs.
+        self.calm = Calm()
         self.version = 0
         self.target = ''
+        # Loop time and number of each version published.
+        self._published = []
         self._document = b''
         self._writes = 0
         self.vms = []
@@ -342,6 +382,15 @@
             self.version, [*sidecars.ROUTES, new]
         )
         self.store.put('op', 'config', self._document)
+        now = asyncio.get_running_loop().time()
+        self._published.append((now, self.version))
+
+    def newest_before(self, latest):
+        """Return the number of the newest version published by a loop time."""
+        return max(
+            (number for at, number in self._published if at <= latest),
+            default=0,
+        )
 
     def publish_lost(self):
         """Write the newest version under its number, if the store lost it."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from soak import __main__ as soak
 from soak import checks
 from soak import testbed as testbeds
+from soak import versionwatch
 from tests import sidecars
 
 # Seeds of every run. Add each seed that fails, with a line on the cause.
@@ -143,3 +144,64 @@
         self.assertEqual([], self.violations([12.9] * 99))
         self.assertEqual([], self.violations([13.0] * 17 + [17.0] * 17))
         self.assertEqual(1, len(self.violations([14.0] * 17 + [17.9])))
+
+
+class TestVersionWatch(testtools.TestCase):
+    NOW = 100.0
+    # A version published at this time must be in force.
+    DUE = NOW - versionwatch.APPLY_S - versionwatch.MACHINE_MARGIN_S
+
+    def setUp(self):
+        super().setUp()
+        self.testbed = testbeds.Testbed(1, 0, '.')
+        self.testbed.vms = [
+            testbeds.Vm(
+                f'vm-{n}', 'a', pathlib.Path('.'), 'h:1', random.Random(1)
+            )
+            for n in range(2)
+        ]
+        self.testbed._published = [(self.DUE - 50.0, 1), (self.DUE, 2)]
+        self.watch = versionwatch.VersionWatch(self.testbed)
+
+    def check(self, number):
+        """Check the version of the first VM; return the violations' kinds."""
+        self.watch.violations.clear()
+        self.watch._check_time(self.testbed.vms[0], number, self.NOW)
+        return [line.split(':')[0] for line in self.watch.violations]
+
+    def test_late_version_is_found(self):
+        self.assertEqual(['late'], self.check(1))
+        self.assertEqual([], self.check(2))
+        self.testbed._published[-1] = (self.DUE + 0.1, 2)
+        self.assertEqual([], self.check(1))
+
+    def test_a_disturbed_daemon_or_store_is_excused(self):
+        for calm in (self.testbed.vms[0].calm, self.testbed.calm):
+            with calm.broken():
+                self.assertEqual([], self.check(1))
+
+    def test_a_daemon_cut_off_from_the_store_is_told_by_others(self):
+        first, second = self.testbed.vms
+        with first.store_calm.broken():
+            self.assertEqual(['late'], self.check(1))
+            with second.calm.broken():
+                self.assertEqual([], self.check(1))
+
+    def test_time_without_faults_begins_when_the_last_one_ends(self):
+        async def scenario():
+            calm = testbeds.Calm()
+            now = asyncio.get_running_loop().time()
+            with calm.broken(), calm.broken():
+                self.assertFalse(calm.since(now))
+            self.assertFalse(calm.since(now))
+            self.assertTrue(calm.since(asyncio.get_running_loop().time()))
+
+        asyncio.run(scenario())
+
+    def test_step_back_within_one_process_is_found(self):
+        vm = self.testbed.vms[0]
+        for process, number in ((1, 3), (1, 3), (2, 1), (2, 4), (1, 2)):
+            self.watch._check_order(vm, process, number)
+        self.assertEqual(
+            ['backward: vm-0 went from version 3 to 2'], self.watch.violations
+        )
