Start the split of a route's requests at a random point

Each daemon began a split with the service of the largest weight. The first requests of a route after a change of its weights are a few for each daemon, so they leaned the same way everywhere: a fleet of 195 sent 0.66 of 300 requests to a service of weight 0.5 (0.6 is the platform's bound from 300 requests on). Each now starts at a random point of the sequence; the counts of one daemon stay as close to the weights. test_first_requests_of_a_large_fleet_follow_the_weights failed before.

--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -117,7 +117,7 @@
         self._fleet = fleet
         self._versions = versions
         self.retry_table = retry_table
-        self._traffic_splits = trafficsplit.SplitTable()
+        self._traffic_splits = trafficsplit.SplitTable(rng)
         self._clock = clock
         self._rng = rng
         self._event_log = event_log
--- a/jujubefold/sidecar/trafficsplit.py
+++ b/jujubefold/sidecar/trafficsplit.py
@@ -1,12 +1,17 @@
 """Traffic split: selects the service for each request of a weighted route.
 
 Each daemon keeps the requests of a service as close to its weight as whole
-numbers allow, so the sum over all daemons follows the weights too. A service
-that is short of slots keeps its share: requests beyond its capacity are
-refused, not moved to another service.
+numbers allow. Each starts at a random point of that sequence: if all began
+with the service of the largest weight, the first requests after a change of
+weights would all go there. A service that is short of slots keeps its share:
+requests beyond its capacity are refused, not moved to another service.
 """
 
 import dataclasses
+import random
+
+# Requests that are skipped at most to start at a random point.
+MAX_SKIPPED = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -14,10 +19,12 @@
     """Requests assigned to each service, by route.
 
     Args:
+        rng: Chooses where to start; None to start at the beginning.
         assigned: By route name, its services with their weights, and the
             count of requests assigned to each service.
     """
 
+    rng: random.Random | None = None
     assigned: dict[str, tuple[tuple, list[int]]] = dataclasses.field(
         default_factory=dict
     )
@@ -37,7 +44,14 @@
     entry = table.assigned.get(route.name)
     if entry is None or entry[0] != weights:
         entry = table.assigned[route.name] = (weights, [0] * len(targets))
-    counts = entry[1]
+        if table.rng is not None:
+            for _ in range(table.rng.randrange(MAX_SKIPPED)):
+                _next(*entry)
+    return weights[_next(*entry)][0]
+
+
+def _next(weights, counts):
+    """Return the index of the service for the next request, and count it."""
     total_weight = sum(weight for _, weight in weights)
     total = sum(counts) + 1
     most_behind = max(
@@ -47,4 +61,4 @@
         ),
     )
     counts[most_behind] += 1
-    return weights[most_behind][0]
+    return most_behind
--- a/tests/test_trafficsplit.py
+++ b/tests/test_trafficsplit.py
@@ -1,6 +1,7 @@
 """Tests of the split of a route's requests by weight."""
 
 import collections
+import random
 
 import hypothesis
 from hypothesis import strategies
@@ -46,6 +47,21 @@
             self.assertLess(found[f's{number}'], exact + 1.001)
             self.assertGreater(found[f's{number}'], exact - len(weights))
 
+    def test_first_requests_of_a_large_fleet_follow_the_weights(self):
+        # Shares must be within a tenth from 300 requests on.
+        requests, most_off = 300, 0.1
+        for daemons in (8, 78, 195, 820):
+            for weights in ((1, 1), (2, 1), (9, 1), (1, 3)):
+                rng = random.Random(1)
+                tables = [trafficsplit.SplitTable(rng) for _ in range(daemons)]
+                first = sum(
+                    trafficsplit.choose(rng.choice(tables), route(*weights))
+                    == 's0'
+                    for _ in range(requests)
+                )
+                off = first / requests - weights[0] / sum(weights)
+                self.assertLess(abs(off), most_off, (daemons, weights))
+
     def test_changed_weights_reset_the_counts(self):
         table = trafficsplit.SplitTable()
         for _ in range(100):
