Let a read that checks the store end before it is started again

Found on reading the change: a reader whose feed is late reads again at once, and each further late version started that read anew. With versions less than a second apart, the time after which a call fails, a silent store would not have been noticed while they lasted; this reader would have gone on to tell others that it follows the store. Only a read that waits for changes is cut short now. test_silent_store_is_noticed_however_often_versions_are_late failed before.

--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -530,9 +530,13 @@
         """Read the versions again at once, if this daemon follows them.
 
         Their feed has not brought a version that other daemons know. Its
-        connection may be silent, or the store that this daemon reaches.
+        connection may be silent, or the store that this daemon reaches. A read
+        that waits for nothing will show it soon, and is not cut short.
         """
-        if self._versions_task is not None:
+        if (
+            self._versions_task is not None
+            and self._versions_watcher.confirmed
+        ):
             self._versions_task.cancel()
             self._versions_task = backgroundtasks.spawn(
                 self._versions_watcher.run()
--- a/jujubefold/sidecar/feedwatcher.py
+++ b/jujubefold/sidecar/feedwatcher.py
@@ -74,6 +74,11 @@
         """The `rowfeed.Cursor` up to which changes were read."""
         return self._cursor or rowfeed.Cursor()
 
+    @property
+    def confirmed(self):
+        """Whether the last read ended well, and the next one may wait long."""
+        return self._confirmed
+
     def skip_to(self, cursor):
         """Do not read changes that were received in another way.
 
--- a/tests/test_silentreaders.py
+++ b/tests/test_silentreaders.py
@@ -1,5 +1,7 @@
 """Tests of versions whose readers lose the store without notice."""
 
+import asyncio
+
 import testtools
 
 from tests import sidecars
@@ -50,3 +52,15 @@
                 await self.wait_until_in_force(fleet, number)
 
         self.run_with(scenario)
+
+    def test_silent_store_is_noticed_however_often_versions_are_late(self):
+        async def scenario(fleet, feeds):
+            feeds['a-01'].silent = True
+            loop = asyncio.get_running_loop()
+            deadline = loop.time() + 2 * sidecars.STORE_TIMEOUT_S
+            while 'store.lost' not in fleet.events('a-01'):
+                self.assertLess(loop.time(), deadline)
+                fleet.daemons['a-01'].fleet.version_exchange.on_feed_late()
+                await asyncio.sleep(sidecars.STORE_TIMEOUT_S / 2)
+
+        self.run_with(scenario)
