--- a/jujubefold/httpheads.py
+++ b/jujubefold/httpheads.py
@@ -1,4 +1,4 @@
-"""HTTP heads: validates the heads of requests and encodes those of answers."""
+"""HTTP heads: validates, filters and encodes the heads of messages."""
 
 from jujubefold import calls
 from jujubefold import problems
