--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -84,7 +84,7 @@
             yield
         finally:
             self._faults -= 1
-            # Loop time is the same clock, and needs a running loop.
+            # The clock of loop times, which is asked without a loop in tests.
             self._since = time.monotonic()
 
     def since(self, start):
