--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import gc
-import pathlib
 import random
 import signal
 
@@ -18,14 +17,16 @@
 from jujubefold.sidecar import egress
 from jujubefold.sidecar import enlistment
 from jujubefold.sidecar import eventlog
+from jujubefold.sidecar import feedtask
 from jujubefold.sidecar import feedwatcher
 from jujubefold.sidecar import fleet
-from jujubefold.sidecar import frames
 from jujubefold.sidecar import ingress
+from jujubefold.sidecar import memberrows
 from jujubefold.sidecar import metrics
 from jujubefold.sidecar import options as settings
 from jujubefold.sidecar import retrybudget
 from jujubefold.sidecar import roster
+from jujubefold.sidecar import settingswatcher
 from jujubefold.sidecar import storeera
 from jujubefold.sidecar import versions
 
@@ -41,7 +42,6 @@
     initial=0.4, maximum=0.4, wait=2.0
 )
 SWEEP_INTERVAL_S = 0.1
-SETTINGS_POLL_S = 1.0
 # Limits on the bytes of request bodies, and of answers to callers, that are
 # buffered at once.
 REQUEST_BYTES = 48 * 1024 * 1024
@@ -60,9 +60,6 @@
 # Seconds allowed for answers in transit before connections are closed.
 CLOSE_DELAY_S = 0.2
 STOP_POLL_S = 0.02
-# Seconds after the store has returned from an older copy in which members may
-# write the rows that it lost; those still missing then have left.
-MISSING_GRACE_S = 2.5
 # Net number of allocations that triggers a garbage collection. Most objects
 # of a request are freed by reference counting.
 GC_THRESHOLD = 20_000
@@ -221,28 +218,34 @@
         self._tasks = []
         self._timer = None
         self._previous_version = 0
-        self._versions_task = None
-        self._members_task = None
         self._restore_task = None
         self.fleet.version_exchange.on_feed_late = self._read_versions_again
-        # Era in which the members were last read in full; if that was a copy,
-        # the VMs missing from it, and until when they may write their rows.
-        self._members_era = 0
-        self._missing = set()
-        self._missing_until = 0.0
-        self._members_watcher = self._new_watcher(
-            enlistment.MEMBERS_TABLE,
-            self._replace_members,
-            self._update_members,
-            MEMBERS_INTERVALS,
-            lambda available: None,
+        self._member_rows = memberrows.MemberRows(
+            self.fleet, time_source, self._event_log
         )
-        self._versions_watcher = self._new_watcher(
-            platform.configuration_table,
-            self._update_configuration,
-            self._update_configuration,
-            VERSIONS_INTERVALS,
-            self._versions_availability_changed,
+        self._members = feedtask.FeedTask(
+            self.fleet,
+            self.versions,
+            self._new_watcher(
+                enlistment.MEMBERS_TABLE,
+                self._replace_members,
+                self._update_members,
+                MEMBERS_INTERVALS,
+                lambda available: None,
+            ),
+            self._event_log,
+        )
+        self._configurations = feedtask.FeedTask(
+            self.fleet,
+            self.versions,
+            self._new_watcher(
+                platform.configuration_table,
+                self._update_configuration,
+                self._update_configuration,
+                VERSIONS_INTERVALS,
+                self._versions_availability_changed,
+            ),
+            self._event_log,
         )
 
     @property
@@ -388,72 +391,14 @@
         for row in rows:
             if row.key == self._platform.configuration_key and row.value:
                 self.versions.apply(
-                    row.value, 'store', self._versions_watcher.cursor.era
+                    row.value, 'store', self._configurations.cursor.era
                 )
 
     def _replace_members(self, rows):
-        listed = {row.key for row in rows}
-        missing = [
-            vm
-            for vm in self.fleet.roster.members
-            if vm not in listed and not self.fleet.is_linked(vm)
-        ]
-        self.fleet.roster.complete = True
-        era = self._members_watcher.cursor.era
-        self._missing.clear()
-        if self._members_era and era != self._members_era:
-            # The copy may be older than their rows.
-            self._missing.update(missing)
-            self._missing_until = self._clock.monotonic() + MISSING_GRACE_S
-            missing = ()
-        self._members_era = era
-        self._apply_members(rows, missing)
+        self._member_rows.replace(rows, self._members.cursor)
 
     def _update_members(self, rows):
-        self._missing.difference_update(row.key for row in rows)
-        left = [row.key for row in rows if row.value is None]
-        self._apply_members(rows, left)
-
-    def _forget_missing(self, now):
-        """Forget members whose lost rows were not written again in time."""
-        if not self._missing or now < self._missing_until:
-            return
-        left = [vm for vm in self._missing if not self.fleet.is_linked(vm)]
-        self._missing.clear()
-        self._apply_members((), left)
-
-    def _decode_members(self, rows):
-        """Yield the `roster.Member` in each valid row."""
-        for row in rows:
-            if row.value is None:
-                continue
-            member = roster.decode(row.value)
-            if member.is_ok():
-                yield member.ok
-            else:
-                self._event_log.record(
-                    'member.invalid', peer=row.key, detail=member.error.reason
-                )
-
-    def _apply_members(self, rows, left):
-        known = self.fleet.roster.members
-        base = self.fleet.readers.members_version
-        cursor = self._members_watcher.cursor
-        changes = frames.MembersChanged(
-            base.version,
-            cursor.version,
-            max((row.version for row in rows), default=0),
-            tuple(
-                member
-                for member in self._decode_members(rows)
-                if known.get(member.vm) != member
-            ),
-            tuple(left),
-            base.era,
-            cursor.era,
-        )
-        self.fleet.apply_members(changes)
-        self.fleet.forward_members(changes)
+        self._member_rows.update(rows, self._members.cursor)
 
     def _version_changed(self, configuration, source):
         limits = configuration.limits
@@ -489,42 +434,33 @@
         )
         # Reads of changes may still wait on connections of the era before;
         # the sweep starts them again.
-        noticed_by = asyncio.current_task()
-        if self._versions_task not in (None, noticed_by):
-            self._versions_task.cancel()
-            self._versions_task = None
-        if self._members_task not in (None, noticed_by):
-            self._members_task.cancel()
-            self._members_task = None
+        self._configurations.cancel_unless_current()
+        self._members.cancel_unless_current()
 
     def _sweep(self):
         now = self._clock.monotonic()
         self.fleet.sweep()
-        self._update_versions_task()
-        self._update_members_task()
-        self._forget_missing(now)
+        self._update_feed_tasks()
+        self._member_rows.forget_missing(now, self._members.cursor)
         self.ingress.cancel_expired(now)
         self._event_log.flush()
         self._timer = asyncio.get_running_loop().call_later(
             SWEEP_INTERVAL_S, self._sweep
         )
 
-    def _update_versions_task(self):
-        """Start or stop following the configuration row.
+    def _update_feed_tasks(self):
+        """Start or stop following the platform's tables.
 
-        Only the daemons that `fleet.Fleet` selects as readers follow it; the
-        others receive versions from them, also while this daemon stops.
+        Only the daemons that `fleet.Fleet` selects as readers follow them; the
+        others hear from them, also while this daemon stops.
         """
-        reads = self.fleet.should_read_versions and not self._closed
-        if reads != (self._versions_task is not None):
-            self._log_reads(self._platform.configuration_table, reads)
-        if reads and self._versions_task is None:
-            self._versions_task = backgroundtasks.spawn(
-                self._versions_watcher.run()
-            )
-        elif not reads and self._versions_task is not None:
-            self._versions_task.cancel()
-            self._versions_task = None
+        self._configurations.update(
+            self.fleet.should_read_versions and not self._closed
+        )
+        reads_members = self.fleet.should_read_members and not self._closed
+        if reads_members and not self._members.running:
+            self._members.skip_to(self.fleet.readers.members_version)
+        self._members.update(reads_members)
 
     def _read_versions_again(self):
         """Read the versions again at once, if this daemon follows them.
@@ -533,38 +469,7 @@
         connection may be silent, or the store that this daemon reaches. A read
         that waits for nothing will show it soon, and is not cut short.
         """
-        if (
-            self._versions_task is not None
-            and self._versions_watcher.confirmed
-        ):
-            self._versions_task.cancel()
-            self._versions_task = backgroundtasks.spawn(
-                self._versions_watcher.run()
-            )
-
-    def _update_members_task(self):
-        """Start or stop following the members, as readers do."""
-        reads = self.fleet.should_read_members and not self._closed
-        if reads != (self._members_task is not None):
-            self._log_reads(enlistment.MEMBERS_TABLE, reads)
-        if reads and self._members_task is None:
-            self._members_watcher.skip_to(self.fleet.readers.members_version)
-            self._members_task = backgroundtasks.spawn(
-                self._members_watcher.run()
-            )
-        elif not reads and self._members_task is not None:
-            self._members_task.cancel()
-            self._members_task = None
-
-    def _log_reads(self, table, reads):
-        """Log whether this daemon now follows a table of the platform."""
-        self._event_log.record(
-            'reader.started' if reads else 'reader.stopped',
-            table=table,
-            is_reader=self.fleet.is_reader,
-            reader_age=self.fleet.reader_age,
-            version=self.versions.number,
-        )
+        self._configurations.restart_if_confirmed()
 
     def _render_metrics(self):
         table = self.egress.slot_table
@@ -592,8 +497,7 @@
         """Close everything at once, without waiting for requests."""
         self._stopping = True
         self._closed = True
-        self._update_versions_task()
-        self._update_members_task()
+        self._update_feed_tasks()
         for task in self._tasks:
             task.cancel()
         if self._restore_task is not None:
@@ -623,7 +527,7 @@
         Exit status: 0, or 3 if the settings are invalid.
     """
     # Before the file is read, so that no change of it is missed.
-    watcher = SettingsWatcher(path)
+    watcher = settingswatcher.SettingsWatcher(path)
     loaded = settings.load(path)
     output = eventlog.NonBlockingOutput(1)
     if loaded.is_error():
@@ -655,42 +559,3 @@
     await daemon.stop_requested.wait()
     await daemon.stop()
     return 0
-
-
-class SettingsWatcher:
-    """Reloads the settings file when its time of change or size differs.
-
-    Args:
-        path: Path of the settings file.
-    """
-
-    def __init__(self, path):
-        self._path = pathlib.Path(path)
-        self._file_state = self._read_file_state()
-
-    def reload(self, apply):
-        """Read the file and pass the result to a function.
-
-        Args:
-            apply: As `Daemon.reload`.
-        """
-        self._file_state = self._read_file_state()
-        apply(settings.load(self._path))
-
-    async def run(self, apply):
-        """Check the file periodically until cancelled.
-
-        Args:
-            apply: As `Daemon.reload`; called after each change.
-        """
-        while True:
-            if self._read_file_state() != self._file_state:
-                self.reload(apply)
-            await asyncio.sleep(SETTINGS_POLL_S)
-
-    def _read_file_state(self):
-        try:
-            status = self._path.stat()
-        except OSError:
-            return None
-        return status.st_mtime_ns, status.st_size
--- a/jujubefold/sidecar/feedwatcher.py
+++ b/jujubefold/sidecar/feedwatcher.py
@@ -69,6 +69,11 @@
         self._failing = False
         self._confirmed = False
 
+    @property
+    def table(self):
+        """Name of the table that is followed."""
+        return self._table
+
     @property
     def cursor(self):
         """The `rowfeed.Cursor` up to which changes were read."""
--- a/tests/test_daemonstart.py
+++ b/tests/test_daemonstart.py
@@ -11,7 +11,7 @@
 
 import testtools
 
-from jujubefold.sidecar import daemon
+from jujubefold.sidecar import settingswatcher
 from soak import testbed as testbeds
 from tests import sidecars
 
@@ -74,7 +74,7 @@
             with tempfile.TemporaryDirectory() as folder:
                 path = pathlib.Path(folder, 'settings.toml')
                 path.write_text(settings_text())
-                watcher = daemon.SettingsWatcher(path)
+                watcher = settingswatcher.SettingsWatcher(path)
                 path.write_text(settings_text(grace=12.25))
                 applied = []
                 task = asyncio.ensure_future(watcher.run(applied.append))
--- a/tests/test_fleetlinks.py
+++ b/tests/test_fleetlinks.py
@@ -53,7 +53,7 @@
         return [
             vm
             for vm, sidecar in fleet.daemons.items()
-            if sidecar._members_task is not None
+            if sidecar._members.running
         ]
 
     async def wait_until_supplied(self, fleet):
@@ -135,7 +135,7 @@
             sidecar.fleet.remove_member('a-2')
             # As if it had last read the table before a-2 was enlisted.
             sidecar.fleet.readers.members_version = rowfeed.Cursor(0, 1)
-            sidecar._members_watcher._cursor = rowfeed.Cursor(0, 1)
+            sidecar._members._watcher._cursor = rowfeed.Cursor(0, 1)
             await sidecars.wait_until(
                 lambda: 'a-2' in sidecar.fleet.roster.members,
                 2 * readers.MEMBERS_BEHIND_S + 1.0,
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -733,7 +733,9 @@
         async def scenario(fleet):
             await add_pair(fleet)
             isolated = fleet.daemons['vm-2']
-            isolated._versions_watcher._feed = sidecars.unavailable_feed()
+            isolated._configurations._watcher._feed = (
+                sidecars.unavailable_feed()
+            )
             rows = [sidecars.route('new', '/new/')]
             await fleet.configure(sidecars.document(5, rows))
             await sidecars.wait_until(
--- a/tests/test_silentreaders.py
+++ b/tests/test_silentreaders.py
@@ -34,7 +34,7 @@
         return [
             vm
             for vm, sidecar in fleet.daemons.items()
-            if sidecar._versions_task is not None
+            if sidecar._configurations.running
         ]
 
     async def wait_until_in_force(self, fleet, number):
