Let the drain of an upstream end while the VM is suspended

A VM that was suspended for 5 s after it had acknowledged that its upstream leaves sent it requests for another second: the drain was timed by the monotonic clock, which stands still meanwhile. A test with such a clock fails on the commit before: 6 of 6 requests went to the upstream that had left.

--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -147,7 +147,7 @@
     def handle_announcement(self, announcement):
         """Apply an `instance.Announcement`; return the `instance.Change`."""
         change = instance.handle_announcement(
-            self.instance_table, announcement, self._clock.monotonic()
+            self.instance_table, announcement, self._clock.boottime()
         )
         if change is instance.Change.STARTED:
             self._connect_to(announcement.address)
@@ -163,7 +163,7 @@
     def handle_deregistration(self, upstream_id, born):
         """Apply an upstream's deregistration; return the `instance.Change`."""
         change = instance.handle_deregistration(
-            self.instance_table, upstream_id, born, self._clock.monotonic()
+            self.instance_table, upstream_id, born, self._clock.boottime()
         )
         self._apply_change(change, upstream_id)
         return change
@@ -198,10 +198,10 @@
         """Update the usable slots and the warm-up factor of the upstream."""
         now = self._clock.monotonic()
         table = self.slot_table
-        usable = instance.usable_slots(
-            self.instance_table, now, self._drain_seconds
+        usable = self._usable_slots()
+        table.warmup_factor = instance.warmup_factor(
+            self.instance_table, self._clock.boottime()
         )
-        table.warmup_factor = instance.warmup_factor(self.instance_table, now)
         if usable == table.slots:
             return
         table.slots = usable
@@ -215,6 +215,12 @@
             self._evict(limiter.close(table, reason))
         self._on_slots_changed()
 
+    def _usable_slots(self):
+        """Return how many requests the upstream may be sent at once now."""
+        return instance.usable_slots(
+            self.instance_table, self._clock.boottime(), self._drain_seconds
+        )
+
     # Requests
 
     async def run(self, attempt):
@@ -358,15 +364,16 @@
         body = attempt.body.data
         now = self._clock.monotonic()
         upstream = self.instance_table.current
-        if not instance.usable_slots(
-            self.instance_table, now, self._drain_seconds
-        ):
+        if not self._usable_slots():
             return attempts.Outcome(refusal=_UNREACHABLE)
         connection = await self._take_connection(attempt, now)
         if isinstance(connection, callclient.Failure):
             return self._interpret_failure(connection)
         now = self._clock.monotonic()
-        if upstream.id != self.instance_table.current.id:
+        if (
+            upstream.id != self.instance_table.current.id
+            or not self._usable_slots()
+        ):
             self._pool.release(connection)
             return attempts.Outcome(refusal=_UNREACHABLE)
         if now >= attempt.deadline:
@@ -392,6 +399,7 @@
         answer_deadline = attempt.deadline + ANSWER_GRACE_S
         # Silence is no reason to end a request before its deadline.
         bounds = callclient.ExchangeLimits(answer_deadline, math.inf)
+        sent_at = self._clock.boottime()
         result = await callclient.exchange(connection, message, head, bounds)
         if isinstance(result, callclient.Failure):
             return self._interpret_failure(result)
@@ -401,7 +409,7 @@
         )
         fields = dict(result.headers)
         if self._names.request in fields and outcome.refusal != _UNREACHABLE:
-            self._read_limit(upstream, fields, now)
+            self._read_limit(upstream, fields, sent_at)
             if fields.get(self._names.leaving) == _LEAVING:
                 self._upstream_leaves(upstream)
         return outcome
@@ -448,7 +456,7 @@
 
     def _upstream_leaves(self, upstream):
         change = instance.handle_leaving(
-            self.instance_table, upstream, self._clock.monotonic()
+            self.instance_table, upstream, self._clock.boottime()
         )
         self._apply_change(change, upstream.id)
         if change is instance.Change.LEAVING:
@@ -461,7 +469,7 @@
             upstream: The `instance.Announcement` of the upstream that the
                 request was sent to.
             fields: Headers of its answer, by lower-case name.
-            sent_at: Monotonic seconds at which the request was sent.
+            sent_at: `boottime` seconds at which the request was sent.
         """
         table = self.instance_table
         limit = None
@@ -482,7 +490,7 @@
             upstream,
             limit,
             sent_at,
-            self._clock.monotonic(),
+            self._clock.boottime(),
         )
         if change is instance.Change.LIMITED:
             self._event_log.record(
--- a/jujubefold/sidecar/instance.py
+++ b/jujubefold/sidecar/instance.py
@@ -4,6 +4,9 @@
 of order, or from an earlier start. An upstream whose departure has been
 acknowledged must not be taken for a running one because of an older
 announcement.
+
+Times are readings of `clock.Clock.boottime`: while the VM is suspended, the
+drain time of its upstream passes.
 """
 
 import dataclasses
@@ -85,10 +88,10 @@
 
     Args:
         current: Last `Announcement` of the current upstream, or None.
-        draining_since: Monotonic seconds at which it announced that it leaves,
+        draining_since: Boottime seconds at which it announced that it leaves,
             minus infinity if it may have announced it to an earlier start of
             the daemon; None if it has not.
-        warm_at: Monotonic seconds at which its warm-up ends.
+        warm_at: Boottime seconds at which its warm-up ends.
         unreachable: Whether it was found unreachable since its last
             announcement.
         departed: Start in Unix milliseconds of each upstream that left, by
@@ -97,10 +100,10 @@
             daemon are known; False if they could not be read, None before
             the attempt has ended.
         announcements: Announcements received from the current start.
-        announced_at: Monotonic seconds of the last one.
+        announced_at: Boottime seconds of the last one.
         limit: Requests a second that the current upstream takes, as its
             answers say; None without a limit.
-        limit_named_at: Monotonic seconds at which an answer last named one.
+        limit_named_at: Boottime seconds at which an answer last named one.
     """
 
     current: Announcement | None = None
@@ -138,7 +141,7 @@
     Args:
         table: An `InstanceTable`.
         received: An `Announcement`.
-        now: Monotonic seconds.
+        now: Boottime seconds.
 
     Returns:
         The `Change`.
@@ -184,7 +187,7 @@
         table: An `InstanceTable`.
         id_: Id of the upstream.
         started_ms: Unix milliseconds of its start; None if not reported.
-        now: Monotonic seconds.
+        now: Boottime seconds.
 
     Returns:
         The `Change`; `LEFT` if it was not the current upstream.
@@ -220,8 +223,8 @@
         sent_to: The `Announcement` of the upstream that gave the answer.
         limit: Requests a second that the answer names; None if it names
             none.
-        sent_at: Monotonic seconds at which the request was sent.
-        now: Monotonic seconds.
+        sent_at: Boottime seconds at which the request was sent.
+        now: Boottime seconds.
 
     Returns:
         The `Change`; `STALE` if another upstream or start has replaced it.
@@ -245,7 +248,7 @@
     Args:
         table: An `InstanceTable`.
         sent_to: As in `handle_limit`.
-        now: Monotonic seconds.
+        now: Boottime seconds.
 
     Returns:
         The `Change`; `STALE` if another upstream or start has replaced it.
@@ -264,7 +267,7 @@
 
 
 def sending_deadline(table, drain):
-    """Return the monotonic seconds after which nothing is sent, or None.
+    """Return the boottime seconds after which nothing is sent, or None.
 
     Args:
         table: An `InstanceTable`.
@@ -280,7 +283,7 @@
 
     Args:
         table: An `InstanceTable`.
-        now: Monotonic seconds.
+        now: Boottime seconds.
         drain: As in `sending_deadline`.
     """
     if (
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -6,6 +6,7 @@
 import msgspec
 import testtools
 
+from jujubefold import clock
 from jujubefold.sidecar import balancer
 from jujubefold.sidecar import egress
 from jujubefold.sidecar import options
@@ -549,6 +550,15 @@
         sidecars.run_scenario(scenario)
 
 
+class SuspendableClock(clock.SystemClock):
+    """The system's clock on a VM that was suspended for some seconds."""
+
+    suspended = 0.0
+
+    def boottime(self):
+        return super().boottime() + self.suspended
+
+
 class TestDrain(testtools.TestCase):
     def test_leaving_upstream_gets_no_requests_after_drain(self):
         for call in ('draining', 'deregister'):
@@ -571,6 +581,22 @@
 
             sidecars.run_scenario(scenario)
 
+    def test_suspension_does_not_extend_the_drain(self):
+        """Guards against a VM that wakes and sends to who left meanwhile."""
+
+        async def scenario(fleet):
+            await add_pair(fleet)
+            suspendable = SuspendableClock()
+            fleet.daemons['vm-1'].egress._clock = suspendable
+            self.assertEqual(200, await fleet.announce('vm-1', 'draining'))
+            suspendable.suspended = 5.0
+            for number in range(6):
+                response = await fleet.call('vm-1', f'/read/{number}')
+                self.assertEqual(200, response.status)
+            self.assertEqual([], fleet.upstreams['vm-1'].requests)
+
+        sidecars.run_scenario(scenario)
+
     def test_departure_survives_daemon_restart(self):
         for call in ('draining', 'deregister'):
 
