Let no unexpected error end periodic work, a table's reader, or a link

One damaged row of the store raised out of the reader of its table, which then followed nothing for good; an exception in the periodic work of a daemon or a gate ended that work, so links, deadlines and queues were no longer looked after; a frame whose tag is no text raised a TypeError.

Each part of periodic work is guarded and the next period set first; an unexpected error while a table is read counts as a failed read, after which it is read in full; a row that cannot be decoded is skipped with a log line.

--- a/jujubefold/backgroundtasks.py
+++ b/jujubefold/backgroundtasks.py
@@ -35,15 +35,32 @@
     )
 
 
-def report_exception(error):
+def report_exception(error, during='serving a call'):
     """Report an unexpected exception to the event loop's handler.
 
     Args:
         error: The exception.
+        during: What it interrupted, for the message.
     """
     asyncio.get_running_loop().call_exception_handler(
         {
-            'message': 'unhandled exception while serving a call',
+            'message': f'unhandled exception while {during}',
             'exception': error,
         }
     )
+
+
+def run_guarded(function, *args):
+    """Call a function; an exception is reported and does not propagate.
+
+    Periodic work is made of such calls, so that an error in one part neither
+    ends the others nor the period.
+
+    Args:
+        function: What to call.
+        args: Its arguments.
+    """
+    try:
+        function(*args)
+    except Exception as error:
+        report_exception(error, 'doing periodic work')
--- a/jujubefold/platform/store.py
+++ b/jujubefold/platform/store.py
@@ -77,7 +77,7 @@
             if result.is_error():
                 return result
             page, era = result.ok
-            rows.extend(_row(item) for item in page.rows)
+            rows.extend(self._rows(page))
             if cursor is None:
                 # Changes made while later pages are read follow this one.
                 cursor = rowfeed.Cursor(era, page.row_version)
@@ -98,7 +98,10 @@
         result = await self._get('get', READ, query, 0.0)
         if result.is_error():
             return result
-        return expression.Ok(_rows(*result.ok))
+        page, era = result.ok
+        return expression.Ok(
+            rowfeed.Rows(tuple(self._rows(page)), page.row_version, era)
+        )
 
     async def changes(self, table, after, wait):
         query = {
@@ -109,7 +112,10 @@
         result = await self._get('feed', FEED, query, wait)
         if result.is_error():
             return result
-        return expression.Ok(_rows(*result.ok))
+        page, era = result.ok
+        return expression.Ok(
+            rowfeed.Rows(tuple(self._rows(page)), page.row_version, era)
+        )
 
     async def put(self, table, key, value):
         entry = {
@@ -141,6 +147,20 @@
             return expression.Error(_not_run(str(error)))
         return expression.Ok((page, self._era(answer.ok)))
 
+    def _rows(self, page):
+        """Yield a `rowfeed.Row` for each row of a page that is valid."""
+        for item in page.rows:
+            value = None
+            if not item.deleted:
+                try:
+                    value = base64.b64decode(item.value, validate=True)
+                except ValueError as error:
+                    self._event_log.record(
+                        'store.row_invalid', row=item.key, detail=str(error)
+                    )
+                    continue
+            yield rowfeed.Row(item.key, value, item.row_version)
+
     def _era(self, answer):
         """Return the era in an answer's header; 0 if there is no valid one."""
         value = dict(answer.headers).get(_ERA)
@@ -229,20 +249,5 @@
             timer.cancel()
 
 
-def _row(item):
-    if item.deleted:
-        return rowfeed.Row(item.key, None, item.row_version)
-    return rowfeed.Row(
-        item.key, base64.b64decode(item.value), item.row_version
-    )
-
-
-def _rows(page, era):
-    """Return the `rowfeed.Rows` of a page and its era."""
-    return rowfeed.Rows(
-        tuple(_row(item) for item in page.rows), page.row_version, era
-    )
-
-
 def _not_run(reason):
     return errors.StoreNotRun(reason)
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -438,15 +438,16 @@
         self._members.cancel_unless_current()
 
     def _sweep(self):
-        now = self._clock.monotonic()
-        self.fleet.sweep()
-        self._update_feed_tasks()
-        self._member_rows.forget_missing(now, self._members.cursor)
-        self.ingress.cancel_expired(now)
-        self._event_log.flush()
         self._timer = asyncio.get_running_loop().call_later(
             SWEEP_INTERVAL_S, self._sweep
         )
+        now = self._clock.monotonic()
+        guarded = backgroundtasks.run_guarded
+        guarded(self.fleet.sweep)
+        guarded(self._update_feed_tasks)
+        guarded(self._member_rows.forget_missing, now, self._members.cursor)
+        guarded(self.ingress.cancel_expired, now)
+        guarded(self._event_log.flush)
 
     def _update_feed_tasks(self):
         """Start or stop following the platform's tables.
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -554,16 +554,20 @@
                 waiter.set_result(refusal)
 
     def _sweep(self):
-        now = self._clock.monotonic()
-        self._evict(limiter.evict_overdue(self.slot_table, now))
-        self.update_slots()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(SWEEP_S, self._sweep)
+        guarded = backgroundtasks.run_guarded
+        guarded(self._evict_overdue)
+        guarded(self.update_slots)
         for pool in self._pools():
-            pool.sweep()
+            guarded(pool.sweep)
         self._retired_pools = [
             item for item in self._retired_pools if item.size
         ]
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(SWEEP_S, self._sweep)
+
+    def _evict_overdue(self):
+        now = self._clock.monotonic()
+        self._evict(limiter.evict_overdue(self.slot_table, now))
 
     # Crashes
 
--- a/jujubefold/sidecar/feedwatcher.py
+++ b/jujubefold/sidecar/feedwatcher.py
@@ -3,6 +3,9 @@
 import asyncio
 import dataclasses
 
+import expression
+
+from jujubefold import backgroundtasks
 from jujubefold import errors
 from jujubefold.sidecar import rowfeed
 
@@ -99,7 +102,7 @@
         interval = self._intervals.initial
         self._confirmed = False
         while True:
-            result = await self._read_once()
+            result = await self._read_guarded()
             self._confirmed = result.is_ok()
             if result.is_ok():
                 retry_delay = MIN_RETRY_S
@@ -112,6 +115,16 @@
             await asyncio.sleep(retry_delay * self._rng.uniform(0.5, 1.0))
             retry_delay = min(MAX_RETRY_S, retry_delay * 2)
 
+    async def _read_guarded(self):
+        """Read once; an unexpected error counts as a failed read."""
+        try:
+            return await self._read_once()
+        except Exception as error:
+            backgroundtasks.report_exception(error, 'following a table')
+            # Rows may not have been applied, so the table is read in full.
+            self._cursor = None
+            return expression.Error(errors.StoreNotRun(repr(error)))
+
     async def _read_once(self):
         apply = self._update
         if self._cursor is not None:
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -7,6 +7,7 @@
 import dataclasses
 import math
 
+from jujubefold import backgroundtasks
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import errors
@@ -563,16 +564,17 @@
     def sweep(self):
         """Check links and offers, and send pending updates to others."""
         now = self._clock.monotonic()
+        guarded = backgroundtasks.run_guarded
         if self._peering_changed:
-            self._update_far_links()
+            guarded(self._update_far_links)
         for peer in tuple(self._peers.values()):
-            peer.link.sweep(now)
-        self.peer_server.sweep(now)
-        self._crash_reports.send_new()
-        self._broadcast_load_change(now)
-        self.version_exchange.sweep(now)
+            guarded(peer.link.sweep, now)
+        guarded(self.peer_server.sweep, now)
+        guarded(self._crash_reports.send_new)
+        guarded(self._broadcast_load_change, now)
+        guarded(self.version_exchange.sweep, now)
         if now - self._traffic_logged_at > TRAFFIC_LOG_INTERVAL_S:
-            self._log_traffic(now)
+            guarded(self._log_traffic, now)
 
     def _log_traffic(self, now):
         self._traffic_logged_at = now
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -369,5 +369,8 @@
         kind.__struct_config__.tag for kind in _MessageTypes.__args__
     }
     return (
-        isinstance(message, list) and message and message[0] not in known_tags
+        isinstance(message, list)
+        and message
+        and isinstance(message[0], str)
+        and message[0] not in known_tags
     )
--- a/jujubefold/sidecar/settingswatcher.py
+++ b/jujubefold/sidecar/settingswatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 
+from jujubefold import backgroundtasks
 from jujubefold.sidecar import options as settings
 
 SETTINGS_POLL_S = 1.0
@@ -36,7 +37,7 @@
         """
         while True:
             if self._read_file_state() != self._file_state:
-                self.reload(apply)
+                backgroundtasks.run_guarded(self.reload, apply)
             await asyncio.sleep(SETTINGS_POLL_S)
 
     def _read_file_state(self):
--- a/tests/test_feedwatcher.py
+++ b/tests/test_feedwatcher.py
@@ -55,6 +55,26 @@
         while not condition():
             await asyncio.sleep(0.01)
 
+    def test_an_unexpected_error_does_not_end_the_task(self):
+        """Guards against a reader that silently hears nothing any more."""
+
+        async def scenario(feed, received, event_log):
+            reported = []
+            asyncio.get_running_loop().set_exception_handler(
+                lambda _, context: reported.append(context['exception'])
+            )
+            await feed.put('t', 'a', b'1')
+            await self.until(lambda: received == {'a': b'1'})
+            changes, feed.changes = feed.changes, None
+            await feed.wake()
+            await self.until(lambda: reported)
+            feed.changes = changes
+            await feed.put('t', 'a', b'2')
+            await self.until(lambda: received == {'a': b'2'})
+            self.assertIsInstance(reported[0], TypeError)
+
+        self.play(scenario)
+
     def test_frequent_changes_are_batched_into_few_reads(self):
         reads = []
 
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -1,5 +1,7 @@
 """Tests of the frames between sidecars."""
 
+import contextlib
+
 import hypothesis
 from hypothesis import strategies
 import msgspec
@@ -166,3 +168,32 @@
             frames.VersionInForce(4, True),
             self.decode_new(OldVersionInForce(4, True)),
         )
+
+
+class TestMalformed(testtools.TestCase):
+    """Guards against input that ends more than its own connection."""
+
+    @hypothesis.given(
+        strategies.recursive(
+            strategies.none()
+            | strategies.booleans()
+            | strategies.integers(-(2**31), 2**31)
+            | strategies.text(max_size=8)
+            | strategies.binary(max_size=8),
+            lambda inner: strategies.lists(inner, max_size=4),
+            max_leaves=12,
+        )
+    )
+    def test_any_document_is_a_message_skipped_or_a_value_error(self, item):
+        body = msgspec.msgpack.encode(item)
+        self.feed(len(body).to_bytes(4, 'big') + body)
+
+    @hypothesis.given(strategies.binary(max_size=64))
+    def test_any_bytes_are_messages_or_a_value_error(self, data):
+        self.feed(data)
+        self.feed(len(data).to_bytes(4, 'big') + data)
+
+    def feed(self, data):
+        with contextlib.suppress(ValueError):
+            for message in frames.FrameDecoder().feed(data):
+                self.assertIsInstance(message, frames.Message)
--- a/tests/test_rowfeed.py
+++ b/tests/test_rowfeed.py
@@ -165,6 +165,22 @@
 
         self.play(scenario)
 
+    def test_a_row_that_cannot_be_decoded_is_skipped(self):
+        """Guards against one damaged row that hides all others."""
+
+        async def scenario(feed, fake_store):
+            fake_store.put('t', 'a', b'1')
+            fake_store.put('t', 'b', b'2')
+            fake_store.rows[('t', 'a')]['value'] = 'no base64'
+            found = await feed.read('t')
+            self.assertEqual([b'2'], [row.value for row in found.ok.rows])
+            self.assertEqual(
+                [('store.row_invalid', 'a')],
+                [(name, f['row']) for name, f in fake_store.event_log.records],
+            )
+
+        self.play(scenario)
+
     def test_changes_during_a_read_of_many_pages_are_not_missed(self):
         async def scenario(feed, fake_store):
             for number in range(2 * rowstore.PAGE_ROWS):
