--- a/jujubefold/sidecar/rollout.py
+++ b/jujubefold/sidecar/rollout.py
@@ -74,6 +74,13 @@
         controller: `vm/incarnation` of the daemon that wrote it.
         reason: Why it was rolled back; empty otherwise.
         bad_share: Share of bad answers of the old version, when last known.
+        changed_step: Value of `step` when anything but a renewal was written.
+        exposed: Requests sent to the new version, when last known.
+        total: Requests sent to the service since the order, when last known.
+        opened: Store clock in seconds when the first canaries opened; 0
+            before.
+        loaded: Whether canaries have carried the load per slot that all new
+            gates get with all requests.
     """
 
     order: OrderId
@@ -89,6 +96,11 @@
     controller: str = ''
     reason: str = ''
     bad_share: float = 0.0
+    changed_step: int = 0
+    exposed: int = 0
+    total: int = 0
+    opened: float = 0.0
+    loaded: bool = False
 
 
 class RouteCounts(msgspec.Struct, frozen=True):
