--- a/jujubefold/platform/store.py
+++ b/jujubefold/platform/store.py
@@ -22,6 +22,7 @@
 # Statuses of the server's own failures after which nothing was written: it
 # is unavailable, or its storage is full. After others it may have been.
 _NOTHING_DONE = frozenset({503, 507})
+_CONDITION_FAILED = 412
 _CLIENT_ERRORS = range(400, 500)
 _ERA = b'store-era'
 # Bounded, so that a wrong value does not fence off all later answers.
@@ -41,6 +42,8 @@
     rows: list[_Row]
     row_version: int
     has_more: bool = False
+    # The store's steady clock; missing in answers of older stores.
+    now_s: float = 0.0
 
 
 _decoder = msgspec.json.Decoder(_Rows)
@@ -69,6 +72,7 @@
         rows = []
         start = ''
         cursor = None
+        now = 0.0
         while True:
             query = {'table': table, 'part': '', 'limit': 500}
             if start:
@@ -81,11 +85,12 @@
             if cursor is None:
                 # Changes made while later pages are read follow this one.
                 cursor = rowfeed.Cursor(era, page.row_version)
+                now = page.now_s
             if era != cursor.era:
                 return expression.Error(_not_run('the era rose meanwhile'))
             if not page.has_more or not page.rows:
                 return expression.Ok(
-                    rowfeed.Rows(tuple(rows), cursor.version, era)
+                    rowfeed.Rows(tuple(rows), cursor.version, era, now)
                 )
             # The range includes its start, so the next page starts at the
             # smallest key after the last one of this page.
@@ -112,18 +117,25 @@
         return expression.Ok(_rows(*result.ok))
 
     async def put(self, table, key, value):
-        entry = {
-            'table': table,
-            'part': '',
-            'key': key,
-            'value': base64.b64encode(value).decode(),
-        }
-        return await self._write({'puts': [entry]})
+        return await self._write({'puts': [_put(table, key, value)]})
 
     async def remove(self, table, key):
         entry = {'table': table, 'part': '', 'key': key}
         return await self._write({'remove': [entry]})
 
+    async def transact(self, conditions, puts):
+        expected = [
+            {
+                'table': condition.table,
+                'part': '',
+                'key': condition.key,
+                'row_version': condition.version,
+            }
+            for condition in conditions
+        ]
+        entries = [_put(put.table, put.key, put.value) for put in puts]
+        return await self._write({'expected_rev': expected, 'puts': entries})
+
     async def _get(self, operation, path, query, wait):
         target = path + b'?' + urllib.parse.urlencode(query).encode()
         answer = await self._call(operation, 'GET', target, b'', wait)
@@ -165,6 +177,8 @@
         if answer.ok.status == 200:
             return expression.Ok(self._era(answer.ok))
         status = answer.ok.status
+        if status == _CONDITION_FAILED:
+            return expression.Error(rowfeed.Conflict('a row has changed'))
         if status in _CLIENT_ERRORS or status in _NOTHING_DONE:
             return expression.Error(_not_run(f'status {status}'))
         return expression.Error(errors.StoreOutcomeUnknown(f'status {status}'))
@@ -229,6 +243,15 @@
             timer.cancel()
 
 
+def _put(table, key, value):
+    return {
+        'table': table,
+        'part': '',
+        'key': key,
+        'value': base64.b64encode(value).decode(),
+    }
+
+
 def _row(item):
     if item.deleted:
         return rowfeed.Row(item.key, None, item.row_version)
@@ -240,7 +263,10 @@
 def _rows(page, era):
     """Return the `rowfeed.Rows` of a page and its era."""
     return rowfeed.Rows(
-        tuple(_row(item) for item in page.rows), page.row_version, era
+        tuple(_row(item) for item in page.rows),
+        page.row_version,
+        era,
+        page.now_s,
     )
 
 
--- a/jujubefold/sidecar/rolloutevidence.py
+++ b/jujubefold/sidecar/rolloutevidence.py
@@ -115,6 +115,8 @@
         old_stopped: Whether all old gates are closed and idle, as said by
             aggregators that know the last change of the record.
         old_running: Requests that run at old gates.
+        running: Requests that run at all gates.
+        busy: Mean of the requests that ran lately at each new gate, by VM.
     """
 
     exposed: int
@@ -127,6 +129,8 @@
     recent: Span
     old_stopped: bool
     old_running: int
+    running: int
+    busy: dict[str, float]
 
 
 def interval(part, whole, z=Z):
@@ -144,9 +148,7 @@
     centre = (share + z * z / (2 * whole)) / scale
     half = (
         z
-        * math.sqrt(
-            share * (1 - share) / whole + z * z / (4 * whole * whole)
-        )
+        * math.sqrt(share * (1 - share) / whole + z * z / (4 * whole * whole))
         / scale
     )
     return max(0.0, centre - half), min(1.0, centre + half)
@@ -203,8 +205,7 @@
     known = {counts.route: counts for counts in before.routes}
     routes = tuple(
         _combine(counts, known[counts.route], -1)
-        if counts.route in known
-        and known[counts.route].ended <= counts.ended
+        if counts.route in known and known[counts.route].ended <= counts.ended
         else counts
         for counts in after.routes
     )
@@ -362,9 +363,7 @@
                 reading if first or not self._history else self._history[-1]
             )
         self._history.append(reading)
-        while (
-            len(self._history) > 2 and self._history[1].at <= now - RECENT_S
-        ):
+        while len(self._history) > 2 and self._history[1].at <= now - RECENT_S:
             self._history.popleft()
 
     def view(self, record):
@@ -379,11 +378,10 @@
         rate = new_rate = 0.0
         if elapsed > 0:
             new_rate = (last.new_started - first.new_started) / elapsed
-            rate = (
-                new_rate + (last.old_started - first.old_started) / elapsed
-            )
+            rate = new_rate + (last.old_started - first.old_started) / elapsed
         exposed = max(last.new_started, record.exposed)
         rows = self._evidence.values()
+        old_running = sum(item.old.running for item in rows)
         return View(
             exposed,
             max(exposed + last.old_started, record.total),
@@ -402,9 +400,19 @@
                 item.step >= record.changed_step and not item.old_open
                 for item in rows
             ),
-            sum(item.old.running for item in rows),
+            old_running,
+            old_running + sum(gate.running for gate in last.new.values()),
+            {vm: self._mean_running(vm) for vm in last.new},
         )
 
+    def _mean_running(self, vm):
+        running = [
+            reading.new[vm].running
+            for reading in self._history
+            if vm in reading.new
+        ]
+        return sum(running) / len(running)
+
     def _span(self, before):
         """Return the `Span` from a `_Reading` to the last one."""
         last = self._history[-1]
@@ -519,9 +527,7 @@
         if ended < MIN_DURATIONS or slow < MIN_BAD:
             continue
         # The old version's share has the new one's mix of routes.
-        old_share = (
-            sum(item[2] * item[3] / item[4] for item in found) / ended
-        )
+        old_share = sum(item[2] * item[3] / item[4] for item in found) / ended
         old_ended = min(item[4] for item in found)
         if (
             slow / ended - old_share >= SLOW_DISTANCE
@@ -582,6 +588,7 @@
 def _bounds(index):
     """Return the lower and upper bound of a bucket in seconds."""
     bounds = rollout.BUCKET_BOUNDS_S
+    index = min(index, len(bounds))
     low = bounds[index - 1] if index else bounds[0] / 1.5
     high = bounds[index] if index < len(bounds) else bounds[-1] * 1.5
     return low, high
--- a/jujubefold/sidecar/rolloutplan.py
+++ b/jujubefold/sidecar/rolloutplan.py
@@ -30,7 +30,11 @@
 # Shares in the phases, and the least time at one of them.
 CANARY_SHARE = 0.05
 CANARY_SHARE_LOADED = 0.15
+CANARY_SHARE_MAX = 0.2
 CANARY_SHARE_FEW = 0.5
+# Share of the canaries' slots that are kept busy. Versions that fail when more
+# than half of them are show it rarely at the usual load.
+CANARY_BUSY = 0.65
 SHARES = (0.2, 0.5, 1.0)
 # Relative change of a canary's share below which it stays; the rate of
 # requests varies from reading to reading.
@@ -48,6 +52,7 @@
 MAX_ANSWERS = 40
 ANSWERS_SHARE = 0.02
 MIN_ANSWERS_STEP = 10
+MIN_ANSWERS_FEW = 3
 # Part of the service's load per slot that canaries must have carried before a
 # step that the exposure alone does not allow.
 LOAD_PROVEN = 0.5
@@ -137,8 +142,7 @@
         if elapsed >= EVIDENCE_END:
             return _roll_back(record, 'no-evidence')
         return None
-    needed = answers_needed(evidence, record.deadline - now_s)
-    judgements = _judgements(record, evidence, needed)
+    judgements = _judgements(order, record, evidence, now_s)
     for found in judgements:
         if found.verdict in _FAULTS:
             return _roll_back(record, _describe(found))
@@ -157,9 +161,7 @@
         return _canary(
             order, record, evidence, now_s, policy, excluded, judgements
         )
-    return _shift(
-        order, record, evidence, now_s, policy, excluded, judgements
-    )
+    return _shift(order, record, evidence, now_s, policy, excluded, judgements)
 
 
 def apply(record, step, evidence, now_s, controller):
@@ -213,21 +215,33 @@
 _FAULTS = (rolloutevidence.Verdict.BAD, rolloutevidence.Verdict.SLOW)
 
 
-def _judgements(record, evidence, needed):
+def _judgements(order, record, evidence, now_s):
     """Return the judgement since the order, the last step and lately."""
+    rate = evidence.rate * record.share
+    dwell = max(MIN_STEP_S, STEP_DURATION * order.duration)
+    spans = (
+        (
+            evidence.overall,
+            answers_needed(evidence, record.deadline - now_s),
+        ),
+        (
+            evidence.since_step,
+            min(MIN_ANSWERS_STEP, max(MIN_ANSWERS_FEW, rate * dwell / 2)),
+        ),
+        (
+            evidence.recent,
+            min(MIN_ANSWERS_STEP, rate * rolloutevidence.RECENT_S / 2),
+        ),
+    )
     return tuple(
         rolloutevidence.judge(
             span,
             evidence.overall.old,
             record.bad_share,
             record.excluded,
-            needed if span is evidence.overall else MIN_ANSWERS_STEP,
-        )
-        for span in (
-            evidence.overall,
-            evidence.since_step,
-            evidence.recent,
+            needed,
         )
+        for span, needed in spans
     )
 
 
@@ -302,12 +316,15 @@
         and (dwelt or elapsed >= CANARY_LATEST)
         and _all_sound(judgements)
     ):
-        share = SHARES[0]
+        share = min(share for share in SHARES if share >= record.share)
         if share <= affordable or _proven(record, evidence):
             return _step(
                 record, rollout.Phase.SHIFTING, share, excluded, 'canary-sound'
             )
-    wanted = canary_share(evidence, usable, order.duration, elapsed)
+    wanted = max(
+        canary_share(evidence, usable, order.duration, elapsed),
+        _busier_share(record, evidence, now_s, elapsed),
+    )
     share = min(wanted, affordable) if usable else 0.0
     if abs(share - record.share) <= SHARE_CHANGE * max(share, record.share):
         share = record.share
@@ -327,9 +344,9 @@
 def canary_share(evidence, usable, duration, elapsed):
     """Return the share of the canaries, apart from the exposure.
 
-    It rises so that the canaries carry the load per slot that the new
-    version gets with all requests, since some versions are bad only under
-    load, and with few requests so that there are answers enough.
+    It rises so that most slots of the canaries are busy, at least as many as
+    with all requests, since some versions are bad only under load. With few
+    requests it rises so that there are answers enough.
 
     Args:
         evidence: The `rolloutevidence.View`.
@@ -345,11 +362,39 @@
             share, min(CANARY_SHARE_FEW, wanted / evidence.rate / seconds)
         )
     if usable and elapsed >= LOADED_AT:
-        few = min(MIN_CANARIES, len(usable))
-        share = max(share, min(CANARY_SHARE_LOADED, few / len(usable)))
+        few = usable[:MIN_CANARIES]
+        slots = sum(gate.slots for gate in few)
+        everything = sum(gate.slots for gate in evidence.overall.new)
+        busy = CANARY_BUSY * slots / max(evidence.running, 1)
+        share = max(
+            share,
+            min(CANARY_SHARE_LOADED, max(busy, slots / everything)),
+        )
     return share
 
 
+def _busier_share(record, evidence, now_s, elapsed):
+    """Return the share at which the canaries are as busy as they should be.
+
+    Fast upstreams are less busy than the load of the service suggests.
+    """
+    if (
+        elapsed < LOADED_AT
+        or not record.share
+        or now_s - record.stepped_at < rolloutevidence.RECENT_S
+    ):
+        return record.share
+    canaries = [
+        gate for gate in evidence.overall.new if gate.vm in record.canaries
+    ]
+    slots = sum(gate.slots for gate in canaries)
+    running = sum(evidence.busy[gate.vm] for gate in canaries)
+    if not slots or running / slots >= CANARY_BUSY:
+        return record.share
+    wanted = record.share * CANARY_BUSY * slots / max(running, 1.0)
+    return max(record.share, min(CANARY_SHARE_MAX, wanted))
+
+
 def choose_canaries(usable, domains, share, before=()):
     """Return the VMs that carry a share at the load of the whole service.
 
@@ -417,9 +462,10 @@
     """
     if not record.loaded:
         return False
-    return evidence.overall.new and sum(
-        gate.ended for gate in evidence.overall.new
-    ) >= MAX_ANSWERS
+    return (
+        evidence.overall.new
+        and sum(gate.ended for gate in evidence.overall.new) >= MAX_ANSWERS
+    )
 
 
 def is_loaded(record, evidence):
--- a/jujubefold/sidecar/rowfeed.py
+++ b/jujubefold/sidecar/rowfeed.py
@@ -48,11 +48,14 @@
         rows: In any order.
         version: Store version; it increases with each change of an era.
         era: Era of the store; 0 if it tells none.
+        now: The store's steady clock in seconds when it answered; 0.0 if it
+            tells none.
     """
 
     rows: tuple[Row, ...]
     version: int
     era: int = 0
+    now: float = 0.0
 
     @property
     def cursor(self):
@@ -60,6 +63,41 @@
         return Cursor(self.era, self.version)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Condition:
+    """What must hold for a transaction to be carried out.
+
+    Args:
+        table: Table name.
+        key: Key of the row.
+        version: Version that the row must have; 0 if it must not exist.
+    """
+
+    table: str
+    key: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Put:
+    """A row that a transaction writes.
+
+    Args:
+        table: Table name.
+        key: Key of the row.
+        value: Its bytes.
+    """
+
+    table: str
+    key: str
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict(errors.Failure):
+    """A condition of a transaction did not hold; nothing was written."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HistoryCompacted(errors.Failure):
     """The requested changes were compacted away; read the table in full."""
@@ -119,6 +157,18 @@
             As `put`.
         """
 
+    @abc.abstractmethod
+    async def transact(self, conditions, puts):
+        """Write rows together, if all conditions hold.
+
+        Args:
+            conditions: Each `Condition`.
+            puts: Each `Put`.
+
+        Returns:
+            As `put`, or `Error(Conflict)`.
+        """
+
 
 class MemoryRowFeed(RowFeed):
     """In-memory implementation for tests.
@@ -129,15 +179,19 @@
     Attributes:
         fault: Failure that each call returns, or None.
         era: Era in each answer.
+        now: Called for the store's clock in each answer about rows.
     """
 
     def __init__(self, history=1000):
         self.fault = None
         self.era = 0
+        self.now = lambda: 0.0
         self._history = history
         self._tables = {}
         self._changes = []
         self._version = 0
+        # Version up to which changes may have been discarded.
+        self._compacted = 0
         self._changed = asyncio.Event()
 
     @property
@@ -166,6 +220,7 @@
     def compact(self):
         """Discard the history of changes."""
         self._changes.clear()
+        self._compacted = self._version
         self._changed.set()
 
     async def wake(self):
@@ -196,7 +251,7 @@
                 )
             if self.fault is not None:
                 return expression.Error(self.fault)
-            oldest = self._version - len(self._changes)
+            oldest = self._compacted
             if after < oldest or after > self._version:
                 return expression.Error(
                     HistoryCompacted('history was compacted')
@@ -230,11 +285,34 @@
             self._append_change(table, Row(key, None, self._version + 1))
         return expression.Ok(self.era)
 
+    async def transact(self, conditions, puts):
+        if self.fault is not None:
+            return expression.Error(self.fault)
+        for condition in conditions:
+            row = self._tables.get(condition.table, {}).get(condition.key)
+            if condition.version != (0 if row is None else row.version):
+                return expression.Error(Conflict('a row has changed'))
+        # All rows of a transaction have one version.
+        version = self._version + 1
+        for put in puts:
+            row = Row(put.key, put.value, version)
+            self._tables.setdefault(put.table, {})[put.key] = row
+            self._changes.append((version, put.table, row))
+        self._version = version
+        self._discard_old_changes()
+        return expression.Ok(self.era)
+
     def _answer(self, rows):
-        return expression.Ok(Rows(rows, self._version, self.era))
+        return expression.Ok(Rows(rows, self._version, self.era, self.now()))
 
     def _append_change(self, table, row):
         self._version += 1
         self._changes.append((self._version, table, row))
-        del self._changes[: -self._history]
+        self._discard_old_changes()
+
+    def _discard_old_changes(self):
+        discarded = self._changes[: -self._history]
+        if discarded:
+            self._compacted = discarded[-1][0]
+            del self._changes[: -self._history]
         self._changed.set()
--- a/jujubefold/sidecar/storeera.py
+++ b/jujubefold/sidecar/storeera.py
@@ -5,6 +5,8 @@
 that may be lost.
 """
 
+import dataclasses
+
 import expression
 
 from jujubefold import errors
@@ -80,6 +82,9 @@
     async def remove(self, table, key):
         return self._fence_write(await self._feed.remove(table, key))
 
+    async def transact(self, conditions, puts):
+        return self._fence_write(await self._feed.transact(conditions, puts))
+
     def _fence_rows(self, result):
         if result.is_error():
             return result
@@ -89,7 +94,7 @@
         if rows.era:
             return result
         return expression.Ok(
-            rowfeed.Rows(rows.rows, rows.version, self._store_era.known)
+            dataclasses.replace(rows, era=self._store_era.known)
         )
 
     def _fence_write(self, result):
--- a/tests/rolloutplay.py
+++ b/tests/rolloutplay.py
@@ -149,8 +149,8 @@
         mean = self.rate * TICK_S
         for _ in range(int(mean + self.rng.random())):
             is_new = self.rng.random() < self.seen.share
-            for group in (new,) if closing else (new, old) if is_new else (
-                old,
+            for group in (
+                (new,) if closing else (new, old) if is_new else (old,)
             ):
                 free = [gate for gate in group if gate.running < SLOTS]
                 if free:
--- a/tests/rowstore.py
+++ b/tests/rowstore.py
@@ -25,6 +25,7 @@
             connection instead of answering them.
         after_read: Called after each answer with rows of a table.
         era: Text of the era in each answer; '' for none.
+        now: Called for the clock in each answer about rows.
     """
 
     def __init__(self):
@@ -37,6 +38,7 @@
         self.address = ''
         self.after_read = lambda: None
         self.era = ''
+        self.now = lambda: 1.5
         self._server = None
         self._waiting = []
 
@@ -103,7 +105,11 @@
         elif self.mode == 'silent':
             return
         elif request.path == '/api/rows-tx':
-            self._write(json.loads(b''.join(request.chunks)))
+            body = json.loads(b''.join(request.chunks))
+            if not all(map(self._holds, body['expected_rev'])):
+                self._reply(exchange, 412, {})
+                return
+            self._write(body)
             if self.mode == 'lost':
                 exchange.drop()
             else:
@@ -117,6 +123,11 @@
             else:
                 self._answer_feed(exchange, query)
 
+    def _holds(self, condition):
+        """Return whether a condition of a transaction holds."""
+        row = self.rows.get((condition['table'], condition['key']))
+        return condition['row_version'] == (row['row_version'] if row else 0)
+
     def _write(self, body):
         self.version += 1
         for entry in body['puts']:
@@ -181,7 +192,7 @@
             self._reply(exchange, 200, {'rows': []})
 
     def _reply(self, exchange, status, body):
-        body = {**body, 'row_version': self.version, 'now_s': 1.5}
+        body = {**body, 'row_version': self.version, 'now_s': self.now()}
         encoded = json.dumps(body).encode()
         headers = [(b'Store-Era', self.era.encode())] if self.era else []
         exchange.reply(
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -66,6 +66,9 @@
     async def remove(self, table, key):
         return await self._answer(self._feed.remove(table, key), 0.0)
 
+    async def transact(self, conditions, puts):
+        return await self._answer(self._feed.transact(conditions, puts), 0.0)
+
     async def _answer(self, call, wait):
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait + STORE_TIMEOUT_S
--- a/tests/test_rowfeed.py
+++ b/tests/test_rowfeed.py
@@ -109,6 +109,53 @@
 
         self.play(scenario)
 
+    def test_transaction_writes_all_rows_or_none(self):
+        """Guards against two controllers that both make a step."""
+
+        async def scenario(feed, _):
+            put = rowfeed.Put
+            absent = rowfeed.Condition('t', 'a', 0)
+            first = await feed.transact(
+                [absent], [put('t', 'a', b'1'), put('u', 'b', b'2')]
+            )
+            self.assertTrue(first.is_ok())
+            (row,) = (await feed.get('t', 'a')).ok.rows
+            (other,) = (await feed.get('u', 'b')).ok.rows
+            self.assertEqual((b'1', b'2'), (row.value, other.value))
+            self.assertEqual(row.version, other.version)
+            same = rowfeed.Condition('t', 'a', row.version)
+            for conditions in (
+                [absent],
+                [same, rowfeed.Condition('t', 'x', 9)],
+            ):
+                refused = await feed.transact(
+                    conditions, [put('t', 'a', b'3'), put('u', 'c', b'4')]
+                )
+                self.assertIsInstance(refused.error, rowfeed.Conflict)
+            self.assertEqual((), (await feed.get('u', 'c')).ok.rows)
+            changed = await feed.transact([same], [put('t', 'a', b'5')])
+            self.assertTrue(changed.is_ok())
+            found = (await feed.changes('t', row.version, 1.0)).ok
+            self.assertEqual([b'5'], [item.value for item in found.rows])
+            self.assertGreater(found.rows[0].version, row.version)
+
+        self.play(scenario)
+
+    def test_answers_about_rows_tell_the_clock_of_the_store(self):
+        """Guards against deadlines that follow the clock of a VM."""
+
+        async def scenario(feed, fake_store):
+            fake_store.now = lambda: 123.5
+            await feed.put('t', 'a', b'1')
+            for answer in (
+                await feed.read('t'),
+                await feed.get('t', 'a'),
+                await feed.changes('t', 0, 0.0),
+            ):
+                self.assertEqual(123.5, answer.ok.now)
+
+        self.play(scenario)
+
 
 class TestMemoryRowFeed(RowFeedContract, testtools.TestCase):
     def play(self, scenario):
@@ -157,6 +204,8 @@
                 self.assertIsInstance(found.error, read, mode)
                 found = await feed.put('t', 'k', b'v')
                 self.assertIsInstance(found.error, write, mode)
+                found = await feed.transact([], [rowfeed.Put('t', 'k', b'')])
+                self.assertIsInstance(found.error, write, mode)
             fake_store.mode = 'lost'
             found = await feed.put('t', 'k', b'v')
             self.assertIsInstance(found.error, errors.StoreOutcomeUnknown)
--- a/tests/test_storeera.py
+++ b/tests/test_storeera.py
@@ -83,7 +83,11 @@
         ):
             error = self.call(name, *args).error
             self.assertIsInstance(error, errors.StoreNotRun, name)
-        for name, *args in (('put', 't', 'k', b'v'), ('remove', 't', 'k')):
+        for name, *args in (
+            ('put', 't', 'k', b'v'),
+            ('remove', 't', 'k'),
+            ('transact', (), (rowfeed.Put('t', 'k', b'v'),)),
+        ):
             error = self.call(name, *args).error
             self.assertIsInstance(error, errors.StoreOutcomeUnknown, name)
 
