--- a/jujubefold/sidecar/rolloutevidence.py
+++ b/jujubefold/sidecar/rolloutevidence.py
@@ -25,7 +25,7 @@
 SLOW_DISTANCE = 0.15
 # Answers, and seconds that they span, below which no version is slow. Noise
 # of an upstream lasts for 0.6 s.
-MIN_DURATIONS = 30
+MIN_DURATIONS = 20
 MIN_SLOW_SPAN_S = 1.5
 # Share of the upstreams that must be slow by themselves. Upstreams differ in
 # speed, so that two of five may answer slowly though the version is sound.
@@ -468,7 +468,15 @@
         if slow is not None:
             return slow
     share, old_share = _share(new.bad, new.ended), _share(old.bad, old.ended)
-    verdict = Verdict.SOUND if ended >= needed else Verdict.UNKNOWN
+    durations = sum(
+        sum(counts.durations)
+        for report in reports
+        if report.warm
+        for counts in report.routes
+    )
+    # Answers while warming up say nothing about slowness.
+    enough = ended >= needed and durations >= needed / 2
+    verdict = Verdict.SOUND if enough else Verdict.UNKNOWN
     seen = {counts.route: counts.ended for counts in new.routes}
     if ended >= MIN_FOR_ROUTES:
         for name, counts in before.items():
@@ -504,12 +512,17 @@
         old: `rollout.RouteCounts` of the old version by route.
     """
     by_route = collections.defaultdict(list)
+    everything_old = rollout.RouteCounts('')
+    for counts in old.values():
+        everything_old = _combine(everything_old, counts, 1)
     for report in reports:
         if not report.warm:
             continue
         for counts in report.routes:
             base = old.get(counts.route)
             if base is None or sum(base.durations) < MIN_OLD:
+                base = everything_old
+            if sum(base.durations) < MIN_OLD:
                 continue
             limit = SLOW_FACTOR * quantile(base.durations, 0.5)
             found = (
@@ -550,7 +563,7 @@
         slow[vm] += above_limit
         ended[vm] += count
         expected[vm] += count * old_above / old_count
-    judged = [vm for vm in ended if ended[vm] >= MIN_UPSTREAM]
+    judged = [vm for vm in ended if ended[vm] >= MIN_SAMPLED]
     slow_vms = [
         vm
         for vm in judged
--- a/jujubefold/sidecar/rolloutplan.py
+++ b/jujubefold/sidecar/rolloutplan.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 
 import msgspec
 
@@ -35,6 +36,8 @@
 # Share of the canaries' slots that are kept busy. Versions that fail when more
 # than half of them are show it rarely at the usual load.
 CANARY_BUSY = 0.65
+# Above this share of busy slots another canary is added.
+CANARY_FULL = 0.9
 SHARES = (0.2, 0.5, 1.0)
 # Relative change of a canary's share below which it stays; the rate of
 # requests varies from reading to reading.
@@ -46,6 +49,9 @@
 # part of the allowed exposure that is planned with.
 REACTION_S = 1.5
 EXPOSURE_PLANNED = 0.8
+# Requests after which a gate with bad answers has closed itself: its window of
+# 12 answers, and those that run then.
+REQUESTS_TO_TRIP = 16
 # Answers of the new version since the order and since the last change for a
 # step. Services with few requests need fewer in total.
 MIN_ANSWERS = 12
@@ -105,8 +111,8 @@
     return policy.exposure_share * expected + policy.exposure_slack
 
 
-def affordable_share(policy, exposed, total, rate, remaining):
-    """Return the share that the exposure allows if the version turns bad.
+def exposure_left(policy, exposed, total, rate, remaining):
+    """Return how many requests more the new version may get if it is bad.
 
     Args:
         policy: The `Policy`.
@@ -118,7 +124,16 @@
     allowed = EXPOSURE_PLANNED * allowed_exposure(
         policy, total, rate, remaining
     )
-    left = max(0.0, allowed - exposed)
+    return max(0.0, allowed - exposed)
+
+
+def affordable_share(left, rate):
+    """Return the share that the exposure allows if the version turns bad.
+
+    Args:
+        left: What `exposure_left` returned.
+        rate: Requests a second that are expected.
+    """
     at_risk = rate * REACTION_S
     return 1.0 if at_risk <= left else left / at_risk
 
@@ -305,9 +320,10 @@
     elapsed = (now_s - record.started) / order.duration
     remaining = record.deadline - now_s
     usable = _usable(evidence, excluded, elapsed)
-    affordable = affordable_share(
+    left = exposure_left(
         policy, evidence.exposed, evidence.total, evidence.rate, remaining
     )
+    affordable = affordable_share(left, evidence.rate)
     opened = record.share > 0 and evidence.overall.new
     dwelt = now_s - record.opened >= CANARY_DWELL * order.duration
     if (
@@ -317,20 +333,31 @@
         and _all_sound(judgements)
     ):
         share = min(share for share in SHARES if share >= record.share)
-        if share <= affordable or _proven(record, evidence):
+        if share <= affordable or _proven(record, evidence, left):
             return _step(
                 record, rollout.Phase.SHIFTING, share, excluded, 'canary-sound'
             )
     wanted = max(
-        canary_share(evidence, usable, order.duration, elapsed),
-        _busier_share(record, evidence, now_s, elapsed),
+        canary_share(evidence, usable, order.duration, elapsed), record.share
     )
+    busy = _busy_share(record, evidence, now_s)
+    if busy is not None and busy < CANARY_BUSY and elapsed >= LOADED_AT:
+        # Fast upstreams are less busy than the load of the service suggests.
+        more = record.share * CANARY_BUSY / max(busy, 0.05)
+        wanted = max(wanted, min(CANARY_SHARE_MAX, more))
     share = min(wanted, affordable) if usable else 0.0
     if abs(share - record.share) <= SHARE_CHANGE * max(share, record.share):
         share = record.share
-    canaries = choose_canaries(
-        usable, evidence.domains, share, record.canaries
-    )
+    slots = share * evidence.running / CANARY_BUSY
+    if record.canaries:
+        # More gates would make the present ones less busy.
+        full = busy is not None and busy > CANARY_FULL
+        slots = math.inf if full else 0.0
+    canaries = ()
+    if share > 0.0:
+        canaries = choose_canaries(
+            usable, evidence.domains, slots, record.canaries
+        )
     changed = (
         set(canaries) != set(record.canaries)
         or excluded != record.excluded
@@ -373,30 +400,23 @@
     return share
 
 
-def _busier_share(record, evidence, now_s, elapsed):
-    """Return the share at which the canaries are as busy as they should be.
+def _busy_share(record, evidence, now_s):
+    """Return the share of the canaries' slots that are in use; None unknown.
 
-    Fast upstreams are less busy than the load of the service suggests.
+    It is known when they have had the present share for a while.
     """
-    if (
-        elapsed < LOADED_AT
-        or not record.share
-        or now_s - record.stepped_at < rolloutevidence.RECENT_S
-    ):
-        return record.share
     canaries = [
         gate for gate in evidence.overall.new if gate.vm in record.canaries
     ]
     slots = sum(gate.slots for gate in canaries)
-    running = sum(evidence.busy[gate.vm] for gate in canaries)
-    if not slots or running / slots >= CANARY_BUSY:
-        return record.share
-    wanted = record.share * CANARY_BUSY * slots / max(running, 1.0)
-    return max(record.share, min(CANARY_SHARE_MAX, wanted))
+    held = now_s - record.stepped_at >= rolloutevidence.RECENT_S
+    if not record.share or not slots or not held:
+        return None
+    return sum(evidence.busy[gate.vm] for gate in canaries) / slots
 
 
-def choose_canaries(usable, domains, share, before=()):
-    """Return the VMs that carry a share at the load of the whole service.
+def choose_canaries(usable, domains, slots, before=()):
+    """Return the VMs that carry the share of the canaries.
 
     Canaries stay while they can be used, and new ones are taken from the
     failure domains with the fewest.
@@ -404,24 +424,24 @@
     Args:
         usable: `rollout.GateReport` of the gates that may be canaries.
         domains: Failure domain of each VM.
-        share: Share of the requests that they get.
+        slots: Slots that they may have together beyond `MIN_CANARIES` gates.
+            If infinite, one gate is added.
         before: VMs that are canaries.
     """
-    if share <= 0.0:
-        return ()
-    slots = share * sum(gate.slots for gate in usable)
     by_vm = {gate.vm: gate for gate in usable}
     chosen = [vm for vm in before if vm in by_vm]
     others = sorted(by_vm.keys() - set(chosen))
-    while others and (
-        len(chosen) < MIN_CANARIES
-        or sum(by_vm[vm].slots for vm in chosen) + by_vm[others[0]].slots
-        <= slots
-    ):
+    left = slots - sum(by_vm[vm].slots for vm in chosen)
+    while others:
         taken = [domains.get(vm, '') for vm in chosen]
         vm = min(others, key=lambda vm: (taken.count(domains.get(vm, '')), vm))
+        left -= by_vm[vm].slots
+        if len(chosen) >= MIN_CANARIES and left < 0:
+            break
         others.remove(vm)
         chosen.append(vm)
+        if left == math.inf:
+            break
     return tuple(chosen)
 
 
@@ -436,12 +456,13 @@
     sound = (overall, recent) if late else (overall, since_step)
     if advance and _all_sound(sound):
         remaining = record.deadline - now_s
-        affordable = affordable_share(
+        left = exposure_left(
             policy, evidence.exposed, evidence.total, evidence.rate, remaining
         )
+        affordable = affordable_share(left, evidence.rate)
         larger = [share for share in SHARES if share > record.share]
         share = larger[0] if larger else 1.0
-        if share <= affordable or _proven(record, evidence):
+        if share <= affordable or _proven(record, evidence, left):
             if not larger or (late and record.share >= SHARES[1]):
                 return _step(
                     record, rollout.Phase.CLOSING, 1.0, excluded, 'sound'
@@ -452,20 +473,19 @@
     return None
 
 
-def _proven(record, evidence):
-    """Return whether the canaries carried the load that a step brings.
+def _proven(record, evidence, left):
+    """Return whether a step may be taken that the exposure does not allow.
 
     At 1,100 requests a second, 1.5 s with all of them are more than a tenth
     of those in 12 s. So no step to the whole share fits what is allowed. It
     is taken when the version was sound on gates that were as busy per slot as
-    all will be; a gate that still gets bad answers closes itself.
+    all will be, or when there are so few gates that they close themselves
+    before what is allowed is used up.
     """
-    if not record.loaded:
+    gates = evidence.overall.new
+    if sum(gate.ended for gate in gates) < MAX_ANSWERS:
         return False
-    return (
-        evidence.overall.new
-        and sum(gate.ended for gate in evidence.overall.new) >= MAX_ANSWERS
-    )
+    return record.loaded or len(gates) * REQUESTS_TO_TRIP <= left
 
 
 def is_loaded(record, evidence):
