--- a/jujubefold/sidecar/rolloutplan.py
+++ b/jujubefold/sidecar/rolloutplan.py
@@ -480,12 +480,17 @@
     of those in 12 s. So no step to the whole share fits what is allowed. It
     is taken when the version was sound on gates that were as busy per slot as
     all will be, or when there are so few gates that they close themselves
-    before what is allowed is used up.
+    before what is allowed is used up. What is allowed is used up after that
+    step; to remain at half of the requests would expose as many.
     """
     gates = evidence.overall.new
     if sum(gate.ended for gate in gates) < MAX_ANSWERS:
         return False
-    return record.loaded or len(gates) * REQUESTS_TO_TRIP <= left
+    return (
+        record.loaded
+        or record.share >= SHARES[1]
+        or len(gates) * REQUESTS_TO_TRIP <= left
+    )
 
 
 def is_loaded(record, evidence):
