--- a/tests/rolloutplay.py
+++ b/tests/rolloutplay.py
@@ -91,11 +91,14 @@
         self.fiftieth = self.last_exposed = None
 
     def run(self):
-        """Play until the end of the order."""
+        """Play until the end of the order, or 2 s after a rollback."""
         ledger = rolloutevidence.Ledger(self.order.id, 's')
         ends, reports, rows, known = [], {}, [], []
         for tick in range(int(self.order.duration / TICK_S) + 40):
             now = tick * TICK_S
+            rolled_back = self.record.phase is rollout.Phase.ROLLED_BACK
+            if rolled_back and now > self.ended_at + 2.0:
+                break
             while known and known[0][0] <= now:
                 self.seen = known.pop(0)[1]
             while ends and ends[0][0] <= now:
