--- a/jujubefold/sidecar/metrics.py
+++ b/jujubefold/sidecar/metrics.py
@@ -79,6 +79,21 @@
             'Bytes sent to other daemons, by kind of message and scope.',
             registry=self._registry,
         )
+        self._rollout_steps = aioprometheus.Counter(
+            'jujubefold_rollout_steps_total',
+            'Steps of rollouts that this daemon wrote, by phase.',
+            registry=self._registry,
+        )
+        self._rollout_conflicts = aioprometheus.Counter(
+            'jujubefold_rollout_conflicts_total',
+            'Steps of rollouts refused because another daemon wrote first.',
+            registry=self._registry,
+        )
+        self._rollout_takeovers = aioprometheus.Counter(
+            'jujubefold_rollout_takeovers_total',
+            'Rollouts that this daemon took over from another one.',
+            registry=self._registry,
+        )
         self.version = self._gauge(
             'jujubefold_version_in_force', 'Configuration version in force.'
         )
@@ -159,6 +174,23 @@
         for kind, size in sent_bytes.items():
             self._link_bytes.set({'kind': kind, 'scope': scope}, size)
 
+    def set_rollout_control(self, steps, conflicts, takeovers):
+        """Set what the `rolloutcontroller.Controller` counted.
+
+        Args:
+            steps: Number of steps written by phase; phases without one are
+                left out.
+            conflicts: Number of writes refused by their condition.
+            takeovers: Number of rollouts taken over.
+        """
+        for phase, count in steps.items():
+            if count:
+                self._rollout_steps.set({'phase': phase.value}, count)
+        if conflicts:
+            self._rollout_conflicts.set({}, conflicts)
+        if takeovers:
+            self._rollout_takeovers.set({}, takeovers)
+
     def render(self):
         """Return all metrics in the text exposition format, as bytes."""
         body, _ = renderer.render(self._registry, ['text/plain'])
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -7,6 +7,7 @@
 
 from jujubefold import calls
 from jujubefold.sidecar import metrics
+from jujubefold.sidecar import rollout
 
 PAGE = pathlib.Path(__file__).parents[1] / 'docs/OPERATIONS.md'
 # Labels by metric name; for histograms without `le`.
@@ -21,6 +22,9 @@
     'jujubefold_version_in_force': set(),
     'jujubefold_version_known': set(),
     'jujubefold_store_era_changes_total': set(),
+    'jujubefold_rollout_steps_total': {'phase'},
+    'jujubefold_rollout_conflicts_total': set(),
+    'jujubefold_rollout_takeovers_total': set(),
     'jujubefold_links': set(),
     'jujubefold_gate_running': set(),
     'jujubefold_gate_waiting': set(),
@@ -40,6 +44,7 @@
     sidecar_metrics.set_link_bytes('far', {'offer': 100})
     sidecar_metrics.count_version_fault('invalid')
     sidecar_metrics.count_era_change()
+    sidecar_metrics.set_rollout_control({rollout.Phase.CANARY: 1}, 1, 1)
     for gauge in (
         sidecar_metrics.version,
         sidecar_metrics.known_version,
