--- a/jujubefold/sidecar/rolloutplan.py
+++ b/jujubefold/sidecar/rolloutplan.py
@@ -168,15 +168,14 @@
     usable = _usable(evidence, excluded, elapsed)
     if record.phase is rollout.Phase.CLOSING:
         return _complete(record, evidence, elapsed, excluded)
-    if elapsed >= EVIDENCE_END:
+    decide = _canary if record.phase is rollout.Phase.CANARY else _shift
+    step = decide(order, record, evidence, now_s, policy, excluded, judgements)
+    ends = step is not None and step.phase is rollout.Phase.CLOSING
+    if elapsed >= EVIDENCE_END and not ends:
         return _roll_back(
             record, 'not-enough-evidence' if usable else 'no-upstream'
         )
-    if record.phase is rollout.Phase.CANARY:
-        return _canary(
-            order, record, evidence, now_s, policy, excluded, judgements
-        )
-    return _shift(order, record, evidence, now_s, policy, excluded, judgements)
+    return step
 
 
 def apply(record, step, evidence, now_s, controller):
@@ -453,7 +452,8 @@
     overall, since_step, recent = judgements
     late = elapsed >= CLOSING_AT
     # Late, the newest answers count, also those from before the last step.
-    sound = (overall, recent) if late else (overall, since_step)
+    half = record.share >= SHARES[1]
+    sound = (overall, recent if late and half else since_step)
     if advance and _all_sound(sound):
         remaining = record.deadline - now_s
         left = exposure_left(
@@ -467,7 +467,7 @@
             or share <= affordable
             or _proven(record, evidence, left)
         ):
-            if not larger or (late and record.share >= SHARES[1]):
+            if not larger or (late and (half or record.loaded)):
                 return _step(
                     record, rollout.Phase.CLOSING, 1.0, excluded, 'sound'
                 )
