Add the daemon's part of rollouts

Daemons knew nothing of versions of a service. Gates now close and open by the state of a rollout, count answers and report them; ingresses choose the version by the share; the first reader of a failure domain sums the reports into one row. All of it is active only with the settings [rollouts].

--- a/jujubefold/platform/adapter.py
+++ b/jujubefold/platform/adapter.py
@@ -3,6 +3,7 @@
 from jujubefold.platform import announcements
 from jujubefold.platform import configuration
 from jujubefold.platform import headers
+from jujubefold.platform import rollouts
 from jujubefold.platform import store
 from jujubefold.sidecar import daemon
 
@@ -15,4 +16,5 @@
     new_announcements=announcements.AnnouncementHandler,
     new_readiness=announcements.readiness,
     new_metrics=announcements.metrics,
+    rollouts=rollouts,
 )
--- a/jujubefold/platform/announcements.py
+++ b/jujubefold/platform/announcements.py
@@ -19,6 +19,8 @@
 class _Info(msgspec.Struct):
     service: str
     slots: int
+    # Version of the software; heartbeats of old instances have none.
+    version: str = ''
 
 
 class _Status(msgspec.Struct):
@@ -124,6 +126,7 @@
         heartbeat.status.sequence,
         heartbeat.born,
         max(0.0, heartbeat.status.cold_remaining_s),
+        heartbeat.info.version,
     )
 
 
--- a/jujubefold/sidecar/balancer.py
+++ b/jujubefold/sidecar/balancer.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from jujubefold.sidecar import limiter
+from jujubefold.sidecar import rolloutstates
 from jujubefold.sidecar import transfer
 
 # Seconds added to the expected latency, by distance: what a request may lose
@@ -76,6 +77,8 @@
         full: Names of VMs whose gates had no free slot for it; it may still
             queue there.
         body_size: Bytes that are transferred to it.
+        preference: The `rolloutstates.Preference` for a version of the
+            service; None without rollouts.
     """
 
     time_left: float
@@ -83,6 +86,7 @@
     excluded: frozenset = frozenset()
     full: frozenset = frozenset()
     body_size: int = 0
+    preference: rolloutstates.Preference | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,6 +121,8 @@
         for candidate in candidates
         if candidate.reachable and candidate.load.slots
     ]
+    if criteria.preference is not None:
+        available = _on_track(available, criteria, now)
     near = [item for item in available if item.distance in SAME_DOMAIN]
     far = [item for item in available if item.distance not in SAME_DOMAIN]
     near_free = _fastest(
@@ -201,6 +207,24 @@
     ) * weight + candidate.offers_since_report
 
 
+def _on_track(candidates, criteria, now):
+    """Return the candidates of the version that a request may go to."""
+    preference = criteria.preference
+    preferred = [
+        item for item in candidates if item.load.track == preference.track
+    ]
+    match preference.fallback:
+        case rolloutstates.Fallback.NO_ROOM:
+            usable = _with_free_slot(preferred, criteria, now)
+        case rolloutstates.Fallback.NONE_OPEN:
+            usable = preferred
+        case _:
+            return preferred
+    if usable:
+        return preferred
+    return [item for item in candidates if item.load.track != preference.track]
+
+
 def _with_free_slot(candidates, criteria, now):
     """Return the candidates that are expected to have a free slot."""
     return [
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -25,6 +25,7 @@
 from jujubefold.sidecar import metrics
 from jujubefold.sidecar import options as settings
 from jujubefold.sidecar import retrybudget
+from jujubefold.sidecar import rollouts
 from jujubefold.sidecar import roster
 from jujubefold.sidecar import settingswatcher
 from jujubefold.sidecar import storeera
@@ -85,6 +86,8 @@
             daemon is ready; returns a request handler.
         new_metrics: Called with a function that returns the rendered
             metrics; returns a request handler.
+        rollouts: Module with the rows of rollouts; None without them.
+        new_rollout_controller: Creates a `rolloutcontroller.Controller`.
     """
 
     names: attempts.HeaderNames
@@ -95,6 +98,8 @@
     new_announcements: object
     new_readiness: object
     new_metrics: object
+    rollouts: object = None
+    new_rollout_controller: object = None
 
 
 class Daemon:
@@ -215,6 +220,7 @@
                 options.listen.metrics,
             ),
         )
+        self._rollouts = self._new_rollouts()
         self._tasks = []
         self._timer = None
         self._previous_version = 0
@@ -240,7 +246,7 @@
             self.versions,
             self._new_watcher(
                 platform.configuration_table,
-                self._update_configuration,
+                self._replace_configuration,
                 self._update_configuration,
                 VERSIONS_INTERVALS,
                 self._versions_availability_changed,
@@ -345,7 +351,7 @@
             return
         restart_sections = [
             name
-            for name in ('daemon', 'listen', 'upstream', 'store')
+            for name in ('daemon', 'listen', 'upstream', 'store', 'rollouts')
             if getattr(options.ok, name) != getattr(self._options, name)
         ]
         if options.ok.retries.window != self._options.retries.window:
@@ -387,7 +393,53 @@
             self._event_log,
         )
 
+    def _new_rollouts(self):
+        """Return the `rollouts.Rollouts`, connected; None without them."""
+        policy = self._options.rollouts
+        if policy is None:
+            return None
+        member = self._own_member
+        created = rollouts.Rollouts(
+            rollouts.Parts(
+                member,
+                self.fleet,
+                self.egress,
+                self._feed,
+                self._platform.rollouts,
+                lambda on_state: self._platform.new_rollout_controller(
+                    self._feed,
+                    self._platform.rollouts,
+                    f'{member.vm}/{member.incarnation}',
+                    policy,
+                    self._clock,
+                    self._rng,
+                    self._event_log,
+                    on_state,
+                ),
+                self._platform.names.seal,
+                self._clock,
+                self._rng,
+                self._event_log,
+            )
+        )
+        self.egress.rollout_gate = created.gate
+        self.ingress.rollout_choice = created
+        self.fleet.rollouts = created
+        return created
+
+    def _replace_configuration(self, rows):
+        if self._rollouts is not None:
+            self._rollouts.replace_orders(
+                rows, self._configurations.cursor.era
+            )
+        self._apply_configuration(rows)
+
     def _update_configuration(self, rows):
+        if self._rollouts is not None:
+            self._rollouts.update_orders(rows, self._configurations.cursor.era)
+        self._apply_configuration(rows)
+
+    def _apply_configuration(self, rows):
         for row in rows:
             if row.key == self._platform.configuration_key and row.value:
                 self.versions.apply(
@@ -407,6 +459,8 @@
         self._caller_server.timeouts = callserver.Timeouts(
             head=limits.head_timeout, idle=limits.idle_timeout
         )
+        if self._rollouts is not None:
+            self._rollouts.set_services(tuple(configuration.mesh.services))
         self.fleet.version_exchange.announce(self._previous_version, source)
         self._previous_version = configuration.mesh.number
 
@@ -441,6 +495,8 @@
         now = self._clock.monotonic()
         self.fleet.sweep()
         self._update_feed_tasks()
+        if self._rollouts is not None:
+            self._rollouts.sweep(self._configurations.running)
         self._member_rows.forget_missing(now, self._members.cursor)
         self.ingress.cancel_expired(now)
         self._event_log.flush()
@@ -481,6 +537,8 @@
         self._metrics.links.set({}, self.fleet.linked_count)
         self._metrics.set_link_bytes('near', self.fleet.traffic.near)
         self._metrics.set_link_bytes('far', self.fleet.traffic.far)
+        if self._rollouts is not None:
+            self._rollouts.set_metrics(self._metrics)
         return self._metrics.render()
 
     # Stopping
@@ -498,6 +556,8 @@
         self._stopping = True
         self._closed = True
         self._update_feed_tasks()
+        if self._rollouts is not None:
+            self._rollouts.close()
         for task in self._tasks:
             task.cancel()
         if self._restore_task is not None:
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -83,6 +83,7 @@
 
     Attributes:
         fetch_backlog: As in `limiter.Load`; set by the peer server.
+        rollout_gate: The `rolloutgate.RolloutGate`; None without rollouts.
     """
 
     def __init__(
@@ -100,6 +101,8 @@
         self.instance_table = instance.InstanceTable()
         self.crashes = crashes.new_table()
         self.fetch_backlog = 0.0
+        self.rollout_gate = None
+        self._track = 0
         self._names = names
         self._clock = clock
         self._daemon_id = daemon_id
@@ -127,9 +130,25 @@
     def load(self):
         """Return the gate's `limiter.Load`."""
         return limiter.load(
-            self.slot_table, self._clock.monotonic(), self.fetch_backlog
+            self.slot_table,
+            self._clock.monotonic(),
+            self.fetch_backlog,
+            self._track,
+        )
+
+    @property
+    def offered_slots(self):
+        """Slots that the upstream offers, closed by a rollout or not."""
+        return instance.usable_slots(
+            self.instance_table, self._clock.monotonic(), self._drain_seconds
         )
 
+    def _rollout_closed(self):
+        """Return why a rollout closes the gate now; empty if it does not."""
+        if self.rollout_gate is None:
+            return ''
+        return self.rollout_gate.admission(self.instance_table.current).closed
+
     def start(self):
         """Start the periodic check of queued requests and connections."""
         self._sweep()
@@ -198,13 +217,18 @@
         """Update the usable slots and the warm-up factor of the upstream."""
         now = self._clock.monotonic()
         table = self.slot_table
-        usable = instance.usable_slots(
-            self.instance_table, now, self._drain_seconds
-        )
+        usable = self.offered_slots
+        closed, track = '', 0
+        if self.rollout_gate is not None:
+            found = self.rollout_gate.admission(self.instance_table.current)
+            closed, track = found.closed, found.track
+        if closed:
+            usable = 0
         table.warmup_factor = instance.warmup_factor(self.instance_table, now)
-        if usable == table.slots:
+        if (usable, track) == (table.slots, self._track):
             return
         table.slots = usable
+        self._track = track
         if usable:
             self._wake(limiter.fill_slots(table, now))
         else:
@@ -212,7 +236,7 @@
             reason = (
                 calls.Reason.DRAINING if draining else calls.Reason.NO_UPSTREAM
             )
-            self._evict(limiter.close(table, reason))
+            self._evict(limiter.close(table, reason, closed))
         self._on_slots_changed()
 
     # Requests
@@ -271,6 +295,10 @@
         return outcome
 
     def _refuse(self, attempt, refusal):
+        if refusal.reason is calls.Reason.NO_UPSTREAM and not refusal.detail:
+            refusal = dataclasses.replace(
+                refusal, detail=self._rollout_closed()
+            )
         if refusal.reason is not calls.Reason.NO_SLOT:
             self._log_refusal('gate.refused', attempt, refusal)
         return attempts.Outcome(refusal=refusal)
@@ -358,9 +386,7 @@
         body = attempt.body.data
         now = self._clock.monotonic()
         upstream = self.instance_table.current
-        if not instance.usable_slots(
-            self.instance_table, now, self._drain_seconds
-        ):
+        if not self.offered_slots:
             return attempts.Outcome(refusal=_UNREACHABLE)
         connection = await self._take_connection(attempt, now)
         if isinstance(connection, callclient.Failure):
@@ -372,6 +398,11 @@
         if now >= attempt.deadline:
             self._pool.release(connection)
             return attempts.Outcome(refusal=_DEADLINE_PASSED)
+        closed = self._rollout_closed()
+        if closed:
+            self._pool.release(connection)
+            refusal = dataclasses.replace(_UNREACHABLE, detail=closed)
+            return attempts.Outcome(refusal=refusal)
         remaining_ms = max(1, int((attempt.deadline - now) * _MS))
         names = self._names
         message = callclient.ClientRequest(
@@ -389,6 +420,19 @@
                 (names.expected_upstream, upstream.id.encode('latin-1')),
             ),
         )
+        exchange = self._exchange(attempt, upstream, connection, message, head)
+        if self.rollout_gate is None:
+            return await exchange
+        return await self.rollout_gate.observe(
+            upstream,
+            attempt,
+            instance.warmup_factor(self.instance_table, now) == 1.0,
+            exchange,
+        )
+
+    async def _exchange(self, attempt, upstream, connection, message, head):
+        """Send a request on a connection and wait for its outcome."""
+        now = self._clock.monotonic()
         answer_deadline = attempt.deadline + ANSWER_GRACE_S
         # Silence is no reason to end a request before its deadline.
         bounds = callclient.ExchangeLimits(answer_deadline, math.inf)
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -67,6 +67,7 @@
         traffic: The `link.Traffic` of all links.
         version_exchange: The `versionexchange.VersionExchange`.
         peer_server: The `peerserver.PeerServer`.
+        rollouts: The `rollouts.Rollouts`; None without rollouts.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         self._traffic_logged_at = clock.monotonic()
         self.readers = readers.ReaderTable(clock.monotonic(), bootstrap)
         self._own_member = own_member
+        self.rollouts = None
         self._egress = egress
         self._versions = versions
         self._clock = clock
@@ -445,6 +447,9 @@
                 self.apply_members(message)
             case frames.CrashEvidence():
                 self._crash_reports.handle(message)
+            case frames.RolloutReport() | frames.RolloutState():
+                if self.rollouts is not None:
+                    self.rollouts.handle(message, channel)
 
     def _handle_hello(self, hello, channel):
         self.add_member(hello.member)
@@ -463,6 +468,8 @@
         if peer is None or peer.link is not outgoing:
             return
         up = outgoing.up
+        if up and self.rollouts is not None:
+            self.rollouts.send_all(outgoing)
         if peer.candidate.reachable != up:
             self._event_log.record(
                 'link.up' if up else 'link.down',
@@ -602,6 +609,7 @@
         message.mean_duration_ms / _MS,
         message.failure_percent / 100,
         message.fetch_backlog_ms / _MS,
+        message.track,
     )
 
 
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -34,6 +34,7 @@
             failed.
         fetch_backlog_ms: Milliseconds for which the gate's link is busy with
             bodies that are being fetched.
+        track: Version of the upstream in a rollout: 0 stable, 1 new.
     """
 
     running: int
@@ -42,6 +43,7 @@
     mean_duration_ms: int
     failure_percent: int
     fetch_backlog_ms: int = 0
+    track: int = 0
 
 
 class Hello(Message, tag='hello'):
@@ -293,6 +295,26 @@
     blame_milli: int
 
 
+class RolloutReport(Message, tag='rollout-report'):
+    """Counts of the sender's gate during a rollout.
+
+    Args:
+        body: A `rollout.GateReport`, encoded by `rolloutmessages`.
+    """
+
+    body: bytes
+
+
+class RolloutState(Message, tag='rollout-state'):
+    """What the sender knows of rollouts.
+
+    Args:
+        body: A `rolloutmessages.States`, encoded there.
+    """
+
+    body: bytes
+
+
 _MessageTypes = (
     Hello
     | Offer
@@ -310,6 +332,8 @@
     | ConfigurationRequest
     | ConfigurationDocument
     | CrashEvidence
+    | RolloutReport
+    | RolloutState
     | Load
 )
 _encoder = msgspec.msgpack.Encoder()
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -97,6 +97,7 @@
         closing: Whether new requests are refused because the daemon is
             stopping.
         retry_table: The retry budget passed to the constructor.
+        rollout_choice: The `rollouts.Rollouts`; None without rollouts.
     """
 
     def __init__(
@@ -127,6 +128,7 @@
         self._mean_durations = {}
         self._wait_estimates = callerwait.WaitTable()
         self.closing = False
+        self.rollout_choice = None
 
     @property
     def in_flight(self):
@@ -247,6 +249,9 @@
         """Offer a request to gates until it is done; return the outcome."""
         tried_vms = full_vms = frozenset()
         best = None
+        preference = None
+        if self.rollout_choice is not None:
+            preference = self.rollout_choice.choose_track(call.service)
         duration = self._mean_durations.get(call.attempt.route, 0.0)
         while True:
             now = self._clock.monotonic()
@@ -258,6 +263,7 @@
                     tried_vms,
                     full_vms,
                     call.attempt.body.size,
+                    preference,
                 ),
                 now,
                 self._rng,
@@ -285,6 +291,8 @@
                 tried_vms |= {choice.candidate.vm}
             if not self._may_offer_again(call, outcome):
                 return best
+            if preference is not None:
+                preference = self.rollout_choice.redirect(call.service)
 
     async def _offer(self, call, candidate, may_queue, now):
         call.offer_count += 1
--- a/jujubefold/sidecar/instance.py
+++ b/jujubefold/sidecar/instance.py
@@ -67,6 +67,7 @@
         sequence: Increases with each announcement of one start.
         started_ms: Unix milliseconds of its start; 0 if not reported.
         warmup: Seconds until it has warmed up.
+        version: Version of its software; empty if not reported.
     """
 
     id: str
@@ -77,6 +78,7 @@
     sequence: int
     started_ms: int = 0
     warmup: float = 0.0
+    version: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- a/jujubefold/sidecar/limiter.py
+++ b/jujubefold/sidecar/limiter.py
@@ -104,6 +104,7 @@
         failure_rate: Share of recent requests that the upstream failed.
         fetch_backlog: Seconds for which the gate's link is busy with bodies
             that are being fetched.
+        track: Version of the upstream in a rollout: 0 stable, 1 new.
     """
 
     running: int = 0
@@ -112,6 +113,7 @@
     mean_duration: float = INITIAL_DURATION_S
     failure_rate: float = 0.0
     fetch_backlog: float = 0.0
+    track: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -279,12 +281,13 @@
     return tuple((request.key, refusal) for request in overdue)
 
 
-def close(table, reason):
+def close(table, reason, detail=''):
     """Refuse all queued requests, and admit none while no upstream serves.
 
     Args:
         table: A `SlotTable`.
         reason: A `calls.Reason` for the refusals.
+        detail: Explanation for people; may be empty.
 
     Returns:
         As `evict_overdue`.
@@ -292,17 +295,20 @@
     table.slots = 0
     keys = tuple(table.waiting)
     table.waiting.clear()
-    refusal = _refused(reason, MIN_RETRY_AFTER_S).refusal
+    refusal = dataclasses.replace(
+        _refused(reason, MIN_RETRY_AFTER_S).refusal, detail=detail
+    )
     return tuple((key, refusal) for key in keys)
 
 
-def load(table, now, fetch_backlog=0.0):
+def load(table, now, fetch_backlog=0.0, track=0):
     """Return the `Load` of a table.
 
     Args:
         table: A `SlotTable`.
         now: Monotonic seconds.
         fetch_backlog: As in `Load`.
+        track: As in `Load`.
     """
     running = len(table.running)
     slots = table.slots
@@ -322,6 +328,7 @@
         duration,
         decayed_failure_rate(table.failure_rate, now - table.sampled_at),
         fetch_backlog,
+        track,
     )
 
 
--- a/jujubefold/sidecar/metrics.py
+++ b/jujubefold/sidecar/metrics.py
@@ -33,6 +33,11 @@
         slots: Gauge of the slots that may be used now.
         limit: Gauge of the requests a second that the upstream takes; 0
             without a limit.
+        rollout_share: Gauge of the share of a service's requests that goes
+            to a new version.
+        rollout_answers: Gauge of the ended requests of the own upstream
+            since the last order.
+        rollout_bad: Gauge of the bad answers among them.
     """
 
     def __init__(self):
@@ -102,6 +107,18 @@
             'jujubefold_gate_limit',
             'Requests a second that the upstream takes; 0 without a limit.',
         )
+        self.rollout_share = self._gauge(
+            'jujubefold_rollout_share',
+            "Share of a service's requests for the new version.",
+        )
+        self.rollout_answers = self._gauge(
+            'jujubefold_rollout_answers',
+            'Ended requests of the upstream since the order, by version.',
+        )
+        self.rollout_bad = self._gauge(
+            'jujubefold_rollout_bad_answers',
+            'Bad answers among them, by version.',
+        )
 
     def count_response(self, service, route, status, seconds):
         """Count an answer to a routed request.
--- a/jujubefold/sidecar/options.py
+++ b/jujubefold/sidecar/options.py
@@ -114,6 +114,22 @@
     level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
 
 
+class Rollouts(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of rollouts; without this section there are none.
+
+    Args:
+        exposure_share: Share of a service's requests that a bad version may
+            get.
+        exposure_slack: Requests that it may get in addition.
+        rollback: Seconds after its 50th bad answer within which it must get
+            no more requests.
+    """
+
+    exposure_share: typing.Annotated[float, msgspec.Meta(gt=0, le=1)]
+    exposure_slack: typing.Annotated[float, msgspec.Meta(ge=0)]
+    rollback: Seconds
+
+
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of a sidecar, by section."""
 
@@ -124,6 +140,7 @@
     retries: Retries
     stop: Stop
     logs: Logs = Logs()
+    rollouts: Rollouts | None = None
 
 
 def load(path):
--- a/jujubefold/sidecar/peerserver.py
+++ b/jujubefold/sidecar/peerserver.py
@@ -383,4 +383,5 @@
         round(load.mean_duration * _MS),
         round(load.failure_rate * 100),
         round(load.fetch_backlog * _MS),
+        load.track,
     )
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -164,6 +164,7 @@
     Attributes:
         limit: Text of the limit that its answers name; '' for none.
         leaving: Whether its answers say that it leaves.
+        version: Version of its software in its announcements.
     """
 
     def __init__(self, name='i-1', slots=4):
@@ -171,6 +172,7 @@
         self.slots = slots
         self.limit = ''
         self.leaving = False
+        self.version = 'v1'
         self.requests = []
         self.handler = self.answer
         self.sequence = 0
@@ -251,10 +253,17 @@
 
 
 class Fleet:
-    """Sidecars that share an in-memory store."""
+    """Sidecars that share an in-memory store.
+
+    Attributes:
+        rollouts: The `options.Rollouts` of sidecars that are added.
+        new_rollout_controller: As in `daemon.Platform`, for the same.
+    """
 
     def __init__(self):
         self.feed = rowfeed.MemoryRowFeed()
+        self.rollouts = None
+        self.new_rollout_controller = adapter.PLATFORM.new_rollout_controller
         self.daemons = {}
         self.event_logs = {}
         self.upstreams = {}
@@ -276,9 +285,11 @@
         slots=4,
         feed=None,
         capacity=0.0,
+        version='v1',
     ):
         """Add a VM with a sidecar and an announced upstream."""
         upstream = Upstream(f'i-{vm}', slots)
+        upstream.version = version
         await upstream.start()
         self.upstreams[vm] = upstream
         await self.add_daemon(vm, domain, service, feed, capacity)
@@ -299,13 +310,16 @@
             options.Store(f'{LOOPBACK}:1'),
             options.Retries(0.2, 10.0, 56.0),
             options.Stop(6.0),
+            rollouts=self.rollouts,
         )
         return await self.restart(vm, daemon_options, feed)
 
     async def restart(self, vm, daemon_options, feed=None):
         """Start a VM's sidecar with the given `options.Options`."""
         platform = dataclasses.replace(
-            adapter.PLATFORM, new_feed=lambda *args: feed or self.feed
+            adapter.PLATFORM,
+            new_feed=lambda *args: feed or self.feed,
+            new_rollout_controller=self.new_rollout_controller,
         )
         event_log = self.event_logs[vm] = RecordingEventLog()
         sidecar = daemon.Daemon(
@@ -324,7 +338,7 @@
             'born': born,
             'info': {
                 'service': self.daemons[vm].options.upstream.service,
-                'version': 'v1',
+                'version': upstream.version,
                 'zone': 'a',
                 'slots': upstream.slots,
             },
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -26,6 +26,9 @@
     'jujubefold_gate_waiting': set(),
     'jujubefold_gate_slots': set(),
     'jujubefold_gate_limit': set(),
+    'jujubefold_rollout_share': {'service'},
+    'jujubefold_rollout_answers': {'service', 'track'},
+    'jujubefold_rollout_bad_answers': {'service', 'track'},
 }
 _HISTOGRAM_SUFFIX = re.compile(r'_(bucket|sum|count)$')
 _LABEL = re.compile(r'(\w+)="')
@@ -50,6 +53,10 @@
         sidecar_metrics.limit,
     ):
         gauge.set({}, 1)
+    sidecar_metrics.rollout_share.set({'service': 's'}, 0.1)
+    labels = {'service': 's', 'track': 'new'}
+    sidecar_metrics.rollout_answers.set(labels, 1)
+    sidecar_metrics.rollout_bad.set(labels, 1)
     return sidecar_metrics.render().decode()
 
 
