--- a/jujubefold/platform/adapter.py
+++ b/jujubefold/platform/adapter.py
@@ -6,6 +6,7 @@
 from jujubefold.platform import rollouts
 from jujubefold.platform import store
 from jujubefold.sidecar import daemon
+from jujubefold.sidecar import rolloutcontroller
 
 PLATFORM = daemon.Platform(
     names=headers.NAMES,
@@ -17,4 +18,5 @@
     new_readiness=announcements.readiness,
     new_metrics=announcements.metrics,
     rollouts=rollouts,
+    new_rollout_controller=rolloutcontroller.Controller,
 )
--- a/jujubefold/sidecar/rolloutgate.py
+++ b/jujubefold/sidecar/rolloutgate.py
@@ -48,8 +48,9 @@
             self._member.vm,
             self._clock.boottime(),
         )
-        if found.is_open and self.counts(upstream) is not None:
-            if self.counts(upstream).tripped:
+        if found.is_open and found.track == rolloutstates.NEW:
+            counts = self.counts(upstream)
+            if counts is not None and counts.tripped:
                 return rolloutstates.Admission(found.track, TRIPPED)
         return found
 
--- a/jujubefold/sidecar/rollouts.py
+++ b/jujubefold/sidecar/rollouts.py
@@ -43,7 +43,7 @@
         fleet: The `fleet.Fleet`.
         egress: The `egress.Egress`.
         feed: The `rowfeed.RowFeed`.
-        platform: Module with `KEY_PREFIX` and `decode_order`.
+        platform: The platform's module with `service_of` and `read_orders`.
         new_controller: Called with the callback for each `rollout.State`
             that is read or written; returns the controller, with
             `set_orders`, `set_services` and `run`.
@@ -91,8 +91,9 @@
             parts.event_log,
         )
         self.gate.on_tripped = self._gate_tripped
-        self._orders = {}
+        # Rows of the orders' table by key, and the `OrderRow` of each order.
         self._rows = {}
+        self._orders = ()
         self._reports = rolloutaggregator.ReportTable()
         self._controller = parts.new_controller(self._handle_state)
         self._control_task = None
@@ -115,7 +116,6 @@
             era: Era of the store in which they were read.
         """
         self._rows.clear()
-        self._orders.clear()
         self.states.orders_read = True
         self.update_orders(rows, era)
         self._note_completeness()
@@ -127,36 +127,37 @@
             rows: As in `replace_orders`, those that changed.
             era: As in `replace_orders`.
         """
-        prefix = self._parts.platform.KEY_PREFIX
         for row in rows:
-            if not row.key.startswith(prefix):
-                continue
             self._rows.pop(row.key, None)
-            self._orders.pop(row.key, None)
-            if row.value is None:
-                continue
-            self._rows[row.key] = row
-            decoded = self._parts.platform.decode_order(row, era)
-            if decoded.is_ok():
-                self._orders[row.key] = decoded.ok
-        self._controller.set_orders(tuple(self._rows.values()))
-        for order in self._orders.values():
-            self._record_order(order)
+            if self._parts.platform.service_of(row.key) and row.value:
+                self._rows[row.key] = row
+        found = self._parts.platform.read_orders(self._rows.values(), era)
+        if found == self._orders and self.states.complete:
+            return
+        self._orders = found
+        self._controller.set_orders(found)
+        for item in found:
+            if item.order is not None:
+                self._record_order(item.order)
+        self._record_withdrawals()
 
     def _record_order(self, order):
         """Close the gates of an ordered version until its record is known."""
-        entry = self.states.entries.get(order.service)
-        if entry is None or entry.state.order is None:
-            known = None
-        else:
-            known = entry.state.order.id
-        if known is None or known < order.id:
+        if rolloutstates.newest_order(self.states, order.service) < order.id:
+            entry = self.states.entries.get(order.service)
             record = None if entry is None else entry.state.record
             self._record(
                 rollout.State(order.service, order, record),
                 confirmed=False,
             )
 
+    def _record_withdrawals(self):
+        """Close the gates of versions whose order was deleted."""
+        named = {item.service for item in self._orders}
+        for service, entry in tuple(self.states.entries.items()):
+            if service not in named and entry.state.order is not None:
+                self._record(rolloutstates.withdrawn(entry.state))
+
     def set_services(self, names):
         """Tell the controller which services the configuration has."""
         self._controller.set_services(names)
@@ -381,8 +382,8 @@
     def _has_open_order(self):
         """Whether an order or a record may still change."""
         return any(
-            rolloutstates.needs_control(self.states, order)
-            for order in self._orders.values()
+            rolloutstates.newest_order(self.states, item.service) < item.id
+            for item in self._orders
         ) or any(
             rolloutstates.is_running(entry.state)
             for entry in self.states.entries.values()
--- a/jujubefold/sidecar/rolloutstates.py
+++ b/jujubefold/sidecar/rolloutstates.py
@@ -154,21 +154,41 @@
         entry.settled = record.to
     elif record is not None and current_record(state) is None:
         entry.barred |= {record.to}
-    entry.barred -= {entry.settled, state.order.to if state.order else ''}
+    entry.barred -= {entry.settled, state.order.to if state.order else '', ''}
     return True
 
 
-def needs_control(table, order):
-    """Return whether an order of the store may not have ended yet.
+def newest_order(table, service):
+    """Return the `rollout.OrderId` of the newest known order of a service.
 
     Args:
         table: A `StateTable`.
-        order: A `rollout.Order`.
+        service: Name of the service.
     """
-    entry = table.entries.get(order.service)
-    if entry is None or entry.state.order is None:
-        return True
-    return entry.state.order.id < order.id or is_running(entry.state)
+    entry = table.entries.get(service)
+    return rollout.OrderId() if entry is None else _rank(entry.state)[0]
+
+
+def withdrawn(state):
+    """Return a state after its order was deleted.
+
+    Args:
+        state: A `rollout.State` with an order.
+    """
+    order = state.order
+    record = current_record(state)
+    if record is None:
+        # A step before any that a controller may have written.
+        record = rollout.Record(
+            order.id,
+            order.to,
+            0.0,
+            0.0,
+            rollout.Phase.ROLLED_BACK,
+            step=-1,
+            reason='withdrawn',
+        )
+    return rollout.State(state.service, None, record)
 
 
 def is_running(state):
@@ -228,7 +248,10 @@
         return Admission()
     state = entry.state
     record = current_record(state)
-    if version == ordered_version(state):
+    if version and version == entry.settled == ordered_version(state):
+        # A version that serves already is ordered once more.
+        return _admission_of_settled(record, vm)
+    if version and version == ordered_version(state):
         return _admission_of_new(entry, record, vm, now)
     if version in entry.barred:
         return Admission(closed='the rollout of this version was ended')
@@ -240,13 +263,16 @@
     return Admission()
 
 
+def _admission_of_settled(record, vm):
+    if record is not None and record.phase is rollout.Phase.COMPLETED:
+        if vm in record.excluded:
+            return Admission(closed='the upstream was found faulty')
+    return Admission()
+
+
 def _admission_of_new(entry, record, vm, now):
     if record is None:
         return Admission(NEW, 'the rollout of this version has not begun')
-    if record.phase is rollout.Phase.COMPLETED:
-        if vm in record.excluded:
-            return Admission(STABLE, 'the upstream was found faulty')
-        return Admission()
     if entry.state.order is None:
         return Admission(NEW, 'the rollout of this version was withdrawn')
     if record.phase is rollout.Phase.ROLLED_BACK:
@@ -354,7 +380,7 @@
 def _remember_former(entry, state):
     """Note how the former order ended, when another one replaces it."""
     former = entry.state
-    if state.order is None or ordered_version(former) == state.order.to:
+    if ordered_version(former) == ordered_version(state):
         return
     record = current_record(former)
     if record is None or record.phase is not rollout.Phase.COMPLETED:
--- a/tests/rolloutcontrol.py
+++ b/tests/rolloutcontrol.py
@@ -19,11 +19,11 @@
         self._feed = feed
         self._platform = platform
         self._on_state = on_state
-        self._rows = ()
+        self._orders = ()
         self.services = ()
 
-    def set_orders(self, rows):
-        self._rows = rows
+    def set_orders(self, orders):
+        self._orders = orders
 
     def set_services(self, names):
         self.services = names
@@ -31,8 +31,10 @@
     async def run(self):
         while True:
             records = await self._feed.read(TABLE)
-            for row in self._rows if records.is_ok() else ():
-                order = self._platform.decode_order(row, records.ok.era).ok
+            for item in self._orders if records.is_ok() else ():
+                order = item.order
+                if order is None:
+                    continue
                 found = [
                     msgspec.json.decode(item.value, type=rollout.Record)
                     for item in records.ok.rows
