--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -459,6 +459,11 @@
         )
 
     def _update_load(self, peer, load):
+        vm = peer.candidate.vm
+        if self.rollouts is not None and vm in self.roster.members:
+            if (vm in self._peering.closed) == bool(load.slots):
+                self._peering.closed ^= {vm}
+                self._peering_changed = True
         balancer.update_load(
             peer.candidate, _decode_load(load), self._clock.monotonic()
         )
--- a/jujubefold/sidecar/peering.py
+++ b/jujubefold/sidecar/peering.py
@@ -30,6 +30,8 @@
         groups: Hash by VM name, by failure domain and service.
         near_services: Service by VM name in the own failure domain.
         down: Names of VMs whose daemon can't be reached or is stopping.
+        closed: Names of VMs whose gate is closed; noted with rollouts only,
+            in which all gates of a version close.
     """
 
     local: roster.Member
@@ -38,6 +40,7 @@
     )
     near_services: dict[str, str] = dataclasses.field(default_factory=dict)
     down: set[str] = dataclasses.field(default_factory=set)
+    closed: set[str] = dataclasses.field(default_factory=set)
 
 
 def is_near(table, member):
@@ -70,6 +73,7 @@
 def remove(table, vm):
     """Remove a member by the name of its VM."""
     table.down.discard(vm)
+    table.closed.discard(vm)
     table.near_services.pop(vm, None)
     for group in table.groups.values():
         group.pop(vm, None)
@@ -78,22 +82,23 @@
 def selected(table):
     """Return the names of the VMs in other failure domains to link to.
 
-    Members that are down are replaced by the next ones, and links to those
-    that ranked before these are kept until they come up again.
+    Members that are down or closed are replaced by the next ones, and links to
+    those that ranked before these are kept until they come up or open again.
     """
     chosen = set()
+    unusable = table.down | table.closed
     for (_, service), group in table.groups.items():
         limit = _limit(table, service)
         ranked = sorted(group, key=group.get)
-        up = [vm for vm in ranked if vm not in table.down][:limit]
-        down = [vm for vm in ranked if vm in table.down][:limit]
+        up = [vm for vm in ranked if vm not in unusable][:limit]
+        down = [vm for vm in ranked if vm in unusable][:limit]
         chosen.update(up, down)
     return chosen
 
 
 def _limit(table, service):
     near = sum(
-        item == service and vm not in table.down
+        item == service and vm not in table.down and vm not in table.closed
         for vm, item in table.near_services.items()
     )
     near += table.local.service == service
--- a/jujubefold/sidecar/rolloutaggregator.py
+++ b/jujubefold/sidecar/rolloutaggregator.py
@@ -71,7 +71,7 @@
     table.reports.pop(service, None)
 
 
-def evidence(table, state, reachable, aggregator, now):
+def evidence(table, state, reachable, members, aggregator, now):
     """Return the `rollout.Evidence` of a running order, or None.
 
     Gates of daemons that restarted or are gone keep their counts in it, but
@@ -81,6 +81,7 @@
         table: A `ReportTable`.
         state: The `rollout.State` of the order.
         reachable: VMs of the daemons that are reachable.
+        members: VMs of all daemons.
         aggregator: `vm/incarnation` of this daemon.
         now: Seconds of `boottime`.
     """
@@ -104,7 +105,10 @@
         is_present = (
             incarnation == latest[vm]
             and newest[vm] == key
-            and (vm in reachable or now - item.at <= GONE_AFTER_S)
+            and (
+                vm in reachable
+                or (vm in members and now - item.at <= GONE_AFTER_S)
+            )
         )
         report = item.report if is_present else _without_gate(item.report)
         (new if is_new else old).append(report)
--- a/jujubefold/sidecar/rollouts.py
+++ b/jujubefold/sidecar/rollouts.py
@@ -409,7 +409,12 @@
             if not rolloutstates.is_running(entry.state):
                 continue
             found = rolloutaggregator.evidence(
-                self._reports, entry.state, reachable, aggregator, now
+                self._reports,
+                entry.state,
+                reachable,
+                self._fleet.roster.members,
+                aggregator,
+                now,
             )
             if found is not None:
                 key = f'{service}/{self._member.failure_domain}'
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -118,3 +118,18 @@
         self.assertLessEqual(before - after, {changed.vm})
         peering.add(table, changed)
         self.assertEqual(before, peering.selected(table))
+
+
+class TestClosedGates(testtools.TestCase):
+    def test_members_with_closed_gates_are_replaced(self):
+        # All links to a service could be to the version that closes.
+        members = fleet_of(6, 8, 'ab')
+        table = table_of(members[0], members)
+        before = peering.selected(table)
+        table.closed.update(before)
+        usable = peering.selected(table) - before
+        services = collections.Counter(vm.split('-')[1] for vm in usable)
+        self.assertEqual(
+            {'routes': 3, 'pickups': 3},
+            dict(services),
+        )
