--- a/jujubefold/sidecar/rolloutmessages.py
+++ b/jujubefold/sidecar/rolloutmessages.py
@@ -1,9 +1,13 @@
-"""Rollout messages: encoding of what daemons tell each other of rollouts."""
+"""Rollout messages: encoding of what daemons tell each other of rollouts.
+
+Bodies are compressed: most of a report is names of fields and empty buckets.
+"""
 
 import expression
 import msgspec
 
 from jujubefold import errors
+from jujubefold.sidecar import distribution
 from jujubefold.sidecar import rollout
 
 
@@ -44,7 +48,7 @@
 
 def encode(value):
     """Return the body of a message that carries a `msgspec.Struct`."""
-    return _encoder.encode(value)
+    return distribution.compress(_encoder.encode(value))
 
 
 def decode_report(body):
@@ -74,6 +78,7 @@
 
 def _decode(decoder, body):
     try:
-        return expression.Ok(decoder.decode(body))
-    except (msgspec.DecodeError, UnicodeError) as error:
+        plain = distribution.decompress(body)
+        return expression.Ok(decoder.decode(plain))
+    except (msgspec.DecodeError, ValueError) as error:
         return expression.Error(errors.Invalid(str(error), 'body'))
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -8,6 +8,7 @@
 from jujubefold import calls
 from jujubefold.sidecar import balancer
 from jujubefold.sidecar import limiter
+from jujubefold.sidecar import rolloutstates
 
 
 def candidate(vm, distance='region', running=0, waiting=0, **changes):
@@ -224,3 +225,51 @@
     def test_upstream_that_fails_rarely_keeps_its_share(self):
         load = FailingUpstreamLoad(0.01, 0.0, 30.0, per_s=100).run()
         self.assertGreater(load.share_of_failing(2.0, 30.0), 0.1)
+
+
+class TestPreference(testtools.TestCase):
+    def test_versions_are_kept_apart_as_the_fallback_says(self):
+        """Each case: old and new upstreams as running requests and slots.
+
+        Without this, a full version sends its load to the other one, and a
+        closed one loses requests.
+        """
+        never = rolloutstates.Fallback.NEVER
+        no_room = rolloutstates.Fallback.NO_ROOM
+        none_open = rolloutstates.Fallback.NONE_OPEN
+        for track, fallback, old, new, expected in (
+            (0, never, (5, 6), (0, 6), 'old'),
+            (0, never, (60, 6), (0, 6), 'old'),
+            (0, never, (0, 0), (0, 6), None),
+            (1, no_room, (0, 6), (5, 6), 'new'),
+            (1, no_room, (0, 6), (6, 6), 'old'),
+            (1, no_room, (0, 6), (0, 0), 'old'),
+            (1, none_open, (0, 6), (60, 6), 'new'),
+            (1, none_open, (0, 6), (0, 0), 'old'),
+            (0, none_open, (0, 0), (0, 6), 'new'),
+        ):
+            candidates = [
+                balancer.Candidate(
+                    vm,
+                    'pickups',
+                    'domain',
+                    limiter.Load(running, 0, slots, 0.1, track=index),
+                    reachable=True,
+                )
+                for index, (vm, (running, slots)) in enumerate(
+                    (('old', old), ('new', new))
+                )
+            ]
+            criteria = balancer.Criteria(
+                0.5,
+                0.1,
+                preference=rolloutstates.Preference(track, fallback),
+            )
+            choice = balancer.choose(
+                candidates, criteria, 0.0, random.Random(1)
+            )
+            self.assertEqual(
+                expected,
+                choice and choice.candidate.vm,
+                (track, fallback, old, new),
+            )
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -63,3 +63,17 @@
     def test_an_error_names_a_missing_file(self):
         found = options.load('/nowhere/settings.toml')
         self.assertIn('/nowhere/settings.toml', found.error.where)
+
+    def test_rollouts_are_off_without_their_section(self):
+        # Deployments whose platform names no bounds must behave as before.
+        self.assertIsNone(self.load(VALID).ok.rollouts)
+        section = """
+[rollouts]
+exposure_share = 0.1
+exposure_slack = 50
+rollback = 5
+"""
+        found = self.load(VALID + section).ok.rollouts
+        self.assertEqual(options.Rollouts(0.1, 50.0, 5.0), found)
+        wrong = section.replace('0.1', '-0.1')
+        self.assertIn('rollouts', self.load(VALID + wrong).error.where)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -6,6 +6,7 @@
 import msgspec
 import testtools
 
+from jujubefold.sidecar import distribution
 from jujubefold.sidecar import frames
 from jujubefold.sidecar import options
 from jujubefold.sidecar import rollout
@@ -249,7 +250,11 @@
         async def scenario(fleet, operator):
             for message in (
                 frames.RolloutReport(b'\xc1'),
-                frames.RolloutState(msgspec.msgpack.encode({'entries': 1})),
+                frames.RolloutState(
+                    distribution.compress(
+                        msgspec.msgpack.encode({'entries': 1})
+                    )
+                ),
             ):
                 fleet.daemons['vm-1'].fleet.send('vm-2', message)
             await sidecars.wait_until(
