--- a/jujubefold/sidecar/rollouts.py
+++ b/jujubefold/sidecar/rollouts.py
@@ -131,12 +131,11 @@
             self._rows.pop(row.key, None)
             if self._parts.platform.service_of(row.key) and row.value:
                 self._rows[row.key] = row
-        found = self._parts.platform.read_orders(self._rows.values(), era)
-        if found == self._orders and self.states.complete:
-            return
-        self._orders = found
-        self._controller.set_orders(found)
-        for item in found:
+        self._orders = self._parts.platform.read_orders(
+            self._rows.values(), era
+        )
+        self._controller.set_orders(self._orders)
+        for item in self._orders:
             if item.order is not None:
                 self._record_order(item.order)
         self._record_withdrawals()
@@ -390,6 +389,9 @@
         )
 
     def _write_evidence(self, now):
+        if now - self._evidence_at < EVIDENCE_INTERVAL_S:
+            return
+        self._evidence_at = now
         if self._first_reader() != self._member.vm:
             self._first_reader_since = None
             return
@@ -398,7 +400,6 @@
         if (
             self._closed
             or now - self._first_reader_since < AGGREGATOR_DELAY_S
-            or now - self._evidence_at < EVIDENCE_INTERVAL_S
             or (self._evidence_task and not self._evidence_task.done())
         ):
             return
@@ -420,7 +421,6 @@
                 key = f'{service}/{self._member.failure_domain}'
                 rows.append((key, _json.encode(found)))
         if rows:
-            self._evidence_at = now
             self._evidence_task = backgroundtasks.spawn(self._put(rows))
 
     async def _put(self, rows):
--- a/tests/test_rolloutfleet.py
+++ b/tests/test_rolloutfleet.py
@@ -20,7 +20,7 @@
 class TestWholeRollouts(testtools.TestCase):
     """Rollouts decided by the real controllers, under load."""
 
-    def run_rollout(self, new_handler, check, slack=50.0):
+    def run_rollout(self, new_handler, check, slack=50.0, disturb=None):
         """Order a version with load on all VMs, and check the result.
 
         Args:
@@ -29,6 +29,7 @@
                 the platform is told, the statuses of all requests, and the
                 requests to the new version until that state.
             slack: The `options.Rollouts.exposure_slack`.
+            disturb: Coroutine function called with the fleet meanwhile.
         """
 
         async def scenario(fleet):
@@ -44,6 +45,8 @@
             for index, vm in enumerate(NEW):
                 await fleet.add(vm, domain='ab'[index % 2], version='v2')
                 fleet.upstreams[vm].handler = new_handler(fleet.upstreams[vm])
+            if disturb is not None:
+                await disturb(fleet)
             state = await self.final_state(fleet)
             ended_new = count(fleet, NEW)
             if state == 'completed':
@@ -59,6 +62,7 @@
     async def keep_calling(self, fleet):
         """Send requests at a steady rate from callers on the old VMs."""
         rng = random.Random(1)
+        self.callers = list(OLD)
         self.calls = []
         while True:
             self.calls.append(asyncio.create_task(self.call(fleet, rng)))
@@ -66,7 +70,11 @@
 
     async def call(self, fleet, rng):
         """Send one request; return its status."""
-        response = await fleet.call(rng.choice(OLD), '/read/x')
+        try:
+            response = await fleet.call(rng.choice(self.callers), '/read/x')
+        except OSError:
+            # Its VM's daemon was closed.
+            return 0
         return response.status
 
     async def final_state(self, fleet):
@@ -90,6 +98,41 @@
         # With more slack, since the exposure is not what is tested here.
         self.run_rollout(answering, check, slack=1000.0)
 
+    def test_rollout_goes_on_when_its_controller_is_lost(self):
+        # No other daemon took over, or one repeated a step.
+        lost = []
+
+        async def close_controller(fleet):
+            await sidecars.wait_until(lambda: steps(fleet), 5.0)
+            await asyncio.sleep(1.5)
+            (vm,) = {vm for vm, _ in steps(fleet)}
+            lost.append(vm)
+            self.callers = [item for item in OLD if item != vm]
+            await fleet.daemons[vm].close()
+
+        async def check(fleet, state, statuses, ended_new):
+            self.assertEqual('completed', state)
+            found = [step for _, step in steps(fleet)]
+            self.assertEqual(sorted(set(found)), sorted(found))
+            self.assertEqual(2, len({vm for vm, _ in steps(fleet)}))
+
+        self.run_rollout(
+            answering, check, slack=1000.0, disturb=close_controller
+        )
+
+    def test_deleted_order_is_rolled_back_at_once(self):
+        # The version stayed in use, and its order could not be stopped.
+        async def delete_order(fleet):
+            await sidecars.wait_until(lambda: count(fleet, NEW), 8.0)
+            await fleet.feed.remove('op', 'rollout/pickups')
+
+        async def check(fleet, state, statuses, ended_new):
+            self.assertEqual('rolled_back', state)
+            self.assertEqual({200}, set(statuses))
+            self.assertEqual(ended_new, count(fleet, NEW))
+
+        self.run_rollout(answering, check, disturb=delete_order)
+
     def test_bad_version_is_rolled_back_within_the_exposure(self):
         # Half of the answers fail; the version got more than was allowed.
         async def check(fleet, state, statuses, ended_new):
@@ -105,6 +148,16 @@
     return sum(len(fleet.upstreams[vm].requests) for vm in vms)
 
 
+def steps(fleet):
+    """Return VM and number of each step that a controller logged."""
+    return [
+        (vm, fields['step'])
+        for vm, log in fleet.event_logs.items()
+        for event, fields in log.records
+        if event == 'rollout.step'
+    ]
+
+
 def answering(upstream):
     """Return a handler that takes some time."""
 
