--- a/jujubefold/platform/adapter.py
+++ b/jujubefold/platform/adapter.py
@@ -3,8 +3,10 @@
 from jujubefold.platform import announcements
 from jujubefold.platform import configuration
 from jujubefold.platform import headers
+from jujubefold.platform import rollouts
 from jujubefold.platform import store
 from jujubefold.sidecar import daemon
+from jujubefold.sidecar import rolloutcontroller
 
 PLATFORM = daemon.Platform(
     names=headers.NAMES,
@@ -15,4 +17,6 @@
     new_announcements=announcements.AnnouncementHandler,
     new_readiness=announcements.readiness,
     new_metrics=announcements.metrics,
+    rollouts=rollouts,
+    new_rollout_controller=rolloutcontroller.Controller,
 )
