Decode tenants, public routes and downloads of the configuration

The configuration may hold a table of tenants with their keys, and routes that need no key; both were ignored, and the kind download was unknown and so ran at most once.

A table without rows still asks for keys, so that removing the last tenant opens nothing.

--- a/jujubefold/calls.py
+++ b/jujubefold/calls.py
@@ -54,6 +54,8 @@
     UPSTREAM_GARBLED = 'upstream-garbled'
     UPSTREAM_FAILED = 'upstream-failed'
     PEER_LOST = 'peer-lost'
+    UNAUTHENTICATED = 'unauthenticated'
+    UNCONFIRMED = 'unconfirmed'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jujubefold/mesh.py
+++ b/jujubefold/mesh.py
@@ -133,6 +133,8 @@
             0 to 9 in declarations.
         latency_objective: Target response time in seconds; 0 if the route
             states none.
+        public: Whether requests need no tenant's key; without meaning in a
+            configuration without tenants.
     """
 
     name: str
@@ -148,6 +150,7 @@
     requires_key: bool = False
     priority: int = 5
     latency_objective: float = 0.0
+    public: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jujubefold/platform/configuration.py
+++ b/jujubefold/platform/configuration.py
@@ -13,12 +13,18 @@
 
 from jujubefold import errors
 from jujubefold import mesh
+from jujubefold.platform import tenantrows
 from jujubefold.sidecar import versions
 
 TABLE = 'op'
 KEY = 'config'
 
-_IDEMPOTENT = {'idempotent': True, 'non_idempotent': False, 'upload': False}
+_IDEMPOTENT = {
+    'idempotent': True,
+    'download': True,
+    'non_idempotent': False,
+    'upload': False,
+}
 # Requests of a kind that this release does not know run at most once.
 _UNKNOWN_KIND_IDEMPOTENT = False
 
@@ -60,6 +66,8 @@
     # included.
     max_attempts: int = 1
     traffic_split: list[_TrafficShare] = []
+    # Whether requests need no key where the configuration has tenants.
+    public: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -86,6 +94,8 @@
     routes: _RoutesTable
     services: _Table
     limits: _Limits
+    # Absent where requests need no key. Decoded only when its bytes change.
+    tenants: msgspec.Raw = msgspec.Raw()
 
 
 _decoder = msgspec.json.Decoder(_Document)
@@ -117,6 +127,7 @@
         self._services = {}
         # Routes of the last valid configuration, by the bytes of their rows.
         self._routes = {}
+        self._tenants = tenantrows.Decoder()
 
     def decode(self, body):
         """Decode the configuration in the operator's row.
@@ -142,8 +153,11 @@
                 for row in rows
                 if row not in known
             }
-        except (msgspec.DecodeError, UnicodeError) as error:
+            tenants = self._tenants.decode(bytes(document.tenants))
+        except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
             return expression.Error(errors.Invalid(str(error), KEY))
+        if tenants.is_error():
+            return tenants
         fault = next(_faults(document, new.values(), services), None)
         if fault is not None:
             return expression.Error(fault)
@@ -155,7 +169,10 @@
         }
         return expression.Ok(
             _configuration(
-                document, [self._routes[row] for row in rows], services
+                document,
+                [self._routes[row] for row in rows],
+                services,
+                tenants.ok,
             )
         )
 
@@ -177,7 +194,7 @@
     return _DecodedRoute(_route(item), tuple(_unknown_values(item)))
 
 
-def _configuration(document, routes, services):
+def _configuration(document, routes, services, keys):
     limits = document.limits
     return versions.Configuration(
         mesh.Mesh(
@@ -193,6 +210,8 @@
             limits.idle_timeout_s,
         ),
         tuple(value for item in routes for value in item.unknown_values),
+        {} if keys is None else keys.tenants,
+        keys,
     )
 
 
@@ -264,4 +283,5 @@
         idempotent=_IDEMPOTENT.get(item.kind, _UNKNOWN_KIND_IDEMPOTENT),
         priority=-item.priority,
         latency_objective=item.target_latency_s,
+        public=item.public,
     )
--- a/jujubefold/problems.py
+++ b/jujubefold/problems.py
@@ -15,6 +15,7 @@
 _STATUS = {
     calls.Reason.MALFORMED: 400,
     calls.Reason.KEY_REQUIRED: 400,
+    calls.Reason.UNAUTHENTICATED: 401,
     calls.Reason.NO_ROUTE: 404,
     calls.Reason.KEY_RUNNING: 409,
     calls.Reason.KEY_UNKNOWN: 409,
--- a/jujubefold/sidecar/versions.py
+++ b/jujubefold/sidecar/versions.py
@@ -6,6 +6,7 @@
 
 from jujubefold import mesh
 from jujubefold.sidecar import distribution
+from jujubefold.sidecar import tenants as tenants_module
 
 # Unknown values of one version that are logged; a new kind of route usually
 # comes on many routes.
@@ -70,11 +71,21 @@
         mesh: The `mesh.Mesh`, with the number of its version.
         limits: The `CallerLimits`.
         unknown_values: Each `UnknownValue` in it.
+        tenants: Each `tenants.Tenant` by name.
+        keys: The `tenants.KeyTable` that finds a tenant by its key; None if
+            the configuration has no table of tenants, so that requests need
+            no key.
     """
 
     mesh: mesh.Mesh
     limits: CallerLimits = CallerLimits()
     unknown_values: tuple[UnknownValue, ...] = ()
+    tenants: dict[str, tenants_module.Tenant] = dataclasses.field(
+        default_factory=dict
+    )
+    keys: tenants_module.KeyTable | None = dataclasses.field(
+        default=None, compare=False, repr=False
+    )
 
 
 class Versions:
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -41,7 +41,9 @@
     'service',
     'max_attempts',
     'traffic_split',
+    'public',
 ]
+TENANT_COLUMNS = ['name', 'api_keys', 'priority', 'rate_per_s', 'burst']
 
 
 class SilenceableFeed(rowfeed.RowFeed):
@@ -108,11 +110,18 @@
         'service': service,
         'max_attempts': 2,
         'traffic_split': None,
+        'public': None,
         **overrides,
     }
     return [values[column] for column in ROUTE_COLUMNS]
 
 
+def tenant(name, *api_keys, **overrides):
+    """Return a row of the configuration's table of tenants."""
+    values = {'name': name, 'api_keys': list(api_keys), **overrides}
+    return [values.get(column) for column in TENANT_COLUMNS]
+
+
 ROUTES = (
     route('read', '/read/'),
     route('write', '/write/', 'non_idempotent'),
@@ -121,10 +130,14 @@
 SERVICES = ('pickups', 'routes')
 
 
-def document(version=1, routes=ROUTES, services=SERVICES, **limits):
+def document(
+    version=1, routes=ROUTES, services=SERVICES, tenants=None, **limits
+):
     """Return a configuration document in the platform's format."""
+    table = {'columns': TENANT_COLUMNS, 'rows': tenants}
     return json.dumps(
         {
+            **({} if tenants is None else {'tenants': table}),
             'version': version,
             'routes': {'columns': ROUTE_COLUMNS, 'rows': list(routes)},
             'services': {
