Authenticate requests by the tenants' keys

Where the configuration has tenants, a request on a route that is not public needs a known key, else it gets 401 and is offered to no gate. The key is removed from all requests before they are forwarded, X-Tenant is set by the daemon alone, and the tenant's priority goes before the route's. Without tenants both headers are passed on as before.

call.ended names the tenant; jujubefold_tenant_requests_total counts 99 tenants by name and the others together.

--- a/jujubefold/platform/headers.py
+++ b/jujubefold/platform/headers.py
@@ -12,4 +12,5 @@
     retry_after=b'retry-after',
     limit=b'server-limit',
     leaving=b'server-leaving',
+    tenant=b'x-tenant',
 )
--- a/jujubefold/sidecar/attempt.py
+++ b/jujubefold/sidecar/attempt.py
@@ -23,6 +23,7 @@
         limit: Requests a second that an upstream takes from all daemons
             together.
         leaving: Present in the answers of an upstream that is leaving.
+        tenant: Name of the tenant that sent the request.
     """
 
     request: bytes = b'jujubefold-request-id'
@@ -34,12 +35,22 @@
     retry_after: bytes = b'retry-after'
     limit: bytes = b'jujubefold-limit'
     leaving: bytes = b'jujubefold-leaving'
+    tenant: bytes = b'jujubefold-tenant'
 
     @property
     def reserved(self):
         """Headers that only the sidecar sets on requests to an upstream."""
         return frozenset({self.deadline, self.expected_upstream, self.caller})
 
+    @property
+    def reserved_with_tenants(self):
+        """The same where the configuration has tenants.
+
+        The caller's key is removed, so that neither other daemons nor
+        upstreams see it.
+        """
+        return self.reserved | {self.tenant, b'authorization'}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Attempt:
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -24,6 +24,7 @@
 from jujubefold.sidecar import egress
 from jujubefold.sidecar import limiter
 from jujubefold.sidecar import retrybudget
+from jujubefold.sidecar import tenants
 from jujubefold.sidecar import trafficsplit
 from jujubefold.sidecar import transfer
 
@@ -50,6 +51,15 @@
 _FAILURES = range(500, 600)
 _MS = 1000
 _MAX_DEADLINE_DIGITS = 9
+# Reasons whose status tells the caller that repeating the request is of no
+# use.
+_OWN_STATUS = frozenset(
+    {
+        calls.Reason.NO_ROUTE,
+        calls.Reason.MALFORMED,
+        calls.Reason.UNAUTHENTICATED,
+    }
+)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -60,6 +70,7 @@
         attempt: The `attempt.Attempt` that is offered to gates.
         service: Service whose upstreams may answer it.
         max_sends: Maximum number of times it may be sent to an upstream.
+        tenant: The `tenants.Tenant` that sent it; None without one.
         offer_count: Number of offers made so far.
         sends: Number of times it was sent to an upstream.
         offer_log: One entry for each offer, for the log line.
@@ -71,6 +82,7 @@
     attempt: attempts.Attempt
     service: str
     max_sends: int
+    tenant: tenants.Tenant | None = None
     offer_count: int = 0
     sends: int = 0
     offer_log: list = dataclasses.field(default_factory=list)
@@ -152,7 +164,8 @@
         """
         now = self._clock.monotonic()
         request = exchange.request
-        mesh = self._versions.current.mesh
+        configuration = self._versions.current
+        mesh = configuration.mesh
         if self.closing:
             self._refuse(exchange, calls.Reason.DRAINING, 0.0)
             return
@@ -163,6 +176,10 @@
         if route is None:
             self._refuse(exchange, calls.Reason.NO_ROUTE, 0.0)
             return
+        sender = tenants.authenticate(configuration, route, request.headers)
+        if sender.is_error():
+            self._refuse(exchange, sender.error, 0.0)
+            return
         remaining = self._remaining(request, route)
         if remaining is None:
             self._refuse(exchange, calls.Reason.MALFORMED, 0.0)
@@ -171,7 +188,9 @@
             # It waited for earlier requests of its connection.
             self._refuse(exchange, calls.Reason.DEADLINE, 0.0)
             return
-        call = self._new_call(request, route, mesh.number, remaining)
+        call = self._new_call(
+            request, route, configuration, sender.ok, remaining
+        )
         task = eagertask.EagerTask(
             self._serve(call), functools.partial(self._finish, exchange)
         )
@@ -209,15 +228,22 @@
             return None
         return min(int(value) / _MS, route.timeout.request)
 
-    def _new_call(self, request, route, version, remaining):
+    def _new_call(self, request, route, configuration, tenant, remaining):
         names = self._names
         now = request.received_at
         request_id = request.fields.get(names.request)
-        headers = httpheads.end_to_end_headers(request.headers, names.reserved)
+        headers = httpheads.end_to_end_headers(
+            request.headers,
+            names.reserved
+            if configuration.keys is None
+            else names.reserved_with_tenants,
+        )
         if request_id is None:
             request_id = b'%016x' % self._rng.getrandbits(64)
             headers.append((names.request, request_id))
         headers.append((names.caller, self._service))
+        if tenant is not None:
+            headers.append((names.tenant, tenant.name.encode()))
         waited = callerwait.estimate(
             self._wait_estimates, route.name, round(remaining * _MS)
         )
@@ -226,8 +252,8 @@
                 key=next(self._attempt_ids),
                 request=request_id.decode('latin-1'),
                 route=route.name,
-                version=version,
-                rank=-route.priority,
+                version=configuration.mesh.number,
+                rank=_rank(route, tenant),
                 idempotent=calls.is_idempotent(route, request.method),
                 arrived_at=now,
                 objective_at=now + route.latency_objective - waited,
@@ -239,6 +265,7 @@
             ),
             trafficsplit.choose(self._traffic_splits, route),
             route.retry.attempts,
+            tenant,
         )
 
     # Offers
@@ -423,6 +450,8 @@
             problems.RequestContext(version=self._versions.number),
             _http_status(refusal),
         )
+        if status == 401:
+            headers.append(tenants.CHALLENGE)
         if status == 503:
             retry_seconds = max(limiter.MIN_RETRY_AFTER_S, refusal.retry_after)
             retry_seconds *= self._rng.uniform(*RETRY_AFTER_JITTER)
@@ -436,6 +465,10 @@
             call.service, attempt.route, status, seconds
         )
         refusal = outcome.refusal
+        tenant = {}
+        if call.tenant is not None:
+            tenant['tenant'] = call.tenant.name
+            self._metrics.count_tenant_response(call.tenant.name, status)
         self._event_log.record_request(
             'call.left' if caller_left else 'call.ended',
             succeeded=status in _SUCCESS and not caller_left,
@@ -449,9 +482,17 @@
             reason='' if refusal is None else refusal.reason,
             ran='' if refusal is None else refusal.ran,
             offers=call.offer_log,
+            **tenant,
         )
 
 
+def _rank(route, tenant):
+    """Return the rank of a request; a tenant's priority goes first."""
+    if tenant is not None and tenant.priority is not None:
+        return tenant.priority
+    return -route.priority
+
+
 def _take_body(request):
     """Return a request's body and free the chunks that it came in."""
     body = transfer.WholeBody(b''.join(request.chunks))
@@ -516,7 +557,7 @@
 
 def _http_status(refusal):
     """Return the HTTP status; 503 only if the request did not run."""
-    if refusal.reason in (calls.Reason.NO_ROUTE, calls.Reason.MALFORMED):
+    if refusal.reason in _OWN_STATUS:
         return problems.status_of(refusal)
     if refusal.ran is errors.Outcome.DID_NOT_RUN:
         return 503
--- a/jujubefold/sidecar/metrics.py
+++ b/jujubefold/sidecar/metrics.py
@@ -19,6 +19,9 @@
     3.2,
     math.inf,
 )
+# Tenants that are counted by name; the others are counted together.
+MAX_TENANT_LABELS = 99
+OTHER_TENANTS = 'other'
 
 
 class SidecarMetrics:
@@ -42,9 +45,15 @@
             'Requests answered, by service, route and status.',
             registry=self._registry,
         )
+        self._tenant_requests = aioprometheus.Counter(
+            'jujubefold_tenant_requests_total',
+            'Requests answered that carried a known key, by tenant.',
+            registry=self._registry,
+        )
+        self._tenant_labels = set()
         self._unrouted = aioprometheus.Counter(
             'jujubefold_requests_unrouted_total',
-            'Requests refused before a route was chosen, by reason.',
+            'Requests refused before they were offered to a gate, by reason.',
             registry=self._registry,
         )
         self._request_seconds = aioprometheus.Histogram(
@@ -117,8 +126,22 @@
         )
         self._request_seconds.observe({'service': service}, seconds)
 
+    def count_tenant_response(self, tenant, status):
+        """Count an answer to a tenant's request.
+
+        Args:
+            tenant: Name of the tenant.
+            status: HTTP status of the answer.
+        """
+        if tenant not in self._tenant_labels:
+            if len(self._tenant_labels) >= MAX_TENANT_LABELS:
+                tenant = OTHER_TENANTS
+            else:
+                self._tenant_labels.add(tenant)
+        self._tenant_requests.inc({'tenant': tenant, 'status': str(status)})
+
     def count_unrouted(self, reason):
-        """Count a request that was refused before a route was chosen.
+        """Count a request that was refused before it was offered to a gate.
 
         Args:
             reason: A `calls.Reason`.
--- a/tests/test_sidecar_metrics.py
+++ b/tests/test_sidecar_metrics.py
@@ -12,6 +12,7 @@
 # Labels by metric name; for histograms without `le`.
 LABELS_BY_NAME = {
     'jujubefold_requests_total': {'service', 'route', 'status'},
+    'jujubefold_tenant_requests_total': {'tenant', 'status'},
     'jujubefold_requests_unrouted_total': {'reason'},
     'jujubefold_request_seconds': {'service'},
     'jujubefold_store_calls_total': {'operation', 'outcome'},
@@ -35,6 +36,7 @@
     """Return the text of metrics that each have a sample."""
     sidecar_metrics = metrics.SidecarMetrics()
     sidecar_metrics.count_response('s', 'r', 200, 0.1)
+    sidecar_metrics.count_tenant_response('t', 200)
     sidecar_metrics.count_unrouted(calls.Reason.NO_ROUTE)
     sidecar_metrics.count_store_call('read', 'ok', 0.01)
     sidecar_metrics.set_link_bytes('far', {'offer': 100})
@@ -64,6 +66,16 @@
             seen.setdefault(name, set()).update(labels)
         self.assertEqual(LABELS_BY_NAME, seen)
 
+    def test_tenants_beyond_the_limit_are_counted_together(self):
+        # Each label value costs memory for as long as the daemon runs.
+        sidecar_metrics = metrics.SidecarMetrics()
+        for number in range(300):
+            sidecar_metrics.count_tenant_response(f't-{number}', 200)
+        text = sidecar_metrics.render().decode()
+        found = re.findall(r'tenant_requests_total\{.*tenant="(.*?)"', text)
+        self.assertEqual(100, len(found))
+        self.assertIn(metrics.OTHER_TENANTS, found)
+
     def test_each_metric_is_documented_for_operators(self):
         page = PAGE.read_text()
         for name, labels in LABELS_BY_NAME.items():
