Refuse keys unless the version in force is sure to be current

A daemon that can't reach the store may hold a key that was removed, and had no way to tell. With [tenants] strict_revoke, keys are served only while the version was the newest one within 0.9 of revoke: known from answered reads of the store, or from a daemon of the failure domain that knows it, counted from when the read or the question was sent, by boot time. Else they get 503, reason unconfirmed. Events keys.unconfirmed and keys.confirmed.

The feed of the readers waits 0.3 s and pauses 0.1 s with strict revocation, and the others ask every 0.5 s: with a wait of 0.5 s, a pause of 0.4 s and a question a second, a daemon that is cut off could refuse after 2 s already.

--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -20,6 +20,7 @@
 from jujubefold.sidecar import feedtask
 from jujubefold.sidecar import feedwatcher
 from jujubefold.sidecar import fleet
+from jujubefold.sidecar import freshness
 from jujubefold.sidecar import ingress
 from jujubefold.sidecar import memberrows
 from jujubefold.sidecar import metrics
@@ -235,18 +236,20 @@
             ),
             self._event_log,
         )
+        watcher = self._new_watcher(
+            platform.configuration_table,
+            self._update_configuration,
+            self._update_configuration,
+            freshness.feed_intervals(options.tenants.revoke)
+            if options.tenants.strict_revoke
+            else VERSIONS_INTERVALS,
+            self._versions_availability_changed,
+        )
         self._configurations = feedtask.FeedTask(
-            self.fleet,
-            self.versions,
-            self._new_watcher(
-                platform.configuration_table,
-                self._update_configuration,
-                self._update_configuration,
-                VERSIONS_INTERVALS,
-                self._versions_availability_changed,
-            ),
-            self._event_log,
+            self.fleet, self.versions, watcher, self._event_log
         )
+        if options.tenants.strict_revoke:
+            self._start_confirming(watcher)
 
     @property
     def vm(self):
@@ -345,7 +348,7 @@
             return
         restart_sections = [
             name
-            for name in ('daemon', 'listen', 'upstream', 'store')
+            for name in ('daemon', 'listen', 'upstream', 'store', 'tenants')
             if getattr(options.ok, name) != getattr(self._options, name)
         ]
         if options.ok.retries.window != self._options.retries.window:
@@ -387,12 +390,35 @@
             self._event_log,
         )
 
+    def _start_confirming(self, watcher):
+        """Serve keys only while the version in force is sure to be current."""
+        exchange = self.fleet.freshness_exchange
+        exchange.start(
+            self._options.tenants.revoke,
+            self._read_configuration,
+            lambda: self._configurations.running,
+        )
+        watcher.read_started = exchange.read_started
+        watcher.read_ended = exchange.read_ended
+        self.ingress.keys_confirmed = exchange.is_confirmed
+
+    async def _read_configuration(self):
+        """Read the configuration once; return whether it was answered."""
+        platform = self._platform
+        result = await self._feed.get(
+            platform.configuration_table, platform.configuration_key
+        )
+        if result.is_ok():
+            self._apply_rows(result.ok.rows, result.ok.era)
+        return result.is_ok()
+
     def _update_configuration(self, rows):
+        self._apply_rows(rows, self._configurations.cursor.era)
+
+    def _apply_rows(self, rows, era):
         for row in rows:
             if row.key == self._platform.configuration_key and row.value:
-                self.versions.apply(
-                    row.value, 'store', self._configurations.cursor.era
-                )
+                self.versions.apply(row.value, 'store', era)
 
     def _replace_members(self, rows):
         self._member_rows.replace(rows, self._members.cursor)
@@ -424,6 +450,7 @@
         self._metrics.count_era_change()
         if self._closed:
             return
+        self.fleet.freshness_exchange.unconfirm()
         self.fleet.version_exchange.announce_era()
         if self._restore_task is not None:
             self._restore_task.cancel()
--- a/jujubefold/sidecar/feedwatcher.py
+++ b/jujubefold/sidecar/feedwatcher.py
@@ -44,6 +44,11 @@
             each time that changes.
         rng: A `random.Random`.
         event_log: An `eventlog.EventLog`.
+
+    Attributes:
+        read_started: Called without arguments before each read is sent.
+        read_ended: Called with the result of `read_started` when the read
+            was answered and its rows were passed on.
     """
 
     def __init__(
@@ -68,6 +73,8 @@
         self._cursor = None
         self._failing = False
         self._confirmed = False
+        self.read_started = lambda: None
+        self.read_ended = lambda started: None
 
     @property
     def table(self):
@@ -114,6 +121,7 @@
 
     async def _read_once(self):
         apply = self._update
+        started = self.read_started()
         if self._cursor is not None:
             # The first call after a start or a failure waits for nothing: it
             # shows soon whether the store answers, and in which era.
@@ -125,12 +133,14 @@
                 # Changes since a version of another era may miss any row.
                 self._cursor = None
         if self._cursor is None:
+            started = self.read_started()
             result = await self._feed.read(self._table)
             apply = self._replace
         if result.is_ok():
             self._cursor = result.ok.cursor
             if result.ok.rows or apply is self._replace:
                 apply(result.ok.rows)
+            self.read_ended(started)
         elif isinstance(result.error, rowfeed.HistoryCompacted):
             self._cursor = None
         return result
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -15,6 +15,7 @@
 from jujubefold.sidecar import crashreports
 from jujubefold.sidecar import distribution
 from jujubefold.sidecar import frames
+from jujubefold.sidecar import freshnessexchange
 from jujubefold.sidecar import limiter
 from jujubefold.sidecar import link
 from jujubefold.sidecar import peering
@@ -66,6 +67,7 @@
         readers: The `readers.ReaderTable`.
         traffic: The `link.Traffic` of all links.
         version_exchange: The `versionexchange.VersionExchange`.
+        freshness_exchange: The `freshnessexchange.FreshnessExchange`.
         peer_server: The `peerserver.PeerServer`.
     """
 
@@ -104,6 +106,9 @@
         self.version_exchange = versionexchange.VersionExchange(
             self, versions, clock, store_era, event_log
         )
+        self.freshness_exchange = freshnessexchange.FreshnessExchange(
+            self, versions, clock, store_era, event_log
+        )
         self.peer_server = peerserver.PeerServer(
             egress,
             clock,
@@ -443,6 +448,8 @@
                 self.version_exchange.handle_document(message, channel)
             case frames.MembersChanged():
                 self.apply_members(message)
+            case frames.FreshnessRequest() | frames.Freshness():
+                self.freshness_exchange.handle(message, channel)
             case frames.CrashEvidence():
                 self._crash_reports.handle(message)
 
@@ -571,6 +578,7 @@
         self._crash_reports.send_new()
         self._broadcast_load_change(now)
         self.version_exchange.sweep(now)
+        self.freshness_exchange.sweep()
         if now - self._traffic_logged_at > TRAFFIC_LOG_INTERVAL_S:
             self._log_traffic(now)
 
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -293,6 +293,35 @@
     blame_milli: int
 
 
+class FreshnessRequest(Message, tag='confirm'):
+    """Asks how long ago the receiver's version was the newest.
+
+    Args:
+        question: Identifies the question within the sender's incarnation.
+    """
+
+    question: int
+
+
+class Freshness(Message, tag='confirmed'):
+    """Answers a `FreshnessRequest`.
+
+    Args:
+        question: As in the request.
+        version: Configuration version in force at the sender.
+        era: As in `Hello`.
+        age_ms: Milliseconds since that version, or an older one, was the
+            newest one of the store; -1 if that is not known.
+        store_era: As in `Hello`.
+    """
+
+    question: int
+    version: int
+    era: int
+    age_ms: int
+    store_era: int
+
+
 _MessageTypes = (
     Hello
     | Offer
@@ -310,6 +339,8 @@
     | ConfigurationRequest
     | ConfigurationDocument
     | CrashEvidence
+    | FreshnessRequest
+    | Freshness
     | Load
 )
 _encoder = msgspec.msgpack.Encoder()
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -43,6 +43,8 @@
 # start.
 NO_UPSTREAM_RETRY_S = 0.3
 NO_VERSION_RETRY_S = 0.5
+# Seconds; a confirmation is asked for twice a second.
+UNCONFIRMED_RETRY_S = 0.5
 # Range of the random factor on Retry-After, so that refused callers do not
 # all retry at once.
 RETRY_AFTER_JITTER = (0.8, 1.6)
@@ -109,6 +111,8 @@
         closing: Whether new requests are refused because the daemon is
             stopping.
         retry_table: The retry budget passed to the constructor.
+        keys_confirmed: Called without arguments; returns whether the keys of
+            the version in force are sure to be current.
     """
 
     def __init__(
@@ -139,6 +143,7 @@
         self._mean_durations = {}
         self._wait_estimates = callerwait.WaitTable()
         self.closing = False
+        self.keys_confirmed = lambda: True
 
     @property
     def in_flight(self):
@@ -176,6 +181,15 @@
         if route is None:
             self._refuse(exchange, calls.Reason.NO_ROUTE, 0.0)
             return
+        if (
+            tenants.needs_key(configuration, route)
+            and not self.keys_confirmed()
+        ):
+            # Its key may have been removed, or added, since.
+            self._refuse(
+                exchange, calls.Reason.UNCONFIRMED, UNCONFIRMED_RETRY_S
+            )
+            return
         sender = tenants.authenticate(configuration, route, request.headers)
         if sender.is_error():
             self._refuse(exchange, sender.error, 0.0)
--- a/jujubefold/sidecar/options.py
+++ b/jujubefold/sidecar/options.py
@@ -104,6 +104,21 @@
     grace: Seconds
 
 
+class Tenants(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Tenants and their keys.
+
+    Args:
+        strict_revoke: Whether requests with keys are refused unless it is
+            certain that no key was removed in the last `revoke` seconds
+            that this daemon does not know of.
+        revoke: Seconds after the acknowledgement of a version that removes
+            a key, from which no request with it is run.
+    """
+
+    strict_revoke: bool = False
+    revoke: Seconds = 5.0
+
+
 class Logs(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Logging.
 
@@ -124,6 +139,7 @@
     retries: Retries
     stop: Stop
     logs: Logs = Logs()
+    tenants: Tenants = Tenants()
 
 
 def load(path):
--- a/jujubefold/sidecar/versionexchange.py
+++ b/jujubefold/sidecar/versionexchange.py
@@ -80,6 +80,15 @@
         """Number of the newest version that any daemon told this one of."""
         return max(self._passed_on, self._versions.stamp).number
 
+    @property
+    def awaited_stamp(self):
+        """`Stamp` of a version that is being fetched; the empty one if none.
+
+        A version that none of its announcers has any more is given up.
+        """
+        awaited = self._awaited
+        return versions_module.Stamp() if awaited is None else awaited.stamp
+
     def announce(self, previous, source):
         """Announce the version that is now in force to other daemons.
 
--- a/jujubefold/sidecar/versions.py
+++ b/jujubefold/sidecar/versions.py
@@ -103,6 +103,9 @@
 
     Attributes:
         current: The `Configuration` in force.
+        keys_withdrawn: Whether the store, after its return from an older
+            copy, was given a configuration that lacks a key in force, but
+            whose number is too low to replace the one in force.
     """
 
     def __init__(
@@ -116,6 +119,7 @@
         self._count_fault = count_fault
         self._era = 0
         self._era_without = 0
+        self.keys_withdrawn = False
 
     @property
     def number(self):
@@ -195,6 +199,7 @@
         """
         if body == self._bodies.get(self.number):
             self._era = max(self._era, era)
+            self.keys_withdrawn = False
             return
         decoded = self._decode(body)
         if decoded.is_error():
@@ -210,10 +215,14 @@
         before = self.number
         stamp = Stamp(configuration.mesh.number, era)
         if stamp <= self.stamp:
-            if source == 'store':
+            if source == 'store' and stamp.era > self._era:
+                self.keys_withdrawn = _withdraws(
+                    self.current.keys, configuration.keys
+                )
                 self._log_lost(stamp)
             return
         self.current = configuration
+        self.keys_withdrawn = False
         self._era = era
         self._bodies[stamp.number] = body
         self._bodies.move_to_end(stamp.number)
@@ -256,3 +265,16 @@
                 found=found.number,
                 store_era=found.era,
             )
+
+
+def _withdraws(in_force, found):
+    """Return whether a key that is in force is not among those found.
+
+    Args:
+        in_force: `tenants.KeyTable` or None.
+        found: The same of a later configuration of a lower number, which the
+            store was given after it had returned from an older copy.
+    """
+    if in_force is None or found is None:
+        return False
+    return not found.holds_keys_of(in_force)
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -264,13 +264,18 @@
 
 
 class Fleet:
-    """Sidecars that share an in-memory store."""
+    """Sidecars that share an in-memory store.
+
+    Attributes:
+        tenants: Settings of daemons that are started from now on.
+    """
 
     def __init__(self):
         self.feed = rowfeed.MemoryRowFeed()
         self.daemons = {}
         self.event_logs = {}
         self.upstreams = {}
+        self.tenants = options.Tenants()
         self._ids = random.Random(1)
 
     async def start(self, version=1):
@@ -312,6 +317,7 @@
             options.Store(f'{LOOPBACK}:1'),
             options.Retries(0.2, 10.0, 56.0),
             options.Stop(6.0),
+            tenants=self.tenants,
         )
         return await self.restart(vm, daemon_options, feed)
 
