--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -20,6 +20,7 @@
 from jujubefold.sidecar import feedtask
 from jujubefold.sidecar import feedwatcher
 from jujubefold.sidecar import fleet
+from jujubefold.sidecar import freshness
 from jujubefold.sidecar import ingress
 from jujubefold.sidecar import memberrows
 from jujubefold.sidecar import metrics
@@ -241,18 +242,20 @@
             ),
             self._event_log,
         )
+        watcher = self._new_watcher(
+            platform.configuration_table,
+            self._replace_configuration,
+            self._update_configuration,
+            freshness.feed_intervals(options.tenants.revoke)
+            if options.tenants.strict_revoke
+            else VERSIONS_INTERVALS,
+            self._versions_availability_changed,
+        )
         self._configurations = feedtask.FeedTask(
-            self.fleet,
-            self.versions,
-            self._new_watcher(
-                platform.configuration_table,
-                self._replace_configuration,
-                self._update_configuration,
-                VERSIONS_INTERVALS,
-                self._versions_availability_changed,
-            ),
-            self._event_log,
+            self.fleet, self.versions, watcher, self._event_log
         )
+        if options.tenants.strict_revoke:
+            self._start_confirming(watcher)
 
     @property
     def vm(self):
@@ -351,7 +354,14 @@
             return
         restart_sections = [
             name
-            for name in ('daemon', 'listen', 'upstream', 'store', 'rollouts')
+            for name in (
+                'daemon',
+                'listen',
+                'upstream',
+                'store',
+                'rollouts',
+                'tenants',
+            )
             if getattr(options.ok, name) != getattr(self._options, name)
         ]
         if options.ok.retries.window != self._options.retries.window:
@@ -432,19 +442,39 @@
             self._rollouts.replace_orders(
                 rows, self._configurations.cursor.era
             )
-        self._apply_configuration(rows)
+        self._apply_rows(rows, self._configurations.cursor.era)
 
     def _update_configuration(self, rows):
         if self._rollouts is not None:
             self._rollouts.update_orders(rows, self._configurations.cursor.era)
-        self._apply_configuration(rows)
+        self._apply_rows(rows, self._configurations.cursor.era)
+
+    def _start_confirming(self, watcher):
+        """Serve keys only while the version in force is sure to be current."""
+        exchange = self.fleet.freshness_exchange
+        exchange.start(
+            self._options.tenants.revoke,
+            self._read_configuration,
+            lambda: self._configurations.running,
+        )
+        watcher.read_started = exchange.read_started
+        watcher.read_ended = exchange.read_ended
+        self.ingress.keys_confirmed = exchange.is_confirmed
+
+    async def _read_configuration(self):
+        """Read the configuration once; return whether it was answered."""
+        platform = self._platform
+        result = await self._feed.get(
+            platform.configuration_table, platform.configuration_key
+        )
+        if result.is_ok():
+            self._apply_rows(result.ok.rows, result.ok.era)
+        return result.is_ok()
 
-    def _apply_configuration(self, rows):
+    def _apply_rows(self, rows, era):
         for row in rows:
             if row.key == self._platform.configuration_key and row.value:
-                self.versions.apply(
-                    row.value, 'store', self._configurations.cursor.era
-                )
+                self.versions.apply(row.value, 'store', era)
 
     def _replace_members(self, rows):
         self._member_rows.replace(rows, self._members.cursor)
@@ -478,6 +508,7 @@
         self._metrics.count_era_change()
         if self._closed:
             return
+        self.fleet.freshness_exchange.unconfirm()
         self.fleet.version_exchange.announce_era()
         if self._restore_task is not None:
             self._restore_task.cancel()
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -140,7 +140,7 @@
     def offered_slots(self):
         """Slots that the upstream offers, closed by a rollout or not."""
         return instance.usable_slots(
-            self.instance_table, self._clock.monotonic(), self._drain_seconds
+            self.instance_table, self._clock.boottime(), self._drain_seconds
         )
 
     def _rollout_closed(self):
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -41,7 +41,9 @@
     'service',
     'max_attempts',
     'traffic_split',
+    'public',
 ]
+TENANT_COLUMNS = ['name', 'api_keys', 'priority', 'rate_per_s', 'burst']
 
 
 class SilenceableFeed(rowfeed.RowFeed):
@@ -111,11 +113,18 @@
         'service': service,
         'max_attempts': 2,
         'traffic_split': None,
+        'public': None,
         **overrides,
     }
     return [values[column] for column in ROUTE_COLUMNS]
 
 
+def tenant(name, *api_keys, **overrides):
+    """Return a row of the configuration's table of tenants."""
+    values = {'name': name, 'api_keys': list(api_keys), **overrides}
+    return [values.get(column) for column in TENANT_COLUMNS]
+
+
 ROUTES = (
     route('read', '/read/'),
     route('write', '/write/', 'non_idempotent'),
@@ -124,10 +133,14 @@
 SERVICES = ('pickups', 'routes')
 
 
-def document(version=1, routes=ROUTES, services=SERVICES, **limits):
+def document(
+    version=1, routes=ROUTES, services=SERVICES, tenants=None, **limits
+):
     """Return a configuration document in the platform's format."""
+    table = {'columns': TENANT_COLUMNS, 'rows': tenants}
     return json.dumps(
         {
+            **({} if tenants is None else {'tenants': table}),
             'version': version,
             'routes': {'columns': ROUTE_COLUMNS, 'rows': list(routes)},
             'services': {
@@ -261,6 +274,7 @@
     Attributes:
         rollouts: The `options.Rollouts` of sidecars that are added.
         new_rollout_controller: As in `daemon.Platform`, for the same.
+        tenants: Settings of daemons that are started from now on.
     """
 
     def __init__(self):
@@ -270,6 +284,7 @@
         self.daemons = {}
         self.event_logs = {}
         self.upstreams = {}
+        self.tenants = options.Tenants()
         self._ids = random.Random(1)
 
     async def start(self, version=1):
@@ -314,6 +329,7 @@
             options.Retries(0.2, 10.0, 56.0),
             options.Stop(6.0),
             rollouts=self.rollouts,
+            tenants=self.tenants,
         )
         return await self.restart(vm, daemon_options, feed)
 
