Pass reports on to the first reader, and count hanging requests

A gate without a link to the first reader was in no sum. Requests whose callers left at their deadline were not counted, so that a version that hangs showed no answers.

--- a/jujubefold/sidecar/rolloutcounts.py
+++ b/jujubefold/sidecar/rolloutcounts.py
@@ -182,7 +182,13 @@
         status: HTTP status of the answer; 0 without one.
         time_left: Seconds until the caller's deadline.
     """
-    if outcome is None or not outcome.sent:
+    if outcome is None:
+        # Callers that wait until their deadline leave then. Their requests
+        # count as slow by their duration; otherwise a version that hangs
+        # would show no answers at all.
+        at_deadline = time_left <= DEADLINE_TOLERANCE_S
+        return Verdict.SOUND if at_deadline else Verdict.UNCOUNTED
+    if not outcome.sent:
         return Verdict.UNCOUNTED
     refusal = outcome.refusal
     if refusal is not None and refusal.reason in _BAD_REASONS:
--- a/jujubefold/sidecar/rollouts.py
+++ b/jujubefold/sidecar/rollouts.py
@@ -167,12 +167,6 @@
         """Take over a `rollout.State` that the controller read or wrote."""
         self._record(state)
 
-    def _confirm(self, state):
-        entry = self.states.entries.get(state.service)
-        if entry is not None:
-            entry.confirmed = True
-            self._note_completeness()
-
     def _record(self, state, age=0.0, entry=None, confirmed=True):
         """Take over a state; return whether it was new."""
         before = self._summary(state.service)
@@ -186,7 +180,8 @@
             entry.barred if entry else (),
         )
         if confirmed:
-            self._confirm(state)
+            rolloutstates.confirm(self.states, state)
+            self._note_completeness()
         if not is_new:
             return False
         changed = self._summary(state.service) != before
@@ -297,12 +292,18 @@
                 detail=decoded.error.reason,
             )
         elif isinstance(message, frames.RolloutReport):
-            rolloutaggregator.record_report(
-                self._reports, decoded.ok, self._clock.boottime()
-            )
+            self._handle_report(decoded.ok, message)
         else:
             self._handle_states(decoded.ok)
 
+    def _handle_report(self, report, message):
+        rolloutaggregator.record_report(
+            self._reports, report, self._clock.boottime()
+        )
+        if self._first_reader_since is None:
+            # The sender has no link to the first reader.
+            self._fleet.send(self._first_reader(), message)
+
     def _handle_states(self, states):
         for entry in states.entries:
             age = max(0, entry.age_ms) / _MS
--- a/jujubefold/sidecar/rolloutstates.py
+++ b/jujubefold/sidecar/rolloutstates.py
@@ -101,6 +101,19 @@
     entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
 
 
+def confirm(table, state):
+    """Note that the record of an order, or that there is none, was read.
+
+    Args:
+        table: A `StateTable`.
+        state: The `rollout.State` that was read; one of an order before the
+            newest known one confirms nothing.
+    """
+    entry = table.entries.get(state.service)
+    if entry is not None and _rank(state)[0] >= _rank(entry.state)[0]:
+        entry.confirmed = True
+
+
 def note_completeness(table, service):
     """Set `complete` once enough is known; it then stays set.
 
--- a/tests/test_rolloutcounts.py
+++ b/tests/test_rolloutcounts.py
@@ -70,6 +70,7 @@
             (answer, True, 504, 0.01, SOUND),
             (answer, True, 500, 0.01, BAD),
             (None, False, 0, 1.0, UNCOUNTED),
+            (None, False, 0, 0.02, SOUND),
             (refused(reason.UPSTREAM_SHED), False, 0, 1.0, UNCOUNTED),
             (refused(reason.NO_UPSTREAM, False), False, 0, 1.0, UNCOUNTED),
             (refused(reason.NO_UPSTREAM), False, 0, 1.0, UNCOUNTED),
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -11,6 +11,7 @@
 from jujubefold.sidecar import options
 from jujubefold.sidecar import rollout
 from jujubefold.sidecar import rolloutaggregator
+from jujubefold.sidecar import rolloutmessages
 from tests import rolloutcontrol
 from tests import sidecars
 
@@ -234,6 +235,16 @@
             item = found['pickups/a']
             self.assertEqual((2, 2), (item.old_gates, item.old_open))
             self.assertEqual(set(NEW), {gate.vm for gate in item.new})
+            # One that reached another daemon is passed on to the first reader.
+            report = rollout.GateReport(
+                operator.id, 'pickups', 'vm-9', 1, True, started=7
+            )
+            fleet.daemons['vm-4'].fleet.send(
+                'vm-3', frames.RolloutReport(rolloutmessages.encode(report))
+            )
+            await asyncio.sleep(1.2)
+            item = (await evidence())['pickups/a']
+            self.assertIn('vm-9', {gate.vm for gate in item.new})
             await operator.write(rollout.Phase.ROLLED_BACK)
             await sidecars.wait_until(
                 lambda: has_phase(fleet, rollout.Phase.ROLLED_BACK), 3.0
--- a/tests/test_rolloutstates.py
+++ b/tests/test_rolloutstates.py
@@ -143,7 +143,10 @@
         table.orders_read = True
         rolloutstates.record_state(table, state(), 0.0, NOW, random.Random(1))
         self.assertFalse(rolloutstates.note_completeness(table, SERVICE))
-        table.entries[SERVICE].confirmed = True
+        former = rollout.State(SERVICE, order(rollout.OrderId(1, 2)))
+        rolloutstates.confirm(table, former)
+        self.assertFalse(rolloutstates.note_completeness(table, SERVICE))
+        rolloutstates.confirm(table, state())
         self.assertTrue(rolloutstates.note_completeness(table, SERVICE))
         self.assertTrue(admission(table, 'v1')[1])
 
