--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -175,6 +175,12 @@
             )
             await self.wait_for_state(fleet, 'vm-4')
             self.assertTrue(rollout_states(fleet, 'vm-4').complete)
+            # Without the store, an upstream counts from its second
+            # announcement on.
+            await fleet.announce('vm-4')
+            await sidecars.wait_until(
+                lambda: slots(fleet.daemons['vm-4']), 2.0
+            )
 
         self.run_scenario(scenario, new=('vm-3',))
 
@@ -278,6 +284,47 @@
 
         self.run_scenario(scenario)
 
+    def test_next_order_starts_from_the_version_that_was_completed(self):
+        # Upstreams of the version before were open again, and requests that
+        # no canary should get went to the newest one.
+        async def scenario(fleet, operator):
+            await operator.write(rollout.Phase.COMPLETED, 1.0)
+            await self.wait_for_gates(fleet, NEW)
+            following = rolloutcontrol.Operator(fleet, to='v3')
+            await following.order()
+            await fleet.add('vm-5', version='v3')
+            await fleet.wait_until_linked()
+            await self.wait_for_gates(fleet, NEW)
+            await following.write(
+                rollout.Phase.CANARY, 0.25, canaries=('vm-5',)
+            )
+            await self.wait_for_gates(fleet, (*NEW, 'vm-5'))
+            self.assertEqual({200}, set(await self.call_many(fleet)))
+            self.assertIn(received(fleet, ('vm-5',)), (9, 10, 11))
+            self.assertEqual(0, received(fleet, OLD))
+            await following.write(rollout.Phase.ROLLED_BACK)
+            await self.wait_for_gates(fleet, NEW)
+
+        self.run_scenario(scenario)
+
+    def test_without_settings_orders_change_nothing(self):
+        # Deployments that name no bounds must behave as before.
+        async def scenario(fleet):
+            operator = rolloutcontrol.Operator(fleet)
+            await operator.order()
+            for vm, version in (('vm-1', 'v1'), ('vm-2', 'v2')):
+                await fleet.add(vm, version=version)
+            await fleet.wait_until_linked()
+            await self.wait_for_gates(fleet, ('vm-1', 'vm-2'))
+            statuses = await self.call_many(fleet, vm='vm-2')
+            self.assertEqual({200}, set(statuses))
+            self.assertGreater(received(fleet, ('vm-2',)), 0)
+            self.assertIsNone(fleet.daemons['vm-1'].fleet.rollouts)
+            status = await fleet.feed.get('status', 'rollout/pickups')
+            self.assertEqual((), status.ok.rows)
+
+        sidecars.run_scenario(scenario)
+
     def test_withdrawn_malformed_and_other_orders_leave_a_service_alone(self):
         # An order that can't be read, or of another service, closed gates.
         async def scenario(fleet, operator):
