Run controllers only where the store is followed for a while

In a trial with six daemons, one that had just started wrote the first record (1.31 s), left the store to the readers, and the canaries opened only after its lease had ended (3.33 s). A controller now begins after 1.5 s of following.

--- a/jujubefold/sidecar/rollouts.py
+++ b/jujubefold/sidecar/rollouts.py
@@ -27,6 +27,10 @@
 # Seconds for which a daemon must be the first reader before it writes a row:
 # each gate reports to it once in that time, so that no sum lacks a gate.
 AGGREGATOR_DELAY_S = 1.2
+# Seconds for which a daemon must follow the store before it runs a controller.
+# A daemon that starts follows it only until it hears of the readers; if it
+# owned a record then, the next step would wait for the end of its lease.
+CONTROLLER_DELAY_S = 1.5
 # Seconds after which a controller that failed is started again.
 CONTROLLER_RESTART_S = 1.0
 
@@ -98,6 +102,7 @@
         self._controller = parts.new_controller(self._handle_state)
         self._control_task = None
         self._control_allowed_at = 0.0
+        self._follows_since = None
         self._evidence_task = None
         self._evidence_failing = False
         self._first_reader_since = None
@@ -370,8 +375,15 @@
         if task is not None and task.done():
             task = self._control_task = None
             self._control_allowed_at = now + CONTROLLER_RESTART_S
+        if not follows_store:
+            self._follows_since = None
+        elif self._follows_since is None:
+            self._follows_since = now
         should_run = (
-            follows_store and not self._closed and self._has_open_order()
+            follows_store
+            and now - self._follows_since >= CONTROLLER_DELAY_S
+            and not self._closed
+            and self._has_open_order()
         )
         if not should_run and task is not None:
             task.cancel()
--- a/tests/test_rolloutfleet.py
+++ b/tests/test_rolloutfleet.py
@@ -72,7 +72,7 @@
         """Send one request; return its status."""
         try:
             response = await fleet.call(rng.choice(self.callers), '/read/x')
-        except OSError:
+        except (OSError, EOFError):
             # Its VM's daemon was closed.
             return 0
         return response.status
@@ -120,6 +120,15 @@
             answering, check, slack=1000.0, disturb=close_controller
         )
 
+    def test_daemons_that_start_own_no_record(self):
+        # Each follows the store until it hears of the readers. One wrote the
+        # first record, stopped, and the rollout waited 2 s for its lease.
+        async def check(fleet, state, statuses, ended_new):
+            owners = {vm for vm, _ in steps(fleet)}
+            self.assertEqual(set(), owners - set(OLD))
+
+        self.run_rollout(failing_half, check)
+
     def test_deleted_order_is_rolled_back_at_once(self):
         # The version stayed in use, and its order could not be stopped.
         async def delete_order(fleet):
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -140,9 +140,20 @@
                 asyncio.create_task(keep_calling(vm)) for vm in fleet.daemons
             ]
             await operator.write(SHIFTING, 0.5)
-            await asyncio.sleep(0.7)
+            await self.wait_for_gates(fleet, (*OLD, *NEW))
             await operator.write(SHIFTING, 1.0)
-            await asyncio.sleep(0.7)
+            # A controller keeps each share for half a second at least, in
+            # which the daemons hear of it.
+            await sidecars.wait_until(
+                lambda: all(
+                    rollout_states(fleet, vm)
+                    .entries['pickups']
+                    .state.record.share
+                    == 1.0
+                    for vm in fleet.daemons
+                ),
+                0.5,
+            )
             await operator.write(rollout.Phase.CLOSING, 1.0)
             await self.wait_for_gates(fleet, NEW)
             closed = received(fleet, OLD)
