--- a/jujubefold/sidecar/rollouts.py
+++ b/jujubefold/sidecar/rollouts.py
@@ -27,6 +27,10 @@
 # Seconds for which a daemon must be the first reader before it writes a row:
 # each gate reports to it once in that time, so that no sum lacks a gate.
 AGGREGATOR_DELAY_S = 1.2
+# Seconds for which a daemon must follow the store before it runs a controller.
+# A daemon that starts follows it only until it hears of the readers; if it
+# owned a record then, the next step would wait for the end of its lease.
+CONTROLLER_DELAY_S = 1.5
 # Seconds after which a controller that failed is started again.
 CONTROLLER_RESTART_S = 1.0
 
@@ -98,6 +102,7 @@
         self._controller = parts.new_controller(self._handle_state)
         self._control_task = None
         self._control_allowed_at = 0.0
+        self._follows_since = None
         self._evidence_task = None
         self._evidence_failing = False
         self._first_reader_since = None
@@ -167,12 +172,6 @@
         """Take over a `rollout.State` that the controller read or wrote."""
         self._record(state)
 
-    def _confirm(self, state):
-        entry = self.states.entries.get(state.service)
-        if entry is not None:
-            entry.confirmed = True
-            self._note_completeness()
-
     def _record(self, state, age=0.0, entry=None, confirmed=True):
         """Take over a state; return whether it was new."""
         before = self._summary(state.service)
@@ -186,7 +185,8 @@
             entry.barred if entry else (),
         )
         if confirmed:
-            self._confirm(state)
+            rolloutstates.confirm(self.states, state)
+            self._note_completeness()
         if not is_new:
             return False
         changed = self._summary(state.service) != before
@@ -297,12 +297,18 @@
                 detail=decoded.error.reason,
             )
         elif isinstance(message, frames.RolloutReport):
-            rolloutaggregator.record_report(
-                self._reports, decoded.ok, self._clock.boottime()
-            )
+            self._handle_report(decoded.ok, message)
         else:
             self._handle_states(decoded.ok)
 
+    def _handle_report(self, report, message):
+        rolloutaggregator.record_report(
+            self._reports, report, self._clock.boottime()
+        )
+        if self._first_reader_since is None:
+            # The sender has no link to the first reader.
+            self._fleet.send(self._first_reader(), message)
+
     def _handle_states(self, states):
         for entry in states.entries:
             age = max(0, entry.age_ms) / _MS
@@ -369,8 +375,15 @@
         if task is not None and task.done():
             task = self._control_task = None
             self._control_allowed_at = now + CONTROLLER_RESTART_S
+        if not follows_store:
+            self._follows_since = None
+        elif self._follows_since is None:
+            self._follows_since = now
         should_run = (
-            follows_store and not self._closed and self._has_open_order()
+            follows_store
+            and now - self._follows_since >= CONTROLLER_DELAY_S
+            and not self._closed
+            and self._has_open_order()
         )
         if not should_run and task is not None:
             task.cancel()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -11,6 +11,7 @@
 from jujubefold.sidecar import options
 from jujubefold.sidecar import rollout
 from jujubefold.sidecar import rolloutaggregator
+from jujubefold.sidecar import rolloutmessages
 from tests import rolloutcontrol
 from tests import sidecars
 
@@ -139,9 +140,20 @@
                 asyncio.create_task(keep_calling(vm)) for vm in fleet.daemons
             ]
             await operator.write(SHIFTING, 0.5)
-            await asyncio.sleep(0.7)
+            await self.wait_for_gates(fleet, (*OLD, *NEW))
             await operator.write(SHIFTING, 1.0)
-            await asyncio.sleep(0.7)
+            # A controller keeps each share for half a second at least, in
+            # which the daemons hear of it.
+            await sidecars.wait_until(
+                lambda: all(
+                    rollout_states(fleet, vm)
+                    .entries['pickups']
+                    .state.record.share
+                    == 1.0
+                    for vm in fleet.daemons
+                ),
+                0.5,
+            )
             await operator.write(rollout.Phase.CLOSING, 1.0)
             await self.wait_for_gates(fleet, NEW)
             closed = received(fleet, OLD)
@@ -174,6 +186,12 @@
             )
             await self.wait_for_state(fleet, 'vm-4')
             self.assertTrue(rollout_states(fleet, 'vm-4').complete)
+            # Without the store, an upstream counts from its second
+            # announcement on.
+            await fleet.announce('vm-4')
+            await sidecars.wait_until(
+                lambda: slots(fleet.daemons['vm-4']), 2.0
+            )
 
         self.run_scenario(scenario, new=('vm-3',))
 
@@ -234,6 +252,16 @@
             item = found['pickups/a']
             self.assertEqual((2, 2), (item.old_gates, item.old_open))
             self.assertEqual(set(NEW), {gate.vm for gate in item.new})
+            # One that reached another daemon is passed on to the first reader.
+            report = rollout.GateReport(
+                operator.id, 'pickups', 'vm-9', 1, True, started=7
+            )
+            fleet.daemons['vm-4'].fleet.send(
+                'vm-3', frames.RolloutReport(rolloutmessages.encode(report))
+            )
+            await asyncio.sleep(1.2)
+            item = (await evidence())['pickups/a']
+            self.assertIn('vm-9', {gate.vm for gate in item.new})
             await operator.write(rollout.Phase.ROLLED_BACK)
             await sidecars.wait_until(
                 lambda: has_phase(fleet, rollout.Phase.ROLLED_BACK), 3.0
@@ -267,6 +295,47 @@
 
         self.run_scenario(scenario)
 
+    def test_next_order_starts_from_the_version_that_was_completed(self):
+        # Upstreams of the version before were open again, and requests that
+        # no canary should get went to the newest one.
+        async def scenario(fleet, operator):
+            await operator.write(rollout.Phase.COMPLETED, 1.0)
+            await self.wait_for_gates(fleet, NEW)
+            following = rolloutcontrol.Operator(fleet, to='v3')
+            await following.order()
+            await fleet.add('vm-5', version='v3')
+            await fleet.wait_until_linked()
+            await self.wait_for_gates(fleet, NEW)
+            await following.write(
+                rollout.Phase.CANARY, 0.25, canaries=('vm-5',)
+            )
+            await self.wait_for_gates(fleet, (*NEW, 'vm-5'))
+            self.assertEqual({200}, set(await self.call_many(fleet)))
+            self.assertIn(received(fleet, ('vm-5',)), (9, 10, 11))
+            self.assertEqual(0, received(fleet, OLD))
+            await following.write(rollout.Phase.ROLLED_BACK)
+            await self.wait_for_gates(fleet, NEW)
+
+        self.run_scenario(scenario)
+
+    def test_without_settings_orders_change_nothing(self):
+        # Deployments that name no bounds must behave as before.
+        async def scenario(fleet):
+            operator = rolloutcontrol.Operator(fleet)
+            await operator.order()
+            for vm, version in (('vm-1', 'v1'), ('vm-2', 'v2')):
+                await fleet.add(vm, version=version)
+            await fleet.wait_until_linked()
+            await self.wait_for_gates(fleet, ('vm-1', 'vm-2'))
+            statuses = await self.call_many(fleet, vm='vm-2')
+            self.assertEqual({200}, set(statuses))
+            self.assertGreater(received(fleet, ('vm-2',)), 0)
+            self.assertIsNone(fleet.daemons['vm-1'].fleet.rollouts)
+            status = await fleet.feed.get('status', 'rollout/pickups')
+            self.assertEqual((), status.ok.rows)
+
+        sidecars.run_scenario(scenario)
+
     def test_withdrawn_malformed_and_other_orders_leave_a_service_alone(self):
         # An order that can't be read, or of another service, closed gates.
         async def scenario(fleet, operator):
