Fetch large answers from other daemons in parts

An answer was sent in one frame. On a link of 6.5 Mbit/s one of 500 KiB occupied it for 0.63 s, and short answers waited behind it.

Answers over 16 KiB are announced with their first bytes, and the daemon that awaits them requests the rest within a window of 20 ms of its link. A cut answer is reported with an unknown outcome, never as not run. Hello.answer_parts tells who understands it; others get whole answers.

--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -10,6 +10,7 @@
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import errors
+from jujubefold.sidecar import answertransfer
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import balancer
 from jujubefold.sidecar import crashreports
@@ -95,6 +96,9 @@
         self._rng = rng
         self._event_log = event_log
         self._store_era = store_era
+        self._answers = answertransfer.AnswerFetcher(
+            own_member.capacity, clock
+        )
         self._peers = {}
         # Cache of candidates by service; cleared when a member changes.
         self._candidates_by_service = {}
@@ -175,6 +179,7 @@
             self.traffic.near
             if peering.is_near(self._peering, member)
             else self.traffic.far,
+            self._answers,
         )
         self._peers[member.vm] = Peer(
             outgoing,
@@ -302,6 +307,7 @@
             transfers=True,
             era=self._versions.stamp.era,
             store_era=self._store_era.known,
+            answer_parts=True,
         )
 
     # Offers
@@ -371,7 +377,8 @@
         if message is None:
             balancer.penalize(candidate, now)
             return attempts.Outcome(refusal=result.refusal, sent=result.sent)
-        balancer.update_load(candidate, _decode_load(message.load), now)
+        if isinstance(message, frames.Refused) or not message.body_size:
+            balancer.update_load(candidate, _decode_load(message.load), now)
         if isinstance(message, frames.Answered):
             body = message.body
             answer = callserver.Answer(
@@ -575,6 +582,7 @@
         for peer in tuple(self._peers.values()):
             peer.link.sweep(now)
         self.peer_server.sweep(now)
+        self._answers.sweep(now)
         self._crash_reports.send_new()
         self._broadcast_load_change(now)
         self.version_exchange.sweep(now)
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -55,6 +55,7 @@
         transfers: Whether the sender understands `Offer.body_size`.
         era: Era of the store in which `version` was seen; 0 if unknown.
         store_era: Newest era of the store that the sender knows.
+        answer_parts: Whether the sender understands `Answered.body_size`.
     """
 
     member: roster.Member
@@ -64,6 +65,7 @@
     transfers: bool = False
     era: int = 0
     store_era: int = 0
+    answer_parts: bool = False
 
 
 class Offer(Message, tag='offer'):
@@ -148,8 +150,10 @@
         status: HTTP status.
         upstream_ms: Milliseconds that the upstream took to answer.
         headers: End-to-end headers.
-        body: The whole body.
+        body: The whole body, or its first bytes.
         load: Load of the sender's gate.
+        body_size: Bytes of a body of which the receiver fetches the rest; 0
+            if `body` is whole.
     """
 
     sequence: int
@@ -158,6 +162,7 @@
     headers: HeaderPairs
     body: bytes
     load: Load
+    body_size: int = 0
 
 
 class Refused(Message, tag='refused'):
@@ -322,6 +327,34 @@
     store_era: int
 
 
+class AnswerRequest(Message, tag='pull-answer'):
+    """Requests a part of an answer's body.
+
+    Args:
+        sequence: Identifies the offer.
+        offset: Position of the part's first byte.
+        size: Bytes of the part.
+    """
+
+    sequence: int
+    offset: int
+    size: int
+
+
+class AnswerPart(Message, tag='answer-part'):
+    """A part of an answer's body.
+
+    Args:
+        sequence: Identifies the offer.
+        offset: Position of the part's first byte.
+        data: The part; empty if the sender does not hold the body any more.
+    """
+
+    sequence: int
+    offset: int
+    data: bytes
+
+
 _MessageTypes = (
     Hello
     | Offer
@@ -341,6 +374,8 @@
     | CrashEvidence
     | FreshnessRequest
     | Freshness
+    | AnswerRequest
+    | AnswerPart
     | Load
 )
 _encoder = msgspec.msgpack.Encoder()
--- a/jujubefold/sidecar/link.py
+++ b/jujubefold/sidecar/link.py
@@ -35,6 +35,11 @@
     calls.Reason.PEER_LOST,
     detail='the other daemon did not receive the request',
 )
+_ANSWER_CUT = calls.Refusal(
+    errors.Outcome.UNKNOWN,
+    calls.Reason.PEER_LOST,
+    detail='the other daemon does not hold the rest of the answer any more',
+)
 _PEER_LOST = calls.Refusal(
     errors.Outcome.UNKNOWN,
     calls.Reason.PEER_LOST,
@@ -87,6 +92,8 @@
         peer: VM and incarnation of the other daemon, or None; set by
             `peerserver`.
         domain: The other daemon's failure domain; set by `peerserver`.
+        answer_parts: Whether the other daemon fetches large answers; set by
+            `peerserver`.
         received_data: Whether data was received since it was last reset.
     """
 
@@ -98,6 +105,7 @@
         self._transport = None
         self.peer = None
         self.domain = ''
+        self.answer_parts = False
         self.received_data = False
 
     @property
@@ -163,6 +171,7 @@
         on_displaced: Called with this link when a daemon of another VM
             answers at the address.
         sent_bytes: As in `Connection`.
+        answers: The `answertransfer.AnswerFetcher` of this daemon.
 
     Attributes:
         vm: VM of the other daemon.
@@ -183,8 +192,10 @@
         on_state_changed,
         on_displaced,
         sent_bytes,
+        answers,
     ):
         self._sent_bytes = sent_bytes
+        self._answers = answers
         self.vm = vm
         self.address = address
         self.incarnation = 0
@@ -260,6 +271,7 @@
         try:
             return await waiter
         finally:
+            self._answers.stop(self, offer.sequence)
             if self._pending.pop(offer.sequence, None) is not None:
                 self.send(frames.Cancel(offer.sequence))
 
@@ -343,6 +355,7 @@
     def _handle_disconnected(self):
         self._connection = None
         self._down_at = self._clock.monotonic()
+        self._answers.suspend(self)
         self._on_state_changed(self)
 
     def _handle_message(self, connection, message):
@@ -351,8 +364,25 @@
                 self._handle_hello(connection, message)
                 if not self.up:
                     return
+            case frames.Answered() if message.body_size:
+                # Its load is of now, unlike when the body is complete.
+                self._on_message(self, message.load)
+                if message.sequence in self._pending:
+                    self._answers.start(self, message)
+                return
+            case frames.AnswerPart():
+                self._handle_part(message)
+                return
             case frames.Answered() | frames.Refused():
                 self._resolve(message.sequence, OfferResult(message))
+            case frames.NotReceived() if self._answers.awaits(
+                self, message.sequence
+            ):
+                # It ran, and was forgotten while its answer was fetched.
+                self._resolve(
+                    message.sequence,
+                    OfferResult(refusal=_ANSWER_CUT, sent=True),
+                )
             case frames.NotReceived():
                 self._resolve(
                     message.sequence, OfferResult(refusal=_NOT_RECEIVED)
@@ -366,6 +396,18 @@
                 self.peer_stopping = True
         self._on_message(self, message)
 
+    def _handle_part(self, part):
+        if not part.data:
+            self._resolve(
+                part.sequence, OfferResult(refusal=_ANSWER_CUT, sent=True)
+            )
+            return
+        message = self._answers.add(self, part)
+        if message is not None:
+            self._resolve(part.sequence, OfferResult(message))
+            # The other daemon need not hold the body any longer.
+            self.send(frames.Cancel(part.sequence))
+
     def _send_part(self, connection, message):
         pending = self._pending.get(message.sequence)
         if pending is not None:
--- a/jujubefold/sidecar/peerserver.py
+++ b/jujubefold/sidecar/peerserver.py
@@ -12,6 +12,7 @@
 from jujubefold import calls
 from jujubefold import eagertask
 from jujubefold import errors
+from jujubefold.sidecar import answertransfer
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import frames
 from jujubefold.sidecar import link
@@ -95,6 +96,7 @@
         self._offers = {}
         self._orphaned_at = {}
         self._transfers = transfers
+        self._answers = answertransfer.HeldAnswers()
         self._traffic = traffic
         self._domain = domain
         self._stopping = False
@@ -102,8 +104,10 @@
 
     @property
     def busy(self):
-        """Whether any offer is running or queued."""
-        return any(entry.task is not None for entry in self._offers.values())
+        """Whether an offer is running or queued, or an answer is fetched."""
+        return bool(self._answers) or any(
+            entry.task is not None for entry in self._offers.values()
+        )
 
     async def start(self, bind):
         """Listen on `ip:port` and return the bound address."""
@@ -162,6 +166,7 @@
         ]
         for key in expired:
             del self._offers[key]
+            self._answers.release(key)
 
     def _accept(self):
         connection = link.Connection(
@@ -197,6 +202,9 @@
             case frames.Cancel() if connection.peer is not None:
                 self._cancel((*connection.peer, message.sequence))
                 return
+            case frames.AnswerRequest() if connection.peer is not None:
+                self._send_answer_part(connection, message)
+                return
             case frames.Ping():
                 connection.send(frames.Pong())
                 return
@@ -206,6 +214,7 @@
         member = hello.member
         connection.peer = (member.vm, member.incarnation)
         connection.domain = member.failure_domain
+        connection.answer_parts = hello.answer_parts
         if connection.domain != self._domain:
             connection.sent_bytes = self._traffic.far
         # Offers still unread in an older connection are about to be reported
@@ -242,6 +251,15 @@
         entry = self._offers.get(key)
         if entry is not None and entry.task is not None:
             entry.task.cancel()
+        self._answers.release(key)
+
+    def _send_answer_part(self, connection, request):
+        key = (*connection.peer, request.sequence)
+        entry = self._offers.get(key)
+        if entry is not None:
+            # Held for as long as it is being fetched.
+            entry.finished_at = self._clock.monotonic()
+        connection.send(self._answers.part(key, request))
 
     def _handle_offer(self, connection, offer):
         key = (*connection.peer, offer.sequence)
@@ -339,6 +357,8 @@
                 sent=True,
             )
         entry.result = result_message(sequence, outcome, self._egress)
+        if entry.connection.answer_parts:
+            entry.result = self._answers.hold(key, entry.result)
         entry.connection.send(entry.result)
 
 
