Read only changes of the store to confirm a version

A daemon without a useful reader read the whole row of the configuration each second to confirm its version; that is 100 kB for a change of one route. It also did so while it had no version, so that all daemons of a fleet that starts would have read the store at once.

It now continues from its last read, as the feed does: one full read, then changes (a test counts them). Without a version nothing is confirmed.

--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -395,30 +395,19 @@
         exchange = self.fleet.freshness_exchange
         exchange.start(
             self._options.tenants.revoke,
-            self._read_configuration,
+            watcher.read_once,
             lambda: self._configurations.running,
         )
         watcher.read_started = exchange.read_started
         watcher.read_ended = exchange.read_ended
         self.ingress.keys_confirmed = exchange.is_confirmed
 
-    async def _read_configuration(self):
-        """Read the configuration once; return whether it was answered."""
-        platform = self._platform
-        result = await self._feed.get(
-            platform.configuration_table, platform.configuration_key
-        )
-        if result.is_ok():
-            self._apply_rows(result.ok.rows, result.ok.era)
-        return result.is_ok()
-
     def _update_configuration(self, rows):
-        self._apply_rows(rows, self._configurations.cursor.era)
-
-    def _apply_rows(self, rows, era):
         for row in rows:
             if row.key == self._platform.configuration_key and row.value:
-                self.versions.apply(row.value, 'store', era)
+                self.versions.apply(
+                    row.value, 'store', self._configurations.cursor.era
+                )
 
     def _replace_members(self, rows):
         self._member_rows.replace(rows, self._members.cursor)
--- a/jujubefold/sidecar/feedwatcher.py
+++ b/jujubefold/sidecar/feedwatcher.py
@@ -106,7 +106,7 @@
         interval = self._intervals.initial
         self._confirmed = False
         while True:
-            result = await self._read_once()
+            result = await self.read_once()
             self._confirmed = result.is_ok()
             if result.is_ok():
                 retry_delay = MIN_RETRY_S
@@ -119,7 +119,13 @@
             await asyncio.sleep(retry_delay * self._rng.uniform(0.5, 1.0))
             retry_delay = min(MAX_RETRY_S, retry_delay * 2)
 
-    async def _read_once(self):
+    async def read_once(self):
+        """Read the table in full, or what changed since the last read.
+
+        Returns:
+            `Ok(rowfeed.Rows)`, whose rows were passed on, or an error of the
+                feed.
+        """
         apply = self._update
         started = self.read_started()
         if self._cursor is not None:
--- a/jujubefold/sidecar/freshnessexchange.py
+++ b/jujubefold/sidecar/freshnessexchange.py
@@ -41,9 +41,8 @@
 
         Args:
             revoke: Seconds after which a removed key must be refused.
-            read_store: Coroutine function that reads the configuration from
-                the store and puts it in force; returns whether it was
-                answered.
+            read_store: Coroutine function that reads the versions of the
+                store once, and calls `read_started` and `read_ended`.
             follows: Called without arguments; returns whether this daemon
                 follows the versions of the store.
         """
@@ -145,7 +144,9 @@
             return
         self.is_confirmed()
         now = self._clock.boottime()
-        if not freshness.is_due(table, now):
+        # Without a version there is nothing to confirm, and the daemons of a
+        # fleet that starts must not all read the store.
+        if not self._versions.number or not freshness.is_due(table, now):
             return
         fleet = self._fleet
         readers = distribution.readers(fleet.nearby_daemons())
@@ -159,9 +160,7 @@
                 backgroundtasks.spawn(self._read())
 
     async def _read(self):
-        started = self.read_started()
         try:
-            if await self._read_store():
-                self.read_ended(started)
+            await self._read_store()
         finally:
             self._reading = False
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -133,7 +133,6 @@
         )
         self._net = net
         self._feed = storeera.FencedRowFeed(net.feed, self.store_era)
-        self.exchange.start(REVOKE_S, self._read, lambda: is_reader)
         self.watcher = feedwatcher.FeedWatcher(
             self._feed,
             'op',
@@ -144,6 +143,7 @@
             random.Random(1),
             self.log,
         )
+        self.exchange.start(REVOKE_S, self._read, lambda: is_reader)
         self.watcher.read_started = self.exchange.read_started
         self.watcher.read_ended = self.exchange.read_ended
         net.nodes[vm] = self
@@ -180,17 +180,12 @@
         self.exchange.handle(message, Channel(self, sender.own_vm))
 
     async def _read(self):
-        if self in self._net.cut:
-            return False
-        result = await self._feed.get('op', 'config')
-        if result.is_ok():
-            self._apply(result.ok.rows, result.ok.era)
-        return result.is_ok()
-
-    def _apply(self, rows, era=None):
+        if self not in self._net.cut:
+            await self.watcher.read_once()
+
+    def _apply(self, rows):
         for row in rows:
-            era = self.watcher.cursor.era if era is None else era
-            self.versions.apply(row.value, 'store', era)
+            self.versions.apply(row.value, 'store', self.watcher.cursor.era)
 
     async def _sweep(self):
         while True:
@@ -313,13 +308,7 @@
         async def scenario(net):
             reader, asker = await self.start(net)
             reads = []
-            get = net.feed.get
-
-            async def counted(*args):
-                reads.append(args)
-                return await get(*args)
-
-            net.feed.get = counted
+            asker.watcher.read_once = lambda: reads.append(1)
             self.assertIsNone(await self.refused_after(net, asker, 60.0))
             self.assertEqual([], reads)
             self.assertEqual(
@@ -356,7 +345,7 @@
             reader.receive = lambda message, sender: sent.append(message)
             net.cut.clear()
             # The store does not answer this daemon either.
-            net.feed.get = lambda *args: asyncio.sleep(100.0)
+            asker.watcher.read_once = lambda: asyncio.sleep(100.0)
             while not sent:
                 await asyncio.sleep(0.05)
             net.clock.suspend(LIMIT_S + 0.1)
@@ -370,7 +359,17 @@
         async def scenario(net):
             reader, asker = await self.start(net)
             del net.nodes['r-1']
+            full_reads = []
+            read = net.feed.read
+
+            async def counted(table):
+                full_reads.append(table)
+                return await read(table)
+
+            net.feed.read = counted
             self.assertIsNone(await self.refused_after(net, asker, 20.0))
+            # Then only what changed: a configuration is large.
+            self.assertEqual(1, len(full_reads))
             await net.write(2, 'k')
             await asyncio.sleep(2.0)
             self.assertEqual(2, asker.versions.number)
@@ -394,8 +393,8 @@
     def test_after_a_restart_a_version_of_a_peer_is_not_enough(self):
         async def scenario(net):
             reader, _ = await self.start(net)
-            net.feed.get = lambda *args: asyncio.sleep(100.0)
             restarted = Node(net, 'vm-2', False)
+            restarted.watcher.read_once = lambda: asyncio.sleep(100.0)
             body = sidecars.document(
                 1, tenants=[sidecars.tenant('t', 'k', 'l')]
             )
