--- a/jujubefold/sidecar/feedwatcher.py
+++ b/jujubefold/sidecar/feedwatcher.py
@@ -125,14 +125,20 @@
     async def _read_guarded(self):
         """Read once; an unexpected error counts as a failed read."""
         try:
-            return await self._read_once()
+            return await self.read_once()
         except Exception as error:
             backgroundtasks.report_exception(error, 'following a table')
             # Rows may not have been applied, so the table is read in full.
             self._cursor = None
             return expression.Error(errors.StoreNotRun(repr(error)))
 
-    async def _read_once(self):
+    async def read_once(self):
+        """Read the table in full, or what changed since the last read.
+
+        Returns:
+            `Ok(rowfeed.Rows)`, whose rows were passed on, or an error of the
+                feed.
+        """
         apply = self._update
         started = self.read_started()
         if self._cursor is not None:
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -11,6 +11,7 @@
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import errors
+from jujubefold.sidecar import answertransfer
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import balancer
 from jujubefold.sidecar import crashreports
@@ -98,6 +99,9 @@
         self._rng = rng
         self._event_log = event_log
         self._store_era = store_era
+        self._answers = answertransfer.AnswerFetcher(
+            own_member.capacity, clock
+        )
         self._peers = {}
         # Cache of candidates by service; cleared when a member changes.
         self._candidates_by_service = {}
@@ -178,6 +182,7 @@
             self.traffic.near
             if peering.is_near(self._peering, member)
             else self.traffic.far,
+            self._answers,
         )
         self._peers[member.vm] = Peer(
             outgoing,
@@ -305,6 +310,7 @@
             transfers=True,
             era=self._versions.stamp.era,
             store_era=self._store_era.known,
+            answer_parts=True,
         )
 
     # Offers
@@ -374,7 +380,8 @@
         if message is None:
             balancer.penalize(candidate, now)
             return attempts.Outcome(refusal=result.refusal, sent=result.sent)
-        balancer.update_load(candidate, _decode_load(message.load), now)
+        if isinstance(message, frames.Refused) or not message.body_size:
+            balancer.update_load(candidate, _decode_load(message.load), now)
         if isinstance(message, frames.Answered):
             body = message.body
             answer = callserver.Answer(
@@ -589,6 +596,7 @@
         for peer in tuple(self._peers.values()):
             guarded(peer.link.sweep, now)
         guarded(self.peer_server.sweep, now)
+        guarded(self._answers.sweep, now)
         guarded(self._crash_reports.send_new)
         guarded(self._broadcast_load_change, now)
         guarded(self.version_exchange.sweep, now)
