Serve calls of running requests first, and learn what runs call

Requests whose id begins with that of a running request were queued like any other, and mostly behind new parents; a call that found no room lost the run that made it. The ingress now recognises them by the runs of the VM's gate. They go before other requests in the order of their parents' rank, are kept as long as they can end before the deadline, and may queue in another failure domain if they would be late near by. Load.waiting_calls and Offer.call are last fields with defaults.

calldemand learns by route what runs call.

--- a/jujubefold/sidecar/attempt.py
+++ b/jujubefold/sidecar/attempt.py
@@ -61,6 +61,8 @@
             `HeaderNames.reserved` except the caller's service.
         body: A `transfer.Body`.
         may_queue: Whether it may wait for a slot.
+        call: Whether a request that runs on this VM made it, or ran on the
+            VM that offered it.
     """
 
     key: object
@@ -77,6 +79,7 @@
     headers: list
     body: transfer.Body
     may_queue: bool = True
+    call: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jujubefold/sidecar/balancer.py
+++ b/jujubefold/sidecar/balancer.py
@@ -76,6 +76,8 @@
         full: Names of VMs whose gates had no free slot for it; it may still
             queue there.
         body_size: Bytes that are transferred to it.
+        call_time_left: Seconds until the deadline of a call that a running
+            request made; None for other requests.
     """
 
     time_left: float
@@ -83,6 +85,7 @@
     excluded: frozenset = frozenset()
     full: frozenset = frozenset()
     body_size: int = 0
+    call_time_left: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,7 +107,8 @@
     The order of preference is: a free slot in the own failure domain, the
     queue there, and a free slot elsewhere, each if that is on time; else a
     free slot or the queue in the own failure domain. Without an upstream in
-    the own failure domain, the request may queue elsewhere.
+    the own failure domain, the request may queue elsewhere. So may the call
+    of a running request that would miss its deadline in the own one.
 
     Args:
         candidates: Each `Candidate` of the service, in any order.
@@ -135,6 +139,14 @@
         return Choice(far_free, False)
     if near_free is not None:
         return Choice(near_free, False)
+    call_time_left = criteria.call_time_left
+    if call_time_left is not None and not (
+        queue is not None
+        and expected_latency(queue, criteria, now)
+        <= call_time_left * ON_TIME_SHARE
+    ):
+        queues = [x for x in available if x.vm not in criteria.excluded]
+        queue = _fastest(queues, criteria, now, rng)
     return None if queue is None else Choice(queue, True)
 
 
@@ -147,8 +159,8 @@
         now: Monotonic seconds.
     """
     load = candidate.load
-    rounds = max(0.0, _occupancy(candidate, now) + 1 - load.slots) / load.slots
-    seconds = load.mean_duration * rounds + criteria.duration
+    is_call = criteria.call_time_left is not None
+    seconds = expected_wait(candidate, now, is_call) + criteria.duration
     failure_rate = limiter.decayed_failure_rate(
         load.failure_rate, now - candidate.reported_at
     )
@@ -165,6 +177,20 @@
     return seconds + DISTANCE_COST_S[candidate.distance]
 
 
+def expected_wait(candidate, now, call=False):
+    """Return the seconds for which a request is expected to wait for a slot.
+
+    Args:
+        candidate: A `Candidate` with slots.
+        now: Monotonic seconds.
+        call: Whether a running request made it, so that it waits behind other
+            such calls only.
+    """
+    load = candidate.load
+    excess = max(0.0, _occupancy(candidate, now, call) + 1 - load.slots)
+    return load.mean_duration * excess / load.slots
+
+
 def update_load(candidate, load, now):
     """Store a load report of a candidate's gate.
 
@@ -188,17 +214,17 @@
     candidate.penalized_until = now + PENALTY_DURATION_S
 
 
-def _occupancy(candidate, now):
+def _occupancy(candidate, now, call=False):
     """Return how many requests are expected to hold or wait for a slot.
 
-    The reported ones count less the older the report is.
+    The reported ones count less the older the report is. For a call, only
+    other calls count as waiting.
     """
     load = candidate.load
     age = max(0.0, now - candidate.reported_at)
     weight = max(0.0, 1.0 - age / REPORT_MAX_AGE_S)
-    return (
-        load.running + load.waiting
-    ) * weight + candidate.offers_since_report
+    waiting = load.waiting_calls if call else load.waiting
+    return (load.running + waiting) * weight + candidate.offers_since_report
 
 
 def _with_free_slot(candidates, criteria, now):
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -167,6 +167,7 @@
             rng=self._rng,
             event_log=self._event_log,
             metrics=self._metrics,
+            demand=self.egress.demand,
         )
         self._feed = storeera.FencedRowFeed(
             platform.new_feed(
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -19,6 +19,8 @@
 from jujubefold import eagertask
 from jujubefold import errors
 from jujubefold.sidecar import attempt as attempts
+from jujubefold.sidecar import balancer
+from jujubefold.sidecar import calldemand
 from jujubefold.sidecar import instance
 from jujubefold.sidecar import limiter
 from jujubefold.sidecar import pace
@@ -83,6 +85,9 @@
 
     Attributes:
         fetch_backlog: As in `limiter.Load`; set by the peer server.
+        demand: The `calldemand.DemandTable` of the upstream's runs.
+        candidates: Returns each `balancer.Candidate` of a service; set by the
+            fleet.
     """
 
     def __init__(
@@ -100,6 +105,8 @@
         self.instance_table = instance.InstanceTable()
         self.crashes = crashes.new_table()
         self.fetch_backlog = 0.0
+        self.demand = calldemand.DemandTable()
+        self.candidates = lambda service: ()
         self._names = names
         self._clock = clock
         self._daemon_id = daemon_id
@@ -234,6 +241,10 @@
             refusal = crashes.refusal_for(
                 self.crashes, fingerprint(attempt), now
             )
+        if refusal is None:
+            refusal = calldemand.refusal_for_parent(
+                self.demand, attempt, self._call_wait, now
+            )
         if refusal is not None:
             return self._refuse(attempt, refusal)
         # A request may be offered twice, so its id can't be the key.
@@ -246,6 +257,7 @@
             attempt.objective_at,
             attempt.deadline,
             attempt.may_queue,
+            attempt.call,
         )
         if not attempt.body.complete:
             refusal = limiter.refusal_for_fetch(
@@ -270,6 +282,17 @@
             self._log_refusal('gate.failed', attempt, outcome.refusal)
         return outcome
 
+    def _call_wait(self, service):
+        """Return the seconds that a call to a service is assumed to wait."""
+        now = self._clock.monotonic()
+        return calldemand.assumed_wait(
+            [
+                balancer.expected_wait(candidate, now, call=True)
+                for candidate in self.candidates(service)
+                if candidate.reachable and candidate.load.slots
+            ]
+        )
+
     def _refuse(self, attempt, refusal):
         if refusal.reason is not calls.Reason.NO_SLOT:
             self._log_refusal('gate.refused', attempt, refusal)
@@ -320,6 +343,14 @@
         A request that is not idempotent is not cancelled when its caller
         leaves, because how far it ran would be unknown.
         """
+        calldemand.start_run(
+            self.demand,
+            attempt.request,
+            attempt.route,
+            attempt.rank,
+            attempt.deadline,
+            self._clock.monotonic(),
+        )
         waiter = eagertask.Waiter()
         task = eagertask.EagerTask(
             self._forward(attempt),
@@ -335,6 +366,8 @@
 
     def _finish(self, key, attempt, waiter, task):
         now = self._clock.monotonic()
+        succeeded = task.error is None and not _is_failure(task.result)
+        calldemand.end_run(self.demand, attempt.request, now, succeeded)
         if task.error is not None:
             self._release(key, learn=False)
             if isinstance(task.error, asyncio.CancelledError):
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -88,6 +88,7 @@
         self.readers = readers.ReaderTable(clock.monotonic(), bootstrap)
         self._own_member = own_member
         self._egress = egress
+        egress.candidates = self.candidates
         self._versions = versions
         self._clock = clock
         self._rng = rng
@@ -356,6 +357,7 @@
             attempt.headers,
             body,
             len(fetched),
+            attempt.call,
         )
         result = await peer.link.offer(offer, fetched)
         return self._outcome_of(candidate, result)
@@ -602,6 +604,7 @@
         message.mean_duration_ms / _MS,
         message.failure_percent / 100,
         message.fetch_backlog_ms / _MS,
+        message.waiting_calls,
     )
 
 
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -34,6 +34,7 @@
             failed.
         fetch_backlog_ms: Milliseconds for which the gate's link is busy with
             bodies that are being fetched.
+        waiting_calls: Those of `waiting` that are calls of running requests.
     """
 
     running: int
@@ -42,6 +43,7 @@
     mean_duration_ms: int
     failure_percent: int
     fetch_backlog_ms: int = 0
+    waiting_calls: int = 0
 
 
 class Hello(Message, tag='hello'):
@@ -87,6 +89,8 @@
         body: The whole body, unless it is transferred.
         body_size: Bytes of a body that the receiver fetches once it has
             admitted the request; 0 if `body` is whole.
+        call: Whether a request that runs at the sender made it; `rank` is
+            then that of the running request.
     """
 
     sequence: int
@@ -104,6 +108,7 @@
     headers: HeaderPairs
     body: bytes
     body_size: int = 0
+    call: bool = False
 
 
 class BodyRequest(Message, tag='pull'):
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -20,6 +20,7 @@
 from jujubefold import problems
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import balancer
+from jujubefold.sidecar import calldemand
 from jujubefold.sidecar import callerwait
 from jujubefold.sidecar import egress
 from jujubefold.sidecar import limiter
@@ -66,6 +67,7 @@
         offered_to: VM whose gate holds the request now; '' for none.
         retry_bucket: Budget bucket in which the next offer was counted as
             a retry; None if the next offer is not a retry.
+        parent: The `calldemand.Run` on this VM that made it, or None.
     """
 
     attempt: attempts.Attempt
@@ -76,6 +78,7 @@
     offer_log: list = dataclasses.field(default_factory=list)
     offered_to: str = ''
     retry_bucket: retrybudget.Bucket | None = None
+    parent: calldemand.Run | None = None
 
 
 class Ingress(callhandler.Handler):
@@ -92,6 +95,7 @@
         rng: A `random.Random`.
         event_log: An `eventlog.EventLog`.
         metrics: A `metrics.SidecarMetrics`.
+        demand: The `calldemand.DemandTable` of this VM's gate.
 
     Attributes:
         closing: Whether new requests are refused because the daemon is
@@ -111,6 +115,7 @@
         rng,
         event_log,
         metrics,
+        demand,
     ):
         self._names = names
         self._service = service.encode('latin-1')
@@ -122,6 +127,7 @@
         self._rng = rng
         self._event_log = event_log
         self._metrics = metrics
+        self._demand = demand
         self._attempt_ids = itertools.count(1)
         self._tasks = {}
         self._mean_durations = {}
@@ -176,6 +182,8 @@
             self._serve(call), functools.partial(self._finish, exchange)
         )
         self._tasks[task] = call
+        if call.parent is not None:
+            calldemand.start_call(call.parent, call.service, now)
         exchange.on_disconnect = task.cancel
         task.start()
 
@@ -213,32 +221,41 @@
         names = self._names
         now = request.received_at
         request_id = request.fields.get(names.request)
+        parent = calldemand.running_parent(
+            self._demand, (request_id or b'').decode('latin-1')
+        )
         headers = httpheads.end_to_end_headers(request.headers, names.reserved)
         if request_id is None:
             request_id = b'%016x' % self._rng.getrandbits(64)
             headers.append((names.request, request_id))
         headers.append((names.caller, self._service))
-        waited = callerwait.estimate(
-            self._wait_estimates, route.name, round(remaining * _MS)
-        )
+        rank, deadline, waited = -route.priority, now + remaining, 0.0
+        if parent is None:
+            waited = callerwait.estimate(
+                self._wait_estimates, route.name, round(remaining * _MS)
+            )
+        else:
+            rank, deadline = parent.rank, min(deadline, parent.deadline)
         return _Call(
             attempts.Attempt(
                 key=next(self._attempt_ids),
                 request=request_id.decode('latin-1'),
                 route=route.name,
                 version=version,
-                rank=-route.priority,
+                rank=rank,
                 idempotent=calls.is_idempotent(route, request.method),
                 arrived_at=now,
                 objective_at=now + route.latency_objective - waited,
-                deadline=now + remaining,
+                deadline=deadline,
                 method=request.method,
                 target=request.target,
                 headers=headers,
                 body=_take_body(request),
+                call=parent is not None,
             ),
             trafficsplit.choose(self._traffic_splits, route),
             route.retry.attempts,
+            parent=parent,
         )
 
     # Offers
@@ -258,6 +275,7 @@
                     tried_vms,
                     full_vms,
                     call.attempt.body.size,
+                    call.attempt.deadline - now if call.parent else None,
                 ),
                 now,
                 self._rng,
@@ -373,9 +391,33 @@
                 )
             )
         caller_left = not exchange.sender_connected
+        if call.parent is not None:
+            self._record_call(call, None if caller_left else outcome)
         status = self._reply(exchange, outcome)
         self._log_outcome(call, outcome, status, caller_left)
 
+    def _record_call(self, call, outcome):
+        now = self._clock.monotonic()
+        attempt = call.attempt
+        changed = calldemand.end_call(
+            self._demand,
+            call.parent,
+            call.service,
+            attempt.arrived_at,
+            attempt.deadline,
+            outcome,
+            now,
+        )
+        if changed is not None:
+            self._event_log.record(
+                'call.shortage',
+                service=call.service,
+                short=changed.short,
+                without_room=sum(changed.recent),
+                run_seconds=round(changed.run_seconds, 4),
+                allowed=round(changed.time_allowed, 3),
+            )
+
     def _deadline_refusal(self, call):
         may_have_run = call.offered_to or call.sends
         ran = (
--- a/jujubefold/sidecar/limiter.py
+++ b/jujubefold/sidecar/limiter.py
@@ -4,6 +4,9 @@
 is not expected to be answered in time is refused as soon as that is known,
 so that its caller still has time to retry. An upstream in need may name a
 rate of requests; then they are also started no faster than that.
+
+Calls of requests that run elsewhere go first, and are kept as long as they
+can end in time: refusing one loses the work of the request that made it.
 """
 
 import dataclasses
@@ -64,6 +67,8 @@
         objective_at: Monotonic seconds until which an answer is on time.
         deadline: Monotonic seconds at which the caller stops waiting.
         may_queue: Whether it may wait for a slot.
+        call: Whether a running request made it; `rank` and `deadline` then
+            allow for those of that request.
     """
 
     key: object
@@ -73,6 +78,7 @@
     objective_at: float
     deadline: float
     may_queue: bool = True
+    call: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +110,8 @@
         failure_rate: Share of recent requests that the upstream failed.
         fetch_backlog: Seconds for which the gate's link is busy with bodies
             that are being fetched.
+        waiting_calls: Those of `waiting` that running requests made; they
+            go before the others.
     """
 
     running: int = 0
@@ -112,6 +120,7 @@
     mean_duration: float = INITIAL_DURATION_S
     failure_rate: float = 0.0
     fetch_backlog: float = 0.0
+    waiting_calls: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -166,7 +175,7 @@
     if not request.may_queue:
         return _refused(calls.Reason.NO_SLOT, MIN_RETRY_AFTER_S)
     starts = _predicted_starts(table, now, request)
-    if starts[request.key] + expected > _admission_limit(request):
+    if starts[request.key] + expected > _admission_limit(table, request):
         return _refused(
             calls.Reason.QUEUE_FULL, _retry_after(table, starts, now)
         )
@@ -196,7 +205,8 @@
         return _refused(calls.Reason.DEADLINE, 0.0).refusal
     starts = _predicted_starts(table, now, request)
     end = max(now + fetch_seconds, starts[request.key]) + expected
-    if end > min(_admission_limit(request), request.deadline):
+    limit = _admission_limit(table, request)
+    if end > (limit if request.call else min(limit, request.deadline)):
         retry_after = max(fetch_seconds, _retry_after(table, starts, now))
         return _refused(
             calls.Reason.QUEUE_FULL, min(MAX_RETRY_AFTER_S, retry_after)
@@ -322,6 +332,7 @@
         duration,
         decayed_failure_rate(table.failure_rate, now - table.sampled_at),
         fetch_backlog,
+        sum(request.call for request in table.waiting.values()),
     )
 
 
@@ -385,8 +396,12 @@
     )
 
 
-def _admission_limit(request):
+def _admission_limit(table, request):
     """Return until when a new request must be predicted to end."""
+    if request.call:
+        return _latest_start(table, request) + expected_duration(
+            table, request.route
+        )
     late = _allowed_time(request, LATE_SHARE)
     on_time = ON_TIME_SHARE * (request.objective_at - request.arrived_at)
     return request.arrived_at + max(on_time, late)
@@ -399,6 +414,8 @@
     rank; it is refused while its caller still has time to retry.
     """
     expected = expected_duration(table, request.route)
+    if request.call:
+        return request.deadline - expected * MIN_REMAINING_SHARE
     late = _allowed_time(request, QUEUED_SHARE)
     latest_end = max(request.objective_at, request.arrived_at + late)
     return min(
@@ -408,9 +425,17 @@
 
 
 def _queue_order(table, request, now):
-    """Return the sort key: by rank, on time before late, then by urgency."""
-    start_by = request.objective_at - expected_duration(table, request.route)
-    return (request.rank, start_by < now, start_by)
+    """Return the sort key.
+
+    Calls go before others. Others are ordered by rank, on time before late,
+    then by urgency. Calls are ordered by rank and deadline, also beyond their
+    objectives: their parents' work is lost only at the deadline.
+    """
+    expected = expected_duration(table, request.route)
+    if request.call:
+        return (False, request.rank, False, request.deadline - expected)
+    start_by = request.objective_at - expected
+    return (True, request.rank, start_by < now, start_by)
 
 
 def _predicted_starts(table, now, arrival=None):
--- a/jujubefold/sidecar/peerserver.py
+++ b/jujubefold/sidecar/peerserver.py
@@ -282,6 +282,7 @@
             headers=offer.headers,
             body=entry.body,
             may_queue=offer.may_queue,
+            call=offer.call,
         )
         entry.task = eagertask.EagerTask(
             self._egress.run(attempt),
@@ -383,4 +384,5 @@
         round(load.mean_duration * _MS),
         round(load.failure_rate * 100),
         round(load.fetch_backlog * _MS),
+        load.waiting_calls,
     )
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -1,6 +1,7 @@
 """Tests of the selection of an upstream."""
 
 import heapq
+import dataclasses
 import random
 
 import testtools
@@ -139,6 +140,24 @@
         self.assertGreater(new, 0.3)
         self.assertLess(old, 0.15)
 
+    def test_call_that_would_be_late_queues_in_another_domain(self):
+        """Guards parents' work while other domains' gates are shorter."""
+        near = candidate('near', 'domain', running=6)
+        far = candidate('far', running=6, waiting=60)
+        near.load = dataclasses.replace(
+            near.load, waiting=60, waiting_calls=60
+        )
+        criteria = balancer.Criteria(0.3, 0.1)
+        rng = random.Random(1)
+        choice = balancer.choose([near, far], criteria, 0.0, rng)
+        self.assertEqual('near', choice.candidate.vm)
+        for left, vm in ((0.8, 'far'), (2.0, 'near')):
+            criteria = balancer.Criteria(0.1, 0.1, call_time_left=left)
+            choice = balancer.choose([near, far], criteria, 0.0, rng)
+            self.assertEqual(
+                (vm, True), (choice.candidate.vm, choice.may_queue)
+            )
+
 
 class FailingUpstreamLoad:
     """Plays requests to gates of which one fails for some time.
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -77,6 +77,43 @@
             self.assertEqual(reason, refusal.reason)
 
 
+class TestCalls(testtools.TestCase):
+    """Guard against runs that are lost because their calls find no room."""
+
+    def call(self, name, rank=0, deadline=1.0):
+        return limiter.Request(
+            name, 'r', rank, 0.0, 0.3, deadline, True, call=True
+        )
+
+    def test_calls_start_before_others_of_any_rank(self):
+        table = table_of(1)
+        limiter.acquire(table, request('running'), 0.0)
+        limiter.acquire(table, request('urgent', rank=-2), 0.0)
+        for item in (
+            self.call('low', rank=1),
+            self.call('later', deadline=1.1),
+            self.call('sooner', deadline=0.9),
+        ):
+            self.assertEqual(QUEUED, limiter.acquire(table, item, 0.0))
+        self.assertEqual(3, limiter.load(table, 0.0).waiting_calls)
+        order, key = [], 'running'
+        for _ in range(4):
+            (key,) = limiter.release(table, key, 0.1)
+            order.append(key)
+        self.assertEqual(['sooner', 'later', 'low', 'urgent'], order)
+
+    def test_call_is_kept_until_it_cannot_end_in_time(self):
+        table = table_of(1, duration=0.4)
+        limiter.acquire(table, request('running'), 0.0)
+        # Predicted to end at 0.8, long after its objective.
+        self.assertEqual(QUEUED, limiter.acquire(table, self.call(1), 0.0))
+        refused = limiter.acquire(table, self.call(2), 0.0)
+        self.assertEqual(calls.Reason.QUEUE_FULL, refused.refusal.reason)
+        self.assertEqual((), limiter.evict_overdue(table, 0.6))
+        ((key, _),) = limiter.evict_overdue(table, 0.65)
+        self.assertEqual(1, key)
+
+
 class TestPace(testtools.TestCase):
     """An upstream with 6 slots that names 10 requests a second."""
 
