--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -1,7 +1,7 @@
 """Tests of the selection of an upstream."""
 
-import heapq
 import dataclasses
+import heapq
 import random
 
 import testtools
