Refuse parents by a share that settles where calls end in time

Each refusal was offered to up to five gates, each of which let a probe in, and the share followed the present estimate only. Such a refusal now names the reason deadline, which is offered to no other gate, and the admitted share moves by evidence, a step a request.

--- a/jujubefold/sidecar/calldemand.py
+++ b/jujubefold/sidecar/calldemand.py
@@ -19,6 +19,9 @@
 # Weight of the newest run in the averages: the last 20 or so determine them.
 # Bursts last seconds, and what a route calls changes with releases.
 WEIGHT = 0.05
+# Weight of the newest call in the mean wait: about the last 4 determine it, so
+# that a few probes show that a shortage is over.
+WAIT_WEIGHT = 0.25
 # Runs of a route, or calls of a service, before their averages are used.
 MIN_SAMPLES = 8
 MAX_ROUTES = 32
@@ -34,9 +37,14 @@
 # Share of a route's requests that are admitted however long its calls are
 # expected to wait. Their calls show when the shortage is over.
 PROBE_SHARE = 0.125
-# Expected time of a run, as a multiple of the time that it has, from which
-# only probes are admitted. In between, a falling share is: estimates from
-# reports of the last second are rough.
+# The admitted share falls by up to this part with each request whose calls
+# would be late, and rises by this step with each other one. So it settles
+# where calls are just in time, and changes by evidence only: at 20 requests a
+# second it halves in 0.7 s and is whole again within 2 s.
+SHARE_CUT = 0.05
+SHARE_STEP = 0.02
+# Expected time of a run, as a multiple of the time that it has, from which the
+# share falls fastest.
 HOPELESS = 1.5
 # Seconds of a caller's time that must have passed for its request to count as
 # a retry. Refused callers wait at least `limiter.MIN_RETRY_AFTER_S`.
@@ -46,6 +54,9 @@
 # Seconds that a call is assumed to wait while its service has no upstream;
 # about the time in which one is replaced.
 NO_UPSTREAM_WAIT_S = 2.0
+# Share of its time within which a call, and the request that makes it, is
+# expected to end once a service is short of room; waits vary.
+CALL_SHARE = 0.7
 # Position in a sorted list of expected waits of the one that is assumed: the
 # balancer chooses among the better half.
 ASSUMED_QUANTILE = 0.25
@@ -107,7 +118,8 @@
         calls: Mean calls of a calling run, by service.
         usual_objective: Seconds from the arrival of a request that is not a
             retry to its latency objective.
-        credit: Admissions that are due while its calls find no room.
+        share: Share of its requests that is admitted.
+        credit: Admissions that are due while that share is below 1.
         next_place: Monotonic seconds at which the next refused caller is
             expected to find room.
     """
@@ -119,6 +131,7 @@
     rounds: float = 0.0
     calls: dict[str, float] = dataclasses.field(default_factory=dict)
     usual_objective: float = 0.0
+    share: float = 1.0
     credit: float = 0.0
     next_place: float = 0.0
 
@@ -130,13 +143,15 @@
     Args:
         samples: Calls that were answered.
         run_seconds: Mean seconds that such a call runs.
+        wait_seconds: Mean seconds that the last few answered calls waited.
         time_allowed: Mean seconds that calls have, answered or not.
-        recent: Whether each of the last calls found no room.
+        recent: Whether each of the last calls found no room in that time.
         short: Whether the service is short of room.
     """
 
     samples: int = 0
     run_seconds: float = 0.0
+    wait_seconds: float = 0.0
     time_allowed: float = 0.0
     recent: collections.deque = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=RECENT_CALLS)
@@ -294,6 +309,8 @@
         seconds = outcome.upstream_time
         weight = max(WEIGHT, 1 / found.samples)
         found.run_seconds += weight * (seconds - found.run_seconds)
+        waited = now - began_at - seconds
+        found.wait_seconds += WAIT_WEIGHT * (waited - found.wait_seconds)
     found.recent.append(
         outcome.answer is None and outcome.refusal.reason in _NO_ROOM
     )
@@ -320,9 +337,9 @@
 def refusal_for_parent(table, request, wait_at, now):
     """Return the refusal of a request whose calls would be late, or None.
 
-    Nothing is refused before calls of this VM's runs found no room. Then a
-    share of the requests is admitted that falls with the expected time, but
-    not below `PROBE_SHARE`. Retries go before newcomers.
+    Nothing is refused before calls of this VM's runs found no room. Then the
+    share of requests that is admitted falls while calls are expected to be
+    late, but not below `PROBE_SHARE`. Retries go before newcomers.
 
     Args:
         table: A `DemandTable`.
@@ -341,18 +358,27 @@
     if demand.calling_share < MIN_CALLING_SHARE:
         return None
     need = _need(table, demand, request, wait_at, now)
-    if need is None or need.overshoot <= 1:
-        demand.credit = max(0.0, demand.credit)
-        demand.next_place = now
+    if need is None:
+        demand.share, demand.credit = 1.0, 0.0
         return None
-    share = 1 - (need.overshoot - 1) / (HOPELESS - 1)
-    demand.credit += max(PROBE_SHARE, share)
+    if need.overshoot > 1:
+        excess = min(1.0, (need.overshoot - 1) / (HOPELESS - 1))
+        share = demand.share * (1 - SHARE_CUT * excess)
+        demand.share = max(PROBE_SHARE, share)
+    else:
+        demand.share = min(1.0, demand.share + SHARE_STEP)
+    if demand.share == 1.0:
+        demand.credit = 0.0
+        return None
+    demand.credit += demand.share
     if demand.credit >= (1 - MAX_DEBT if is_retry else 1):
         demand.credit -= 1
         return None
     return calls.Refusal(
         errors.Outcome.DID_NOT_RUN,
-        calls.Reason.QUEUE_FULL,
+        # Ingresses offer such a request to no other gate: the same services
+        # would be called from there.
+        calls.Reason.DEADLINE,
         _retry_after(demand, need.excess, now),
         f'its calls to {need.service} are not expected to end in time',
     )
@@ -405,17 +431,18 @@
         if service in table.services
     ):
         return None
-    left = max(0.001, request.deadline - now)
+    left = max(0.001, (request.deadline - now) * CALL_SHARE)
     expected = demand.own_seconds
     worst = (0.0, 0.0, '')
     for service, count in demand.calls.items():
         called = table.services.get(service)
         if called is None or called.samples < MIN_SAMPLES:
             continue
-        seconds = wait_at(service) + called.run_seconds
+        wait = max(wait_at(service), called.wait_seconds)
+        seconds = wait + called.run_seconds
         expected += demand.rounds * seconds * count / total
         if called.short:
-            allowed = max(0.001, called.time_allowed)
+            allowed = max(0.001, called.time_allowed * CALL_SHARE)
             worst = max(worst, (seconds / allowed, seconds - allowed, service))
     overshoot, excess, service = worst
     return _Need(
--- a/tests/callfleet.py
+++ b/tests/callfleet.py
@@ -130,7 +130,10 @@
         await asyncio.sleep(seconds * world.rng.lognormvariate(-0.08, 0.4))
         if work.calls and world.rng.random() < work.share:
             statuses = await asyncio.gather(
-                *(self.call(attempt, kind, i) for i, kind in enumerate(work.calls))
+                *(
+                    self.call(attempt, kind, i)
+                    for i, kind in enumerate(work.calls)
+                )
             )
             failed = any(status != 200 for status in statuses)
         now = world.clock.monotonic()
