Learn how many requests an upstream handles well at once

Some upstreams slow down long before all of their slots are used, without more throughput. Where capacity.learn is set, the gate tries a limit one step lower or higher while it is in full use, and keeps it if the upstream then does as much work or more than in the windows before. Own times are without the time for which a run waits for its calls; warm-up, failures and copies don't count.

Only answered runs teach what runs call; a request that could not be sent counted as a short run.

--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -145,6 +145,7 @@
             self._slots_changed,
             self._upstream_leaves,
             self._event_log,
+            options.capacity.learn,
         )
         self._store_era = storeera.StoreEra(self._era_changed, self._event_log)
         self.fleet = fleet.Fleet(
@@ -478,6 +479,7 @@
         self._metrics.waiting.set({}, len(table.waiting))
         self._metrics.slots.set({}, table.slots)
         self._metrics.limit.set({}, self.egress.instance_table.limit or 0)
+        self._metrics.capacity.set({}, table.learned_limit or 0)
         self._metrics.known_version.set({}, self.fleet.version_exchange.known)
         self._metrics.links.set({}, self.fleet.linked_count)
         self._metrics.set_link_bytes('near', self.fleet.traffic.near)
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -21,6 +21,7 @@
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import balancer
 from jujubefold.sidecar import calldemand
+from jujubefold.sidecar import capacitylearner
 from jujubefold.sidecar import instance
 from jujubefold.sidecar import limiter
 from jujubefold.sidecar import pace
@@ -82,6 +83,8 @@
         on_leaving: Called with the `instance.Announcement` of an upstream
             when its answer says that it leaves.
         event_log: An `eventlog.EventLog`.
+        learns_capacity: Whether to learn how many requests the upstream
+            handles well at once.
 
     Attributes:
         fetch_backlog: As in `limiter.Load`; set by the peer server.
@@ -100,6 +103,7 @@
         on_slots_changed,
         on_leaving,
         event_log,
+        learns_capacity=False,
     ):
         self.slot_table = limiter.SlotTable()
         self.instance_table = instance.InstanceTable()
@@ -115,6 +119,9 @@
         self._on_slots_changed = on_slots_changed
         self._on_leaving = on_leaving
         self._event_log = event_log
+        self._capacity = capacitylearner.CapacityLearner(
+            learns_capacity, self.slot_table, event_log
+        )
         self._answers = bodymemory.Budget(ANSWER_BUFFER_BYTES)
         self._pool = None
         # Pools of earlier starts of the upstream, until their last exchange
@@ -159,6 +166,7 @@
         if change is instance.Change.STARTED:
             self._connect_to(announcement.address)
             self._set_rate(None)
+            self._capacity.reset()
         self._apply_change(change, announcement.id)
         return change
 
@@ -209,6 +217,7 @@
             self.instance_table, now, self._drain_seconds
         )
         table.warmup_factor = instance.warmup_factor(self.instance_table, now)
+        self._capacity.set_slots(usable)
         if usable == table.slots:
             return
         table.slots = usable
@@ -366,8 +375,16 @@
 
     def _finish(self, key, attempt, waiter, task):
         now = self._clock.monotonic()
-        succeeded = task.error is None and not _is_failure(task.result)
-        calldemand.end_run(self.demand, attempt.request, now, succeeded)
+        succeeded = (
+            task.error is None
+            and task.result.answer is not None
+            and not _is_failure(task.result)
+        )
+        waited = calldemand.end_run(
+            self.demand, attempt.request, now, succeeded
+        )
+        if succeeded:
+            self._capacity.record(key, waited, now)
         if task.error is not None:
             self._release(key, learn=False)
             if isinstance(task.error, asyncio.CancelledError):
--- a/jujubefold/sidecar/limiter.py
+++ b/jujubefold/sidecar/limiter.py
@@ -137,6 +137,8 @@
         failure_rate: Share of recent requests that the upstream failed.
         sampled_at: Monotonic seconds of the last of them.
         pace: The `pace.Pace` at which requests are started.
+        learned_limit: Requests that the upstream handles well at once; None
+            if that is not learned.
     """
 
     slots: int = 0
@@ -148,6 +150,7 @@
     failure_rate: float = 0.0
     sampled_at: float = 0.0
     pace: paces.Pace = dataclasses.field(default_factory=paces.Pace)
+    learned_limit: int | None = None
 
 
 def acquire(table, request, now):
@@ -234,6 +237,17 @@
     return fill_slots(table, now)
 
 
+def usable_slots(table):
+    """Return how many requests may run at once.
+
+    Args:
+        table: A `SlotTable`.
+    """
+    if table.learned_limit is None:
+        return table.slots
+    return min(table.slots, table.learned_limit)
+
+
 def fill_slots(table, now):
     """Give free slots to queued requests.
 
@@ -262,7 +276,7 @@
     Returns:
         Seconds; None if no queued request waits for the rate limit.
     """
-    if not table.waiting or len(table.running) >= table.slots:
+    if not table.waiting or len(table.running) >= usable_slots(table):
         return None
     return paces.earliest_start(table.pace, now) - now
 
@@ -315,7 +329,7 @@
         fetch_backlog: As in `Load`.
     """
     running = len(table.running)
-    slots = table.slots
+    slots = usable_slots(table)
     duration = table.mean_duration * table.warmup_factor
     per_second = table.pace.per_second
     if slots and per_second is not None:
@@ -361,7 +375,7 @@
 def _may_start(table, now):
     """Return whether a slot is free and the rate limit allows a start."""
     return (
-        len(table.running) < table.slots
+        len(table.running) < usable_slots(table)
         and paces.earliest_start(table.pace, now) <= now
     )
 
@@ -453,7 +467,11 @@
         )
         for run in table.running.values()
     ]
-    slots_free_at.extend([now] * (table.slots - len(slots_free_at)))
+    usable = usable_slots(table)
+    slots_free_at.extend([now] * (usable - len(slots_free_at)))
+    if len(slots_free_at) > usable:
+        # More run than the limit, which has fallen, allows to replace.
+        slots_free_at = sorted(slots_free_at)[-usable:]
     heapq.heapify(slots_free_at)
     queue = list(table.waiting.values())
     if arrival is not None:
--- a/jujubefold/sidecar/metrics.py
+++ b/jujubefold/sidecar/metrics.py
@@ -33,6 +33,8 @@
         slots: Gauge of the slots that may be used now.
         limit: Gauge of the requests a second that the upstream takes; 0
             without a limit.
+        capacity: Gauge of the requests that the upstream handles well at once,
+            as the gate learned; 0 if it learns nothing.
     """
 
     def __init__(self):
@@ -102,6 +104,10 @@
             'jujubefold_gate_limit',
             'Requests a second that the upstream takes; 0 without a limit.',
         )
+        self.capacity = self._gauge(
+            'jujubefold_gate_capacity',
+            'Learned limit of requests in slots at once; 0 if none.',
+        )
 
     def count_response(self, service, route, status, seconds):
         """Count an answer to a routed request.
--- a/jujubefold/sidecar/options.py
+++ b/jujubefold/sidecar/options.py
@@ -114,6 +114,17 @@
     level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
 
 
+class Capacity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Capacity of the upstream.
+
+    Args:
+        learn: Whether the gate learns how many requests the upstream handles
+            well at once; see `capacity`.
+    """
+
+    learn: bool = False
+
+
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of a sidecar, by section."""
 
@@ -124,6 +135,7 @@
     retries: Retries
     stop: Stop
     logs: Logs = Logs()
+    capacity: Capacity = Capacity()
 
 
 def load(path):
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -114,6 +114,26 @@
         self.assertEqual(1, key)
 
 
+class TestLearnedLimit(testtools.TestCase):
+    """Guards requests beyond what the upstream handles well at once."""
+
+    def test_limit_is_used_and_reported_and_may_fall_below_what_runs(self):
+        table = table_of(4)
+        table.learned_limit = 3
+        for number in range(3):
+            found = limiter.acquire(table, request(number), 0.0)
+            self.assertEqual(RUN, found)
+        self.assertEqual(QUEUED, limiter.acquire(table, request(3), 0.0))
+        self.assertEqual(3, limiter.load(table, 0.0).slots)
+        table.learned_limit = 1
+        self.assertEqual(QUEUED, limiter.acquire(table, request(4), 0.0))
+        self.assertEqual((), limiter.release(table, 0, 0.1))
+        self.assertEqual((), limiter.release(table, 1, 0.1))
+        self.assertEqual((3,), limiter.release(table, 2, 0.1))
+        table.learned_limit = 9
+        self.assertEqual(4, limiter.load(table, 0.0).slots)
+
+
 class TestPace(testtools.TestCase):
     """An upstream with 6 slots that names 10 requests a second."""
 
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -45,6 +45,9 @@
         found = self.load(VALID).ok
         self.assertEqual(2.0, found.upstream.drain)
         self.assertEqual('INFO', found.logs.level)
+        self.assertFalse(found.capacity.learn)
+        found = self.load(VALID + '[capacity]\nlearn = true').ok
+        self.assertTrue(found.capacity.learn)
 
     def test_invalid_settings_name_their_key(self):
         for old, new, where in (
