--- a/jujubefold/platform/configuration.py
+++ b/jujubefold/platform/configuration.py
@@ -19,6 +19,7 @@
 TABLE = 'op'
 KEY = 'config'
 
+_DOWNLOAD = 'download'
 _IDEMPOTENT = {
     'idempotent': True,
     'download': True,
@@ -109,10 +110,12 @@
     Args:
         route: The `mesh.Route`.
         unknown_values: Each `versions.UnknownValue` in it.
+        is_download: Whether its answers are large.
     """
 
     route: mesh.Route
     unknown_values: tuple[versions.UnknownValue, ...]
+    is_download: bool
 
 
 class Decoder:
@@ -191,7 +194,9 @@
 
 
 def _decoded(item):
-    return _DecodedRoute(_route(item), tuple(_unknown_values(item)))
+    return _DecodedRoute(
+        _route(item), tuple(_unknown_values(item)), item.kind == _DOWNLOAD
+    )
 
 
 def _configuration(document, routes, services, keys):
@@ -212,6 +217,7 @@
         tuple(value for item in routes for value in item.unknown_values),
         {} if keys is None else keys.tenants,
         keys,
+        keys is not None or any(item.is_download for item in routes),
     )
 
 
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -19,6 +19,9 @@
 from jujubefold import eagertask
 from jujubefold import errors
 from jujubefold.sidecar import attempt as attempts
+from jujubefold.sidecar import balancer
+from jujubefold.sidecar import calldemand
+from jujubefold.sidecar import capacitylearner
 from jujubefold.sidecar import instance
 from jujubefold.sidecar import limiter
 from jujubefold.sidecar import pace
@@ -80,10 +83,15 @@
         on_leaving: Called with the `instance.Announcement` of an upstream
             when its answer says that it leaves.
         event_log: An `eventlog.EventLog`.
+        learns_capacity: Whether to learn how many requests the upstream
+            handles well at once.
 
     Attributes:
         fetch_backlog: As in `limiter.Load`; set by the peer server.
         rollout_gate: The `rolloutgate.RolloutGate`; None without rollouts.
+        demand: The `calldemand.DemandTable` of the upstream's runs.
+        candidates: Returns each `balancer.Candidate` of a service; set by the
+            fleet.
     """
 
     def __init__(
@@ -96,6 +104,7 @@
         on_slots_changed,
         on_leaving,
         event_log,
+        learns_capacity=False,
     ):
         self.slot_table = limiter.SlotTable()
         self.instance_table = instance.InstanceTable()
@@ -103,6 +112,8 @@
         self.fetch_backlog = 0.0
         self.rollout_gate = None
         self._track = 0
+        self.demand = calldemand.DemandTable()
+        self.candidates = lambda service: ()
         self._names = names
         self._clock = clock
         self._daemon_id = daemon_id
@@ -111,6 +122,9 @@
         self._on_slots_changed = on_slots_changed
         self._on_leaving = on_leaving
         self._event_log = event_log
+        self._capacity = capacitylearner.CapacityLearner(
+            learns_capacity, self.slot_table, event_log
+        )
         self._answers = bodymemory.Budget(ANSWER_BUFFER_BYTES)
         self._pool = None
         # Pools of earlier starts of the upstream, until their last exchange
@@ -171,6 +185,7 @@
         if change is instance.Change.STARTED:
             self._connect_to(announcement.address)
             self._set_rate(None)
+            self._capacity.reset()
         self._apply_change(change, announcement.id)
         return change
 
@@ -227,6 +242,7 @@
         table.warmup_factor = instance.warmup_factor(
             self.instance_table, self._clock.boottime()
         )
+        self._capacity.set_slots(usable)
         if (usable, track) == (table.slots, self._track):
             return
         table.slots = usable
@@ -260,6 +276,10 @@
             refusal = crashes.refusal_for(
                 self.crashes, fingerprint(attempt), now
             )
+        if refusal is None:
+            refusal = calldemand.refusal_for_parent(
+                self.demand, attempt, self._call_wait, now
+            )
         if refusal is not None:
             return self._refuse(attempt, refusal)
         # A request may be offered twice, so its id can't be the key.
@@ -272,6 +292,7 @@
             attempt.objective_at,
             attempt.deadline,
             attempt.may_queue,
+            attempt.call,
         )
         if not attempt.body.complete:
             refusal = limiter.refusal_for_fetch(
@@ -296,6 +317,17 @@
             self._log_refusal('gate.failed', attempt, outcome.refusal)
         return outcome
 
+    def _call_wait(self, service):
+        """Return the seconds that a call to a service is assumed to wait."""
+        now = self._clock.monotonic()
+        return calldemand.assumed_wait(
+            [
+                balancer.expected_wait(candidate, now, call=True)
+                for candidate in self.candidates(service)
+                if candidate.reachable and candidate.load.slots
+            ]
+        )
+
     def _refuse(self, attempt, refusal):
         if refusal.reason is calls.Reason.NO_UPSTREAM and not refusal.detail:
             refusal = dataclasses.replace(
@@ -350,6 +382,14 @@
         A request that is not idempotent is not cancelled when its caller
         leaves, because how far it ran would be unknown.
         """
+        calldemand.start_run(
+            self.demand,
+            attempt.request,
+            attempt.route,
+            attempt.rank,
+            attempt.deadline,
+            self._clock.monotonic(),
+        )
         waiter = eagertask.Waiter()
         task = eagertask.EagerTask(
             self._forward(attempt),
@@ -365,6 +405,16 @@
 
     def _finish(self, key, attempt, waiter, task):
         now = self._clock.monotonic()
+        succeeded = (
+            task.error is None
+            and task.result.answer is not None
+            and not _is_failure(task.result)
+        )
+        waited = calldemand.end_run(
+            self.demand, attempt.request, now, succeeded
+        )
+        if succeeded:
+            self._capacity.record(key, waited, now)
         if task.error is not None:
             self._release(key, learn=False)
             if isinstance(task.error, asyncio.CancelledError):
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -94,6 +94,7 @@
         self._own_member = own_member
         self.rollouts = None
         self._egress = egress
+        egress.candidates = self.candidates
         self._versions = versions
         self._clock = clock
         self._rng = rng
@@ -370,6 +371,7 @@
             attempt.headers,
             body,
             len(fetched),
+            attempt.call,
         )
         result = await peer.link.offer(offer, fetched)
         return self._outcome_of(candidate, result)
@@ -633,6 +635,7 @@
         message.failure_percent / 100,
         message.fetch_backlog_ms / _MS,
         message.track,
+        message.waiting_calls,
     )
 
 
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -35,6 +35,7 @@
         fetch_backlog_ms: Milliseconds for which the gate's link is busy with
             bodies that are being fetched.
         track: Version of the upstream in a rollout: 0 stable, 1 new.
+        waiting_calls: Those of `waiting` that are calls of running requests.
     """
 
     running: int
@@ -44,6 +45,7 @@
     failure_percent: int
     fetch_backlog_ms: int = 0
     track: int = 0
+    waiting_calls: int = 0
 
 
 class Hello(Message, tag='hello'):
@@ -91,6 +93,8 @@
         body: The whole body, unless it is transferred.
         body_size: Bytes of a body that the receiver fetches once it has
             admitted the request; 0 if `body` is whole.
+        call: Whether a request that runs at the sender made it; `rank` is
+            then that of the running request.
     """
 
     sequence: int
@@ -108,6 +112,7 @@
     headers: HeaderPairs
     body: bytes
     body_size: int = 0
+    call: bool = False
 
 
 class BodyRequest(Message, tag='pull'):
--- a/jujubefold/sidecar/metrics.py
+++ b/jujubefold/sidecar/metrics.py
@@ -41,6 +41,8 @@
         rollout_answers: Gauge of the ended requests of the own upstream
             since the last order.
         rollout_bad: Gauge of the bad answers among them.
+        capacity: Gauge of the requests that the upstream handles well at once,
+            as the gate learned; 0 if it learns nothing.
     """
 
     def __init__(self):
@@ -143,6 +145,10 @@
             'jujubefold_rollout_bad_answers',
             'Bad answers among them, by version.',
         )
+        self.capacity = self._gauge(
+            'jujubefold_gate_capacity',
+            'Learned limit of requests in slots at once; 0 if none.',
+        )
 
     def count_response(self, service, route, status, seconds):
         """Count an answer to a routed request.
--- a/jujubefold/sidecar/options.py
+++ b/jujubefold/sidecar/options.py
@@ -145,6 +145,28 @@
     rollback: Seconds
 
 
+class Capacity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Capacity of the upstream.
+
+    Args:
+        learn: Whether the gate learns how many requests the upstream handles
+            well at once; see `capacity`.
+    """
+
+    learn: bool = False
+
+
+class Calls(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Calls that running requests make.
+
+    Args:
+        first: Whether they go before other requests, whatever the
+            configuration asks for; see `calldemand`.
+    """
+
+    first: bool = False
+
+
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of a sidecar, by section."""
 
@@ -157,6 +179,8 @@
     logs: Logs = Logs()
     rollouts: Rollouts | None = None
     tenants: Tenants = Tenants()
+    capacity: Capacity = Capacity()
+    calls: Calls = Calls()
 
 
 def load(path):
--- a/jujubefold/sidecar/peerserver.py
+++ b/jujubefold/sidecar/peerserver.py
@@ -300,6 +300,7 @@
             headers=offer.headers,
             body=entry.body,
             may_queue=offer.may_queue,
+            call=offer.call,
         )
         entry.task = eagertask.EagerTask(
             self._egress.run(attempt),
@@ -404,4 +405,5 @@
         round(load.failure_rate * 100),
         round(load.fetch_backlog * _MS),
         load.track,
+        load.waiting_calls,
     )
--- a/jujubefold/sidecar/versions.py
+++ b/jujubefold/sidecar/versions.py
@@ -75,6 +75,8 @@
         keys: The `tenants.KeyTable` that finds a tenant by its key; None if
             the configuration has no table of tenants, so that requests need
             no key.
+        calls_first: Whether calls of running requests go before other
+            requests, as its routes or tenants ask for.
     """
 
     mesh: mesh.Mesh
@@ -86,6 +88,7 @@
     keys: tenants_module.KeyTable | None = dataclasses.field(
         default=None, compare=False, repr=False
     )
+    calls_first: bool = False
 
 
 class Versions:
