Tell requests that were not sent to another daemon from lost ones

Four ways led there:

- A stall of the own event loop of over 1 s while a connection was opened: the timer ran before the tasks that completed the connection.
- After a failed connect nobody opened a connection for the next waiter, and the others waited until their deadlines although the pool was empty.
- A kept connection was closing at its use.
Another one is taken now.
- All connections were busy until the deadline.
This is told as 'deadline' now.

PEER_LOST with did-not-run is answered 503, and the detail names the failure.

--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -16,6 +16,7 @@
 
 from jujubefold import calls
 from jujubefold import callserver
+from jujubefold import connecting
 from jujubefold import eagertask
 from jujubefold import httpheads
 from jujubefold import tcpkeepalive
@@ -614,26 +615,30 @@
 
     async def _connect(self, timeout):
         host, _, port = self.address.rpartition(':')
+        opening = self.loop.create_connection(
+            lambda: Connection(self),
+            host,
+            int(port),
+            ssl=self._tls,
+            server_hostname=trust.DAEMON_NAME if self._tls else None,
+        )
         self._connecting += 1
         try:
-            _, connection = await asyncio.wait_for(
-                self.loop.create_connection(
-                    lambda: Connection(self),
-                    host,
-                    int(port),
-                    ssl=self._tls,
-                    server_hostname=trust.DAEMON_NAME if self._tls else None,
-                ),
-                timeout,
-            )
+            _, connection = await connecting.open_within(opening, timeout)
         except TimeoutError:
-            return Failure(
+            failure = Failure(
                 FailureKind.NOT_SENT, False, detail='connecting timed out'
             )
         except OSError as error:
-            return Failure(FailureKind.REFUSED, False, detail=str(error))
+            failure = Failure(FailureKind.REFUSED, False, detail=str(error))
+        else:
+            failure = None
         finally:
             self._connecting -= 1
+        if failure is not None:
+            # Otherwise nobody opens a connection for the next waiter.
+            self._connect_for_waiter()
+            return failure
         connection.last_activity = self.now
         self._open.add(connection)
         return connection
--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -21,6 +21,7 @@
 from jujubefold import errors
 from jujubefold import events
 from jujubefold import gate
+from jujubefold import hopexchange
 from jujubefold import hophandler
 from jujubefold import hops
 from jujubefold import problems
@@ -41,12 +42,6 @@
 PEER_CONNECTIONS = 16
 UNROUTED_BODY_LIMIT = 64 * 1024
 
-_PEER_UNREACHABLE = calls.Refusal(
-    errors.Outcome.DID_NOT_RUN,
-    calls.Reason.PEER_LOST,
-    callgate.RETRY_AFTER_S,
-    'the request could not be sent to the other daemon',
-)
 _DEADLINE_PASSED = calls.Refusal(
     errors.Outcome.UNKNOWN,
     calls.Reason.DEADLINE,
@@ -549,7 +544,9 @@
             if isinstance(result, callserver.Answer):
                 return result
             if not result.sent:
-                return _PEER_UNREACHABLE
+                return hopexchange.unsent_refusal(
+                    result, call.deadline, self._clock.monotonic()
+                )
             if result.kind is callclient.FailureKind.DEADLINE:
                 self._cancel_at_peer(peer, attempt.id)
                 return _DEADLINE_PASSED
@@ -604,17 +601,13 @@
         pool = self._peer_pool(peer.call_address)
         keeps = routing.keeps_connection(self._routing, peer.vm)
         pool.max_idle = 1 if keeps else 0
-        connection = pool.take_idle()
-        if connection is None:
-            left = call.deadline - self._clock.monotonic()
-            connection = await pool.acquire(max(0.0, left))
-            if isinstance(connection, callclient.Failure):
-                return connection
         bounds = callclient.ExchangeLimits(
             call.deadline + PEER_DEADLINE_MARGIN_S, self._limits.peer_silence
         )
         head = callclient.encode_head(message, extra)
-        return await callclient.exchange(connection, message, head, bounds)
+        return await hopexchange.send(
+            pool, message, head, bounds, call.deadline, self._clock
+        )
 
     def _decode_peer_answer(self, result, method):
         """Return the outcome and the `gate.Load` in a daemon's answer.
--- a/jujubefold/problems.py
+++ b/jujubefold/problems.py
@@ -74,7 +74,16 @@
 
 
 def status_of(refusal):
-    """Return the HTTP status for a refusal."""
+    """Return the HTTP status for a refusal.
+
+    A request that was not sent to another daemon did not run, so its caller
+    may send it again: 503.
+    """
+    if (
+        refusal.reason is calls.Reason.PEER_LOST
+        and refusal.ran is errors.Outcome.DID_NOT_RUN
+    ):
+        return _DEFAULT_STATUS
     return _STATUS.get(refusal.reason, _DEFAULT_STATUS)
 
 
--- a/tests/test_callclient.py
+++ b/tests/test_callclient.py
@@ -1,6 +1,8 @@
 """Tests of the call path's HTTP client, against faulty upstreams."""
 
 import asyncio
+import time
+from unittest import mock
 
 import testtools
 
@@ -237,6 +239,55 @@
 
         self.run_with(scenario)
 
+    def test_stall_of_the_own_loop_is_no_connect_timeout(self):
+        # An entry daemon that was stopped for over a second while it opened
+        # connections answered that the other daemon could not be reached.
+        async def scenario(upstream, pool, _):
+            loop = asyncio.get_running_loop()
+            for _ in range(5):
+                connecting = asyncio.ensure_future(pool.acquire(5))
+                await asyncio.sleep(0)
+                loop.call_soon(time.sleep, 0.25)
+                connection = await connecting
+                self.assertIsInstance(connection, callclient.Connection)
+
+        with mock.patch.object(callclient, 'CONNECT_TIMEOUT_S', 0.2):
+            self.run_with(scenario, close=False)
+
+    def test_connect_timeout_ends_though_nobody_answers(self):
+        async def scenario(upstream, pool, _):
+            with mock.patch.object(
+                pool.loop, 'create_connection', lambda *a, **k: never()
+            ):
+                began = pool.loop.time()
+                result = await pool.acquire(0.2)
+            self.assertEqual(callclient.FailureKind.NOT_SENT, result.kind)
+            self.assertLess(pool.loop.time() - began, 1.0)
+            self.assertEqual(0, pool.size)
+
+        async def never():
+            await asyncio.Event().wait()
+
+        self.run_with(scenario)
+
+    def test_waiters_are_served_after_a_failed_connect(self):
+        # One failed replacement left the other waiters without a connection
+        # until their deadlines, though the pool was empty.
+        async def scenario(upstream, pool, _):
+            held = await pool.acquire(5)
+            waiting = [
+                asyncio.ensure_future(pool.acquire(5)) for _ in range(3)
+            ]
+            await asyncio.sleep(0)
+            upstream._server.close()
+            held.abort()
+            results = await asyncio.wait_for(asyncio.gather(*waiting), 2)
+            self.assertEqual(
+                ['refused'] * 3, [str(item.kind) for item in results]
+            )
+
+        self.run_with(scenario, close=False, max_connections=1)
+
     def test_head_answer_has_no_body(self):
         async def scenario(upstream, pool, _):
             for _ in range(2):
--- a/tests/test_callflow.py
+++ b/tests/test_callflow.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 import random
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -384,6 +385,60 @@
 
         self.run_scenario(scenario, False, True)
 
+    def test_request_that_waits_for_a_connection_tells_of_its_deadline(self):
+        # With all connections to the other daemon busy for as long as the
+        # caller waits, it was answered 502, as if a daemon were lost.
+        async def scenario(fleet):
+            caller = callnodes.Caller(fleet.nodes[0].caller_address)
+            slow_request = asyncio.ensure_future(
+                caller.send('POST', example_fault='delay:2000')
+            )
+            await asyncio.sleep(0.2)
+            answer = await caller.send('POST', '/quick')
+            self.assertEqual(
+                ('did-not-run', 'deadline'), callnodes.outcome(answer)
+            )
+            self.assertEqual(504, answer.status)
+            self.assertEqual(200, (await slow_request).status)
+
+        with mock.patch.object(callflow, 'PEER_CONNECTIONS', 1):
+            self.run_scenario(scenario, False, True)
+
+    def test_connection_that_closes_before_its_use_is_replaced(self):
+        # The closing of a kept connection by the other daemon, seen at its
+        # use, was answered 502 though nothing had been sent.
+        async def scenario(fleet):
+            caller = callnodes.Caller(fleet.nodes[0].caller_address)
+            self.assertEqual(200, (await caller.send()).status)
+            (pool,) = fleet.nodes[0].flow._pools.values()
+            (connection,) = pool._open
+            take_idle = pool.take_idle
+
+            def close_and_take():
+                connection._transport.close()
+                return take_idle()
+
+            with mock.patch.object(pool, 'take_idle', close_and_take):
+                answer = await caller.send()
+            self.assertEqual(('ran', 'none'), callnodes.outcome(answer))
+
+        self.run_scenario(scenario, False, True)
+
+    def test_request_that_was_not_sent_may_be_sent_again(self):
+        async def scenario(fleet):
+            entry, gate_node = fleet.nodes
+            link = await add_faulty_link(fleet, gate_node)
+            await link.stop()
+            caller = callnodes.Caller(entry.caller_address)
+            answer = await caller.send('POST')
+            self.assertEqual(
+                ('did-not-run', 'peer-lost'), callnodes.outcome(answer)
+            )
+            self.assertEqual(503, answer.status)
+            self.assertIn(b'Connect call failed', b''.join(answer.chunks))
+
+        self.run_scenario(scenario, False, True)
+
     def test_other_incarnation_cannot_report_did_not_run(self):
         async def scenario(fleet):
             entry, gate_node = fleet.nodes
