--- a/jujubefold/calls.py
+++ b/jujubefold/calls.py
@@ -54,6 +54,7 @@
     UPSTREAM_GARBLED = 'upstream-garbled'
     UPSTREAM_FAILED = 'upstream-failed'
     PEER_LOST = 'peer-lost'
+    QUOTA = 'quota'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jujubefold/problems.py
+++ b/jujubefold/problems.py
@@ -21,6 +21,7 @@
     calls.Reason.TOO_LARGE: 413,
     calls.Reason.KEY_REUSED: 422,
     calls.Reason.SUSPECT_REQUEST: 422,
+    calls.Reason.QUOTA: 429,
     calls.Reason.TOO_DEEP: 508,
     calls.Reason.DEADLINE: 504,
     calls.Reason.UPSTREAM_CUT: 502,
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -24,6 +24,7 @@
 from jujubefold.sidecar import memberrows
 from jujubefold.sidecar import metrics
 from jujubefold.sidecar import options as settings
+from jujubefold.sidecar import quotaexchange
 from jujubefold.sidecar import retrybudget
 from jujubefold.sidecar import roster
 from jujubefold.sidecar import settingswatcher
@@ -168,6 +169,14 @@
             event_log=self._event_log,
             metrics=self._metrics,
         )
+        self.fleet.quotas = self.ingress.quotas = quotaexchange.new_exchange(
+            options,
+            self.fleet,
+            self.versions,
+            time_source,
+            self._event_log,
+            self._metrics.count_quota_decision,
+        )
         self._feed = storeera.FencedRowFeed(
             platform.new_feed(
                 options.store,
@@ -345,7 +354,7 @@
             return
         restart_sections = [
             name
-            for name in ('daemon', 'listen', 'upstream', 'store')
+            for name in ('daemon', 'listen', 'upstream', 'store', 'quotas')
             if getattr(options.ok, name) != getattr(self._options, name)
         ]
         if options.ok.retries.window != self._options.retries.window:
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -67,6 +67,7 @@
         traffic: The `link.Traffic` of all links.
         version_exchange: The `versionexchange.VersionExchange`.
         peer_server: The `peerserver.PeerServer`.
+        quotas: The `quotaexchange.QuotaExchange`; None without quotas.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         self.roster = roster.RosterTable(own_member)
         self._peering = peering.PeeringTable(own_member)
         self._peering_changed = False
+        self.quotas = None
         self.traffic = link.Traffic()
         self._traffic_logged_at = clock.monotonic()
         self.readers = readers.ReaderTable(clock.monotonic(), bootstrap)
@@ -445,6 +447,13 @@
                 self.apply_members(message)
             case frames.CrashEvidence():
                 self._crash_reports.handle(message)
+            case (
+                frames.QuotaRequest()
+                | frames.QuotaAnswer()
+                | frames.QuotaReturn()
+            ):
+                if self.quotas is not None:
+                    self.quotas.handle(channel.vm, message, channel.send)
 
     def _handle_hello(self, hello, channel):
         self.add_member(hello.member)
@@ -571,6 +580,8 @@
         self._crash_reports.send_new()
         self._broadcast_load_change(now)
         self.version_exchange.sweep(now)
+        if self.quotas is not None:
+            self.quotas.sweep()
         if now - self._traffic_logged_at > TRAFFIC_LOG_INTERVAL_S:
             self._log_traffic(now)
 
@@ -585,6 +596,8 @@
 
     def announce_shutdown(self):
         """Ask all other daemons to send no more offers."""
+        if self.quotas is not None:
+            self.quotas.stopping = True
         self.peer_server.announce_shutdown()
 
     def close(self):
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -293,6 +293,44 @@
     blame_milli: int
 
 
+class QuotaRequest(Message, tag='quota'):
+    """Requests tokens of tenants' buckets; without any, only an answer.
+
+    Args:
+        sequence: Identifies the request within the sender's incarnation.
+        tokens: Pairs of a tenant's name and the number of tokens.
+    """
+
+    sequence: int
+    tokens: tuple[tuple[str, int], ...] = ()
+
+
+class QuotaAnswer(Message, tag='quota-answer'):
+    """Answers a `QuotaRequest`.
+
+    Args:
+        sequence: That of the request.
+        grants: For each pair of the request, the number of tokens granted,
+            or -1 if the sender is not the tenant's owner, and milliseconds
+            until the next token is expected.
+    """
+
+    sequence: int
+    grants: tuple[tuple[int, int], ...] = ()
+
+
+class QuotaReturn(Message, tag='quota-return'):
+    """Returns tokens whose requests were not sent to an upstream.
+
+    Without any, it only shows that the sender can reach the receiver.
+
+    Args:
+        tokens: As in `QuotaRequest`.
+    """
+
+    tokens: tuple[tuple[str, int], ...] = ()
+
+
 _MessageTypes = (
     Hello
     | Offer
@@ -310,6 +348,9 @@
     | ConfigurationRequest
     | ConfigurationDocument
     | CrashEvidence
+    | QuotaRequest
+    | QuotaAnswer
+    | QuotaReturn
     | Load
 )
 _encoder = msgspec.msgpack.Encoder()
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -23,7 +23,9 @@
 from jujubefold.sidecar import callerwait
 from jujubefold.sidecar import egress
 from jujubefold.sidecar import limiter
+from jujubefold.sidecar import quotaexchange
 from jujubefold.sidecar import retrybudget
+from jujubefold.sidecar import tenants
 from jujubefold.sidecar import trafficsplit
 from jujubefold.sidecar import transfer
 
@@ -66,6 +68,8 @@
         offered_to: VM whose gate holds the request now; '' for none.
         retry_bucket: Budget bucket in which the next offer was counted as
             a retry; None if the next offer is not a retry.
+        tenant: The `tenants.Tenant` that sent it; None without one.
+        quota: The `quotaexchange.Decision` on it; None without a quota.
     """
 
     attempt: attempts.Attempt
@@ -76,6 +80,8 @@
     offer_log: list = dataclasses.field(default_factory=list)
     offered_to: str = ''
     retry_bucket: retrybudget.Bucket | None = None
+    tenant: tenants.Tenant | None = None
+    quota: quotaexchange.Decision | None = None
 
 
 class Ingress(callhandler.Handler):
@@ -97,6 +103,7 @@
         closing: Whether new requests are refused because the daemon is
             stopping.
         retry_table: The retry budget passed to the constructor.
+        quotas: The `quotaexchange.QuotaExchange`; None without quotas.
     """
 
     def __init__(
@@ -127,6 +134,7 @@
         self._mean_durations = {}
         self._wait_estimates = callerwait.WaitTable()
         self.closing = False
+        self.quotas = None
 
     @property
     def in_flight(self):
@@ -245,6 +253,11 @@
 
     async def _serve(self, call):
         """Offer a request to gates until it is done; return the outcome."""
+        if call.tenant is not None and self.quotas is not None:
+            call.quota = await self.quotas.acquire(call.tenant)
+            if not call.quota.granted:
+                refusal = quotaexchange.refusal(call.quota)
+                return attempts.Outcome(refusal=refusal)
         tried_vms = full_vms = frozenset()
         best = None
         duration = self._mean_durations.get(call.attempt.route, 0.0)
@@ -362,6 +375,8 @@
 
     def _finish(self, exchange, task):
         call = self._tasks.pop(task)
+        if call.quota is not None and not call.sends and not call.offered_to:
+            self.quotas.put_back(call.quota)
         outcome = task.result
         if isinstance(task.error, asyncio.CancelledError):
             outcome = attempts.Outcome(refusal=self._deadline_refusal(call))
@@ -416,14 +431,14 @@
         )
 
     def _refusal_answer(self, refusal):
-        """Return the answer for a refusal, with Retry-After on a 503."""
+        """Return the answer for a refusal, with Retry-After on 429 and 503."""
         without_retry_after = dataclasses.replace(refusal, retry_after=0.0)
         status, headers, body = problems.encode(
             without_retry_after,
             problems.RequestContext(version=self._versions.number),
             _http_status(refusal),
         )
-        if status == 503:
+        if status in (429, 503):
             retry_seconds = max(limiter.MIN_RETRY_AFTER_S, refusal.retry_after)
             retry_seconds *= self._rng.uniform(*RETRY_AFTER_JITTER)
             headers.append((self._names.retry_after, b'%.3f' % retry_seconds))
@@ -516,7 +531,11 @@
 
 def _http_status(refusal):
     """Return the HTTP status; 503 only if the request did not run."""
-    if refusal.reason in (calls.Reason.NO_ROUTE, calls.Reason.MALFORMED):
+    if refusal.reason in (
+        calls.Reason.NO_ROUTE,
+        calls.Reason.MALFORMED,
+        calls.Reason.QUOTA,
+    ):
         return problems.status_of(refusal)
     if refusal.ran is errors.Outcome.DID_NOT_RUN:
         return 503
--- a/jujubefold/sidecar/metrics.py
+++ b/jujubefold/sidecar/metrics.py
@@ -53,6 +53,11 @@
             registry=self._registry,
             buckets=REQUEST_BUCKETS_S,
         )
+        self._quota_decisions = aioprometheus.Counter(
+            'jujubefold_quota_decisions_total',
+            'Requests of tenants with a quota, by who decided and decision.',
+            registry=self._registry,
+        )
         self._store_calls = aioprometheus.Counter(
             'jujubefold_store_calls_total',
             'Calls to the platform by operation and outcome.',
@@ -125,6 +130,16 @@
         """
         self._unrouted.inc({'reason': reason.value})
 
+    def count_quota_decision(self, source, granted):
+        """Count a decision on a request of a tenant with a quota.
+
+        Args:
+            source: As in `quotaexchange.Decision`.
+            granted: Whether the request may run.
+        """
+        decision = 'granted' if granted else 'denied'
+        self._quota_decisions.inc({'source': source, 'decision': decision})
+
     def count_store_call(self, operation, outcome, seconds):
         """Count a call to the platform's store.
 
--- a/jujubefold/sidecar/options.py
+++ b/jujubefold/sidecar/options.py
@@ -114,6 +114,19 @@
     level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
 
 
+class Quotas(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of a tenant's requests in the whole fleet; see `quota.Policy`.
+
+    Args:
+        domains: Names of all failure domains.
+    """
+
+    window: Seconds
+    overage: Ratio
+    slack: typing.Annotated[float, msgspec.Meta(ge=0)]
+    domains: typing.Annotated[tuple[Name, ...], msgspec.Meta(min_length=1)]
+
+
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of a sidecar, by section."""
 
@@ -124,6 +137,7 @@
     retries: Retries
     stop: Stop
     logs: Logs = Logs()
+    quotas: Quotas | None = None
 
 
 def load(path):
--- a/jujubefold/sidecar/versions.py
+++ b/jujubefold/sidecar/versions.py
@@ -6,6 +6,7 @@
 
 from jujubefold import mesh
 from jujubefold.sidecar import distribution
+from jujubefold.sidecar import tenants as tenants_module
 
 # Unknown values of one version that are logged; a new kind of route usually
 # comes on many routes.
@@ -70,11 +71,15 @@
         mesh: The `mesh.Mesh`, with the number of its version.
         limits: The `CallerLimits`.
         unknown_values: Each `UnknownValue` in it.
+        tenants: Each `tenants.Tenant` by name.
     """
 
     mesh: mesh.Mesh
     limits: CallerLimits = CallerLimits()
     unknown_values: tuple[UnknownValue, ...] = ()
+    tenants: dict[str, tenants_module.Tenant] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Versions:
