--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -145,7 +145,9 @@
 
     Attributes:
         idle_timeout: Seconds that it may be idle before it is closed.
-        last_activity: Monotonic time in seconds of the last transfer.
+        last_activity: Monotonic time in seconds of the last transfer, as of
+            the sweep after it.
+        active: Whether data was transferred since the last sweep.
     """
 
     def __init__(self, pool):
@@ -171,6 +173,7 @@
         self._read_until_close = False
         self.idle_timeout = IDLE_TIMEOUT_S
         self.last_activity = 0.0
+        self.active = False
         self.limits = None
 
     @property
@@ -235,6 +238,7 @@
 
     def data_received(self, data):
         self.last_activity = self._pool.now
+        self.active = True
         if self._waiter is None:
             # Unsolicited data must not be taken for the next answer.
             self.abort()
@@ -275,6 +279,7 @@
     def resume_writing(self):
         self._writing_paused = False
         self.last_activity = self._pool.now
+        self.active = True
         self._flush()
 
     # httptools callbacks
@@ -366,6 +371,7 @@
 
     def _memory_granted(self):
         self.last_activity = self._pool.now
+        self.active = True
         if self._closed:
             return
         self._transport.resume_reading()
@@ -579,6 +585,10 @@
         stalled = 0
         self._close_excess_idle()
         for connection in tuple(self._open):
+            if connection.active:
+                # `now` was out of date if this process was stalled.
+                connection.active = False
+                connection.last_activity = self.now
             waited = self.now - connection.last_activity
             if not connection.busy:
                 if waited > connection.idle_timeout:
--- a/jujubefold/sidecar/quota.py
+++ b/jujubefold/sidecar/quota.py
@@ -217,17 +217,29 @@
     return max(vms, key=lambda vm: (_weight(tenant, vm), vm), default=None)
 
 
-def has_majority(supporters, view):
-    """Return whether a daemon may act as an owner.
+def majority_until(heard_at, known, heard_seconds):
+    """Return until when a daemon may act as an owner.
 
-    Of two groups of daemons that can't reach each other, at most one has more
-    than half of the domain.
+    It has to have heard from so many others that they and it are more than
+    half of the domain. Of two groups of daemons that can't reach each other,
+    at most one has so many.
 
     Args:
-        supporters: Number of the other linked daemons that were heard lately.
-        view: The daemon's `View`.
+        heard_at: Seconds of `clock.Clock.boottime` at which each of the other
+            linked daemons was heard last.
+        known: Number of the daemons of the domain, its own included.
+        heard_seconds: Seconds for which a daemon counts as heard.
+
+    Returns:
+        Seconds of `clock.Clock.boottime`, infinite in a domain of one daemon
+        and negatively infinite without a majority.
     """
-    return 2 * (supporters + 1) > view.known
+    needed = known // 2
+    if not needed:
+        return math.inf
+    if len(heard_at) < needed:
+        return -math.inf
+    return sorted(heard_at, reverse=True)[needed - 1] + heard_seconds
 
 
 def _refill(bucket, now):
--- a/jujubefold/sidecar/quotaexchange.py
+++ b/jujubefold/sidecar/quotaexchange.py
@@ -156,6 +156,7 @@
         self._timed_out = collections.OrderedDict()
         self._returns = {}
         self._flush_scheduled = False
+        self._majority_until = -math.inf
         self._had_majority = None
 
     @property
@@ -416,6 +417,8 @@
         if self.stopping:
             view = dataclasses.replace(view, linked=view.linked - {self._vm})
         tenants = self._get_tenants()
+        if view != self._view:
+            self._majority_until = -math.inf
         if view.linked != self._view.linked or tenants is not self._tenants:
             if self._view.linked - view.linked:
                 self._full_until = -math.inf
@@ -439,12 +442,16 @@
                 self._contact(vm, frames.QuotaReturn(), now)
 
     def _has_majority(self, now):
-        supporters = sum(
-            now - self._heard_at.get(vm, -math.inf) <= HEARD_S
-            for vm in self._view.linked
-            if vm != self._vm
-        )
-        return quota.has_majority(supporters, self._view)
+        if now > self._majority_until:
+            heard_at = [
+                self._heard_at[vm]
+                for vm in self._view.linked
+                if vm != self._vm and vm in self._heard_at
+            ]
+            self._majority_until = quota.majority_until(
+                heard_at, self._view.known, HEARD_S
+            )
+        return now <= self._majority_until
 
     def _report_majority(self, now):
         has_majority = self._has_majority(now)
@@ -493,6 +500,7 @@
         self._swept_at = now
         # What the others sent before the pause proves nothing now.
         self._heard_at.clear()
+        self._majority_until = -math.inf
         for bucket in self._buckets.values():
             quota.empty(bucket, quota.NEW_OWNER_S, now)
 
--- a/tests/test_callclient.py
+++ b/tests/test_callclient.py
@@ -168,6 +168,27 @@
 
         self.run_with(scenario, b'', False)
 
+    def test_stall_of_the_own_process_is_not_that_of_the_server(self):
+        # Data that is read after the stall was dated before it, so that all
+        # connections to a daemon were cut at once.
+        async def scenario(upstream, pool, paused):
+            sending = asyncio.ensure_future(self.send(pool, stall_timeout=2.0))
+            while not upstream.writers:
+                await asyncio.sleep(0.01)
+            paused.advance(3.0)
+            upstream.writers[0].write(b'o')
+            await asyncio.sleep(0.05)
+            self.assertEqual(0, pool.sweep())
+            paused.advance(1.9)
+            self.assertEqual(0, pool.sweep())
+            paused.advance(0.2)
+            self.assertEqual(1, pool.sweep())
+            self.assertEqual('silent', (await sending).kind)
+
+        self.run_with(
+            scenario, OK + b'Content-Length: 3\r\n\r\no', close=False
+        )
+
     def test_waiting_for_memory_is_not_a_stall(self):
         async def scenario(upstream, pool, paused):
             held = bodymemory.Reservation()
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -93,12 +93,21 @@
         self.assertIsNone(quota.choose_owner('t', ()))
 
     def test_two_groups_never_both_have_a_majority(self):
+        def has_majority(group, known):
+            return quota.majority_until([10.0] * (group - 1), known, 1.0) > 0
+
         for known in range(1, 30):
-            view = quota.View(frozenset(), known, math.inf)
             for group in range(1, known):
-                both = [
-                    quota.has_majority(size - 1, view)
-                    for size in (group, known - group)
-                ]
+                both = (
+                    has_majority(group, known),
+                    has_majority(known - group, known),
+                )
                 self.assertLess(sum(both), 2)
-            self.assertTrue(quota.has_majority(known - 1, view))
+            self.assertTrue(has_majority(known, known))
+            self.assertTrue(has_majority(known // 2 + 1, known))
+            self.assertFalse(known > 1 and has_majority(known // 2, known))
+
+    def test_majority_ends_with_the_last_daemon_that_it_needs(self):
+        heard_at = [7.0, 3.0, 9.0, 5.0]
+        self.assertEqual(8.0, quota.majority_until(heard_at, 5, 1.0))
+        self.assertEqual(6.0, quota.majority_until(heard_at, 6, 1.0))
