--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -16,6 +16,7 @@
 
 from jujubefold import calls
 from jujubefold import callserver
+from jujubefold import connecting
 from jujubefold import eagertask
 from jujubefold import httpheads
 from jujubefold import tcpkeepalive
@@ -144,7 +145,9 @@
 
     Attributes:
         idle_timeout: Seconds that it may be idle before it is closed.
-        last_activity: Monotonic time in seconds of the last transfer.
+        last_activity: Monotonic time in seconds of the last transfer, as of
+            the sweep after it.
+        active: Whether data was transferred since the last sweep.
     """
 
     def __init__(self, pool):
@@ -170,6 +173,7 @@
         self._read_until_close = False
         self.idle_timeout = IDLE_TIMEOUT_S
         self.last_activity = 0.0
+        self.active = False
         self.limits = None
 
     @property
@@ -234,6 +238,7 @@
 
     def data_received(self, data):
         self.last_activity = self._pool.now
+        self.active = True
         if self._waiter is None:
             # Unsolicited data must not be taken for the next answer.
             self.abort()
@@ -274,6 +279,7 @@
     def resume_writing(self):
         self._writing_paused = False
         self.last_activity = self._pool.now
+        self.active = True
         self._flush()
 
     # httptools callbacks
@@ -365,6 +371,7 @@
 
     def _memory_granted(self):
         self.last_activity = self._pool.now
+        self.active = True
         if self._closed:
             return
         self._transport.resume_reading()
@@ -578,6 +585,10 @@
         stalled = 0
         self._close_excess_idle()
         for connection in tuple(self._open):
+            if connection.active:
+                # `now` was out of date if this process was stalled.
+                connection.active = False
+                connection.last_activity = self.now
             waited = self.now - connection.last_activity
             if not connection.busy:
                 if waited > connection.idle_timeout:
@@ -614,26 +625,30 @@
 
     async def _connect(self, timeout):
         host, _, port = self.address.rpartition(':')
+        opening = self.loop.create_connection(
+            lambda: Connection(self),
+            host,
+            int(port),
+            ssl=self._tls,
+            server_hostname=trust.DAEMON_NAME if self._tls else None,
+        )
         self._connecting += 1
         try:
-            _, connection = await asyncio.wait_for(
-                self.loop.create_connection(
-                    lambda: Connection(self),
-                    host,
-                    int(port),
-                    ssl=self._tls,
-                    server_hostname=trust.DAEMON_NAME if self._tls else None,
-                ),
-                timeout,
-            )
+            _, connection = await connecting.open_within(opening, timeout)
         except TimeoutError:
-            return Failure(
+            failure = Failure(
                 FailureKind.NOT_SENT, False, detail='connecting timed out'
             )
         except OSError as error:
-            return Failure(FailureKind.REFUSED, False, detail=str(error))
+            failure = Failure(FailureKind.REFUSED, False, detail=str(error))
+        else:
+            failure = None
         finally:
             self._connecting -= 1
+        if failure is not None:
+            # Otherwise nobody opens a connection for the next waiter.
+            self._connect_for_waiter()
+            return failure
         connection.last_activity = self.now
         self._open.add(connection)
         return connection
--- a/jujubefold/calls.py
+++ b/jujubefold/calls.py
@@ -56,6 +56,7 @@
     PEER_LOST = 'peer-lost'
     UNAUTHENTICATED = 'unauthenticated'
     UNCONFIRMED = 'unconfirmed'
+    QUOTA = 'quota'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jujubefold/problems.py
+++ b/jujubefold/problems.py
@@ -22,6 +22,7 @@
     calls.Reason.TOO_LARGE: 413,
     calls.Reason.KEY_REUSED: 422,
     calls.Reason.SUSPECT_REQUEST: 422,
+    calls.Reason.QUOTA: 429,
     calls.Reason.TOO_DEEP: 508,
     calls.Reason.DEADLINE: 504,
     calls.Reason.UPSTREAM_CUT: 502,
@@ -75,7 +76,16 @@
 
 
 def status_of(refusal):
-    """Return the HTTP status for a refusal."""
+    """Return the HTTP status for a refusal.
+
+    A request that was not sent to another daemon did not run, so its caller
+    may send it again: 503.
+    """
+    if (
+        refusal.reason is calls.Reason.PEER_LOST
+        and refusal.ran is errors.Outcome.DID_NOT_RUN
+    ):
+        return _DEFAULT_STATUS
     return _STATUS.get(refusal.reason, _DEFAULT_STATUS)
 
 
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -25,6 +25,7 @@
 from jujubefold.sidecar import memberrows
 from jujubefold.sidecar import metrics
 from jujubefold.sidecar import options as settings
+from jujubefold.sidecar import quotaexchange
 from jujubefold.sidecar import retrybudget
 from jujubefold.sidecar import rollouts
 from jujubefold.sidecar import roster
@@ -177,6 +178,14 @@
             demand=self.egress.demand,
             calls_first=options.calls.first,
         )
+        self.fleet.quotas = self.ingress.quotas = quotaexchange.new_exchange(
+            options,
+            self.fleet,
+            self.versions,
+            time_source,
+            self._event_log,
+            self._metrics.count_quota_decision,
+        )
         self._feed = storeera.FencedRowFeed(
             platform.new_feed(
                 options.store,
@@ -366,6 +375,7 @@
                 'tenants',
                 'calls',
                 'capacity',
+                'quotas',
             )
             if getattr(options.ok, name) != getattr(self._options, name)
         ]
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -72,6 +72,7 @@
         freshness_exchange: The `freshnessexchange.FreshnessExchange`.
         peer_server: The `peerserver.PeerServer`.
         rollouts: The `rollouts.Rollouts`; None without rollouts.
+        quotas: The `quotaexchange.QuotaExchange`; None without quotas.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         self.roster = roster.RosterTable(own_member)
         self._peering = peering.PeeringTable(own_member)
         self._peering_changed = False
+        self.quotas = None
         self.traffic = link.Traffic()
         self._traffic_logged_at = clock.monotonic()
         self.readers = readers.ReaderTable(clock.monotonic(), bootstrap)
@@ -467,6 +469,13 @@
             case frames.RolloutReport() | frames.RolloutState():
                 if self.rollouts is not None:
                     self.rollouts.handle(message, channel)
+            case (
+                frames.QuotaRequest()
+                | frames.QuotaAnswer()
+                | frames.QuotaReturn()
+            ):
+                if self.quotas is not None:
+                    self.quotas.handle(channel.vm, message, channel.send)
 
     def _handle_hello(self, hello, channel):
         self.add_member(hello.member)
@@ -603,6 +612,8 @@
         guarded(self._broadcast_load_change, now)
         guarded(self.version_exchange.sweep, now)
         guarded(self.freshness_exchange.sweep)
+        if self.quotas is not None:
+            guarded(self.quotas.sweep)
         if now - self._traffic_logged_at > TRAFFIC_LOG_INTERVAL_S:
             guarded(self._log_traffic, now)
 
@@ -617,6 +628,8 @@
 
     def announce_shutdown(self):
         """Ask all other daemons to send no more offers."""
+        if self.quotas is not None:
+            self.quotas.stopping = True
         self.peer_server.announce_shutdown()
 
     def close(self):
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -24,6 +24,7 @@
 from jujubefold.sidecar import callerwait
 from jujubefold.sidecar import egress
 from jujubefold.sidecar import limiter
+from jujubefold.sidecar import quotaexchange
 from jujubefold.sidecar import retrybudget
 from jujubefold.sidecar import tenants
 from jujubefold.sidecar import trafficsplit
@@ -61,6 +62,7 @@
         calls.Reason.NO_ROUTE,
         calls.Reason.MALFORMED,
         calls.Reason.UNAUTHENTICATED,
+        calls.Reason.QUOTA,
     }
 )
 
@@ -81,6 +83,7 @@
         retry_bucket: Budget bucket in which the next offer was counted as
             a retry; None if the next offer is not a retry.
         parent: The `calldemand.Run` on this VM that made it, or None.
+        quota: The `quotaexchange.Decision` on it; None without a quota.
     """
 
     attempt: attempts.Attempt
@@ -93,6 +96,7 @@
     offered_to: str = ''
     retry_bucket: retrybudget.Bucket | None = None
     parent: calldemand.Run | None = None
+    quota: quotaexchange.Decision | None = None
 
 
 class Ingress(callhandler.Handler):
@@ -120,6 +124,7 @@
         rollout_choice: The `rollouts.Rollouts`; None without rollouts.
         keys_confirmed: Called without arguments; returns whether the keys of
             the version in force are sure to be current.
+        quotas: The `quotaexchange.QuotaExchange`; None without quotas.
     """
 
     def __init__(
@@ -156,6 +161,7 @@
         self.closing = False
         self.rollout_choice = None
         self.keys_confirmed = lambda: True
+        self.quotas = None
 
     @property
     def in_flight(self):
@@ -311,6 +317,11 @@
 
     async def _serve(self, call):
         """Offer a request to gates until it is done; return the outcome."""
+        if call.tenant is not None and self.quotas is not None:
+            call.quota = await self.quotas.acquire(call.tenant)
+            if not call.quota.granted:
+                refusal = quotaexchange.refusal(call.quota)
+                return attempts.Outcome(refusal=refusal)
         tried_vms = full_vms = frozenset()
         best = None
         preference = None
@@ -435,6 +446,8 @@
 
     def _finish(self, exchange, task):
         call = self._tasks.pop(task)
+        if call.quota is not None and not call.sends and not call.offered_to:
+            self.quotas.put_back(call.quota)
         outcome = task.result
         if isinstance(task.error, asyncio.CancelledError):
             outcome = attempts.Outcome(refusal=self._deadline_refusal(call))
@@ -513,7 +526,7 @@
         )
 
     def _refusal_answer(self, refusal):
-        """Return the answer for a refusal, with Retry-After on a 503."""
+        """Return the answer for a refusal, with Retry-After on 429 and 503."""
         without_retry_after = dataclasses.replace(refusal, retry_after=0.0)
         status, headers, body = problems.encode(
             without_retry_after,
@@ -522,7 +535,7 @@
         )
         if status == 401:
             headers.append(tenants.CHALLENGE)
-        if status == 503:
+        if status in (429, 503):
             retry_seconds = max(limiter.MIN_RETRY_AFTER_S, refusal.retry_after)
             retry_seconds *= self._rng.uniform(*RETRY_AFTER_JITTER)
             headers.append((self._names.retry_after, b'%.3f' % retry_seconds))
--- a/jujubefold/sidecar/options.py
+++ b/jujubefold/sidecar/options.py
@@ -167,6 +167,19 @@
     first: bool = False
 
 
+class Quotas(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of a tenant's requests in the whole fleet; see `quota.Policy`.
+
+    Args:
+        domains: Names of all failure domains.
+    """
+
+    window: Seconds
+    overage: Ratio
+    slack: typing.Annotated[float, msgspec.Meta(ge=0)]
+    domains: typing.Annotated[tuple[Name, ...], msgspec.Meta(min_length=1)]
+
+
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of a sidecar, by section."""
 
@@ -181,6 +194,7 @@
     tenants: Tenants = Tenants()
     capacity: Capacity = Capacity()
     calls: Calls = Calls()
+    quotas: Quotas | None = None
 
 
 def load(path):
