--- a/jujubefold/sidecar/attempt.py
+++ b/jujubefold/sidecar/attempt.py
@@ -1,12 +1,15 @@
 """Attempt: a caller's request as it is offered to gates, and its outcome."""
 
 import dataclasses
+import hashlib
 
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import errors
 from jujubefold.sidecar import transfer
 
+FINGERPRINT_BYTES = 16
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeaderNames:
@@ -117,3 +120,12 @@
         return (
             refusal is not None and refusal.ran is errors.Outcome.DID_NOT_RUN
         )
+
+
+def fingerprint(attempt):
+    """Return a hex digest that identifies a request when it is retried."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    digest.update(attempt.method.encode())
+    digest.update(attempt.target)
+    digest.update(attempt.body.data)
+    return digest.hexdigest()
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -7,7 +7,6 @@
 import asyncio
 import dataclasses
 import functools
-import hashlib
 import itertools
 import math
 
@@ -41,7 +40,6 @@
 # Seconds within which a crashed upstream's remaining connections close.
 CRASH_WINDOW_S = 0.05
 SWEEP_S = 0.1
-FINGERPRINT_BYTES = 16
 MAX_LOGGED_BYTES = 40
 
 _LEAVING = b'1'
@@ -274,7 +272,7 @@
             attempt.body.fetch()
             await attempt.body.read()
             refusal = crashes.refusal_for(
-                self.crashes, fingerprint(attempt), now
+                self.crashes, attempts.fingerprint(attempt), now
             )
         if refusal is None:
             refusal = calldemand.refusal_for_parent(
@@ -429,9 +427,11 @@
             self._release(key, failed=_is_failure(outcome))
         if outcome.answer is None:
             if outcome.refusal.reason is calls.Reason.UPSTREAM_CUT:
-                self._suspect_crash(fingerprint(attempt))
+                self._suspect_crash(attempts.fingerprint(attempt))
         elif self.crashes.suspects:
-            crashes.record_answer(self.crashes, fingerprint(attempt), now)
+            crashes.record_answer(
+                self.crashes, attempts.fingerprint(attempt), now
+            )
         waiter.set_result(outcome)
 
     async def _forward(self, attempt):
@@ -694,15 +694,6 @@
             )
 
 
-def fingerprint(attempt):
-    """Return a hex digest that identifies a request when it is retried."""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    digest.update(attempt.method.encode())
-    digest.update(attempt.target)
-    digest.update(attempt.body.data)
-    return digest.hexdigest()
-
-
 def _unknown_outcome(reason, detail=''):
     refusal = calls.Refusal(errors.Outcome.UNKNOWN, reason, detail=detail)
     return attempts.Outcome(refusal=refusal, sent=True)
