--- a/jujubefold/calls.py
+++ b/jujubefold/calls.py
@@ -54,6 +54,9 @@
     UPSTREAM_GARBLED = 'upstream-garbled'
     UPSTREAM_FAILED = 'upstream-failed'
     PEER_LOST = 'peer-lost'
+    UNAUTHENTICATED = 'unauthenticated'
+    UNCONFIRMED = 'unconfirmed'
+    QUOTA = 'quota'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jujubefold/problems.py
+++ b/jujubefold/problems.py
@@ -15,12 +15,14 @@
 _STATUS = {
     calls.Reason.MALFORMED: 400,
     calls.Reason.KEY_REQUIRED: 400,
+    calls.Reason.UNAUTHENTICATED: 401,
     calls.Reason.NO_ROUTE: 404,
     calls.Reason.KEY_RUNNING: 409,
     calls.Reason.KEY_UNKNOWN: 409,
     calls.Reason.TOO_LARGE: 413,
     calls.Reason.KEY_REUSED: 422,
     calls.Reason.SUSPECT_REQUEST: 422,
+    calls.Reason.QUOTA: 429,
     calls.Reason.TOO_DEEP: 508,
     calls.Reason.DEADLINE: 504,
     calls.Reason.UPSTREAM_CUT: 502,
@@ -74,7 +76,16 @@
 
 
 def status_of(refusal):
-    """Return the HTTP status for a refusal."""
+    """Return the HTTP status for a refusal.
+
+    A request that was not sent to another daemon did not run, so its caller
+    may send it again: 503.
+    """
+    if (
+        refusal.reason is calls.Reason.PEER_LOST
+        and refusal.ran is errors.Outcome.DID_NOT_RUN
+    ):
+        return _DEFAULT_STATUS
     return _STATUS.get(refusal.reason, _DEFAULT_STATUS)
 
 
--- a/jujubefold/sidecar/attempt.py
+++ b/jujubefold/sidecar/attempt.py
@@ -1,12 +1,15 @@
 """Attempt: a caller's request as it is offered to gates, and its outcome."""
 
 import dataclasses
+import hashlib
 
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import errors
 from jujubefold.sidecar import transfer
 
+FINGERPRINT_BYTES = 16
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeaderNames:
@@ -23,6 +26,7 @@
         limit: Requests a second that an upstream takes from all daemons
             together.
         leaving: Present in the answers of an upstream that is leaving.
+        tenant: Name of the tenant that sent the request.
     """
 
     request: bytes = b'jujubefold-request-id'
@@ -34,12 +38,22 @@
     retry_after: bytes = b'retry-after'
     limit: bytes = b'jujubefold-limit'
     leaving: bytes = b'jujubefold-leaving'
+    tenant: bytes = b'jujubefold-tenant'
 
     @property
     def reserved(self):
         """Headers that only the sidecar sets on requests to an upstream."""
         return frozenset({self.deadline, self.expected_upstream, self.caller})
 
+    @property
+    def reserved_with_tenants(self):
+        """The same where the configuration has tenants.
+
+        The caller's key is removed, so that neither other daemons nor
+        upstreams see it.
+        """
+        return self.reserved | {self.tenant, b'authorization'}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Attempt:
@@ -61,6 +75,8 @@
             `HeaderNames.reserved` except the caller's service.
         body: A `transfer.Body`.
         may_queue: Whether it may wait for a slot.
+        call: Whether a request that runs on this VM made it, or ran on the
+            VM that offered it.
     """
 
     key: object
@@ -77,6 +93,7 @@
     headers: list
     body: transfer.Body
     may_queue: bool = True
+    call: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,3 +120,12 @@
         return (
             refusal is not None and refusal.ran is errors.Outcome.DID_NOT_RUN
         )
+
+
+def fingerprint(attempt):
+    """Return a hex digest that identifies a request when it is retried."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    digest.update(attempt.method.encode())
+    digest.update(attempt.target)
+    digest.update(attempt.body.data)
+    return digest.hexdigest()
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -20,11 +20,14 @@
 from jujubefold.sidecar import feedtask
 from jujubefold.sidecar import feedwatcher
 from jujubefold.sidecar import fleet
+from jujubefold.sidecar import freshness
 from jujubefold.sidecar import ingress
 from jujubefold.sidecar import memberrows
 from jujubefold.sidecar import metrics
 from jujubefold.sidecar import options as settings
+from jujubefold.sidecar import quotaexchange
 from jujubefold.sidecar import retrybudget
+from jujubefold.sidecar import rollouts
 from jujubefold.sidecar import roster
 from jujubefold.sidecar import settingswatcher
 from jujubefold.sidecar import storeera
@@ -85,6 +88,8 @@
             daemon is ready; returns a request handler.
         new_metrics: Called with a function that returns the rendered
             metrics; returns a request handler.
+        rollouts: Module with the rows of rollouts; None without them.
+        new_rollout_controller: Creates a `rolloutcontroller.Controller`.
     """
 
     names: attempts.HeaderNames
@@ -95,6 +100,8 @@
     new_announcements: object
     new_readiness: object
     new_metrics: object
+    rollouts: object = None
+    new_rollout_controller: object = None
 
 
 class Daemon:
@@ -145,6 +152,7 @@
             self._slots_changed,
             self._upstream_leaves,
             self._event_log,
+            options.capacity.learn,
         )
         self._store_era = storeera.StoreEra(self._era_changed, self._event_log)
         self.fleet = fleet.Fleet(
@@ -167,6 +175,16 @@
             rng=self._rng,
             event_log=self._event_log,
             metrics=self._metrics,
+            demand=self.egress.demand,
+            calls_first=options.calls.first,
+        )
+        self.fleet.quotas = self.ingress.quotas = quotaexchange.new_exchange(
+            options,
+            self.fleet,
+            self.versions,
+            time_source,
+            self._event_log,
+            self._metrics.count_quota_decision,
         )
         self._feed = storeera.FencedRowFeed(
             platform.new_feed(
@@ -215,6 +233,7 @@
                 options.listen.metrics,
             ),
         )
+        self._rollouts = self._new_rollouts()
         self._tasks = []
         self._timer = None
         self._previous_version = 0
@@ -235,18 +254,20 @@
             ),
             self._event_log,
         )
+        watcher = self._new_watcher(
+            platform.configuration_table,
+            self._replace_configuration,
+            self._update_configuration,
+            freshness.feed_intervals(options.tenants.revoke)
+            if options.tenants.strict_revoke
+            else VERSIONS_INTERVALS,
+            self._versions_availability_changed,
+        )
         self._configurations = feedtask.FeedTask(
-            self.fleet,
-            self.versions,
-            self._new_watcher(
-                platform.configuration_table,
-                self._update_configuration,
-                self._update_configuration,
-                VERSIONS_INTERVALS,
-                self._versions_availability_changed,
-            ),
-            self._event_log,
+            self.fleet, self.versions, watcher, self._event_log
         )
+        if options.tenants.strict_revoke:
+            self._start_confirming(watcher)
 
     @property
     def vm(self):
@@ -345,7 +366,17 @@
             return
         restart_sections = [
             name
-            for name in ('daemon', 'listen', 'upstream', 'store')
+            for name in (
+                'daemon',
+                'listen',
+                'upstream',
+                'store',
+                'rollouts',
+                'tenants',
+                'calls',
+                'capacity',
+                'quotas',
+            )
             if getattr(options.ok, name) != getattr(self._options, name)
         ]
         if options.ok.retries.window != self._options.retries.window:
@@ -387,7 +418,65 @@
             self._event_log,
         )
 
+    def _new_rollouts(self):
+        """Return the `rollouts.Rollouts`, connected; None without them."""
+        policy = self._options.rollouts
+        if policy is None:
+            return None
+        member = self._own_member
+        created = rollouts.Rollouts(
+            rollouts.Parts(
+                member,
+                self.fleet,
+                self.egress,
+                self._feed,
+                self._platform.rollouts,
+                lambda on_state: self._platform.new_rollout_controller(
+                    self._feed,
+                    self._platform.rollouts,
+                    f'{member.vm}/{member.incarnation}',
+                    policy,
+                    self._clock,
+                    self._rng,
+                    self._event_log,
+                    on_state,
+                ),
+                self._platform.names.seal,
+                self._clock,
+                self._rng,
+                self._event_log,
+            )
+        )
+        self.egress.rollout_gate = created.gate
+        self.ingress.rollout_choice = created
+        self.fleet.rollouts = created
+        return created
+
+    def _replace_configuration(self, rows):
+        if self._rollouts is not None:
+            self._rollouts.replace_orders(
+                rows, self._configurations.cursor.era
+            )
+        self._apply_rows(rows)
+
     def _update_configuration(self, rows):
+        if self._rollouts is not None:
+            self._rollouts.update_orders(rows, self._configurations.cursor.era)
+        self._apply_rows(rows)
+
+    def _start_confirming(self, watcher):
+        """Serve keys only while the version in force is sure to be current."""
+        exchange = self.fleet.freshness_exchange
+        exchange.start(
+            self._options.tenants.revoke,
+            watcher.read_once,
+            lambda: self._configurations.running,
+        )
+        watcher.read_started = exchange.read_started
+        watcher.read_ended = exchange.read_ended
+        self.ingress.keys_confirmed = exchange.is_confirmed
+
+    def _apply_rows(self, rows):
         for row in rows:
             if row.key == self._platform.configuration_key and row.value:
                 self.versions.apply(
@@ -407,6 +496,8 @@
         self._caller_server.timeouts = callserver.Timeouts(
             head=limits.head_timeout, idle=limits.idle_timeout
         )
+        if self._rollouts is not None:
+            self._rollouts.set_services(tuple(configuration.mesh.services))
         self.fleet.version_exchange.announce(self._previous_version, source)
         self._previous_version = configuration.mesh.number
 
@@ -424,6 +515,7 @@
         self._metrics.count_era_change()
         if self._closed:
             return
+        self.fleet.freshness_exchange.unconfirm()
         self.fleet.version_exchange.announce_era()
         if self._restore_task is not None:
             self._restore_task.cancel()
@@ -445,6 +537,8 @@
         guarded = backgroundtasks.run_guarded
         guarded(self.fleet.sweep)
         guarded(self._update_feed_tasks)
+        if self._rollouts is not None:
+            guarded(self._rollouts.sweep, self._configurations.running)
         guarded(self._member_rows.forget_missing, now, self._members.cursor)
         guarded(self.ingress.cancel_expired, now)
         guarded(self._event_log.flush)
@@ -478,10 +572,13 @@
         self._metrics.waiting.set({}, len(table.waiting))
         self._metrics.slots.set({}, table.slots)
         self._metrics.limit.set({}, self.egress.instance_table.limit or 0)
+        self._metrics.capacity.set({}, table.learned_limit or 0)
         self._metrics.known_version.set({}, self.fleet.version_exchange.known)
         self._metrics.links.set({}, self.fleet.linked_count)
         self._metrics.set_link_bytes('near', self.fleet.traffic.near)
         self._metrics.set_link_bytes('far', self.fleet.traffic.far)
+        if self._rollouts is not None:
+            self._rollouts.set_metrics(self._metrics)
         return self._metrics.render()
 
     # Stopping
@@ -499,6 +596,8 @@
         self._stopping = True
         self._closed = True
         self._update_feed_tasks()
+        if self._rollouts is not None:
+            self._rollouts.close()
         for task in self._tasks:
             task.cancel()
         if self._restore_task is not None:
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -7,7 +7,6 @@
 import asyncio
 import dataclasses
 import functools
-import hashlib
 import itertools
 import math
 
@@ -19,6 +18,9 @@
 from jujubefold import eagertask
 from jujubefold import errors
 from jujubefold.sidecar import attempt as attempts
+from jujubefold.sidecar import balancer
+from jujubefold.sidecar import calldemand
+from jujubefold.sidecar import capacitylearner
 from jujubefold.sidecar import instance
 from jujubefold.sidecar import limiter
 from jujubefold.sidecar import pace
@@ -38,7 +40,6 @@
 # Seconds within which a crashed upstream's remaining connections close.
 CRASH_WINDOW_S = 0.05
 SWEEP_S = 0.1
-FINGERPRINT_BYTES = 16
 MAX_LOGGED_BYTES = 40
 
 _LEAVING = b'1'
@@ -80,9 +81,15 @@
         on_leaving: Called with the `instance.Announcement` of an upstream
             when its answer says that it leaves.
         event_log: An `eventlog.EventLog`.
+        learns_capacity: Whether to learn how many requests the upstream
+            handles well at once.
 
     Attributes:
         fetch_backlog: As in `limiter.Load`; set by the peer server.
+        rollout_gate: The `rolloutgate.RolloutGate`; None without rollouts.
+        demand: The `calldemand.DemandTable` of the upstream's runs.
+        candidates: Returns each `balancer.Candidate` of a service; set by the
+            fleet.
     """
 
     def __init__(
@@ -95,11 +102,16 @@
         on_slots_changed,
         on_leaving,
         event_log,
+        learns_capacity=False,
     ):
         self.slot_table = limiter.SlotTable()
         self.instance_table = instance.InstanceTable()
         self.crashes = crashes.new_table()
         self.fetch_backlog = 0.0
+        self.rollout_gate = None
+        self._track = 0
+        self.demand = calldemand.DemandTable()
+        self.candidates = lambda service: ()
         self._names = names
         self._clock = clock
         self._daemon_id = daemon_id
@@ -108,6 +120,9 @@
         self._on_slots_changed = on_slots_changed
         self._on_leaving = on_leaving
         self._event_log = event_log
+        self._capacity = capacitylearner.CapacityLearner(
+            learns_capacity, self.slot_table, event_log
+        )
         self._answers = bodymemory.Budget(ANSWER_BUFFER_BYTES)
         self._pool = None
         # Pools of earlier starts of the upstream, until their last exchange
@@ -127,9 +142,25 @@
     def load(self):
         """Return the gate's `limiter.Load`."""
         return limiter.load(
-            self.slot_table, self._clock.monotonic(), self.fetch_backlog
+            self.slot_table,
+            self._clock.monotonic(),
+            self.fetch_backlog,
+            self._track,
+        )
+
+    @property
+    def offered_slots(self):
+        """Slots that the upstream offers, closed by a rollout or not."""
+        return instance.usable_slots(
+            self.instance_table, self._clock.boottime(), self._drain_seconds
         )
 
+    def _rollout_closed(self):
+        """Return why a rollout closes the gate now; empty if it does not."""
+        if self.rollout_gate is None:
+            return ''
+        return self.rollout_gate.admission(self.instance_table.current).closed
+
     def start(self):
         """Start the periodic check of queued requests and connections."""
         self._sweep()
@@ -152,6 +183,7 @@
         if change is instance.Change.STARTED:
             self._connect_to(announcement.address)
             self._set_rate(None)
+            self._capacity.reset()
         self._apply_change(change, announcement.id)
         return change
 
@@ -198,13 +230,21 @@
         """Update the usable slots and the warm-up factor of the upstream."""
         now = self._clock.monotonic()
         table = self.slot_table
-        usable = self._usable_slots()
+        usable = self.offered_slots
+        closed, track = '', 0
+        if self.rollout_gate is not None:
+            found = self.rollout_gate.admission(self.instance_table.current)
+            closed, track = found.closed, found.track
+        if closed:
+            usable = 0
         table.warmup_factor = instance.warmup_factor(
             self.instance_table, self._clock.boottime()
         )
-        if usable == table.slots:
+        self._capacity.set_slots(usable)
+        if (usable, track) == (table.slots, self._track):
             return
         table.slots = usable
+        self._track = track
         if usable:
             self._wake(limiter.fill_slots(table, now))
         else:
@@ -212,15 +252,9 @@
             reason = (
                 calls.Reason.DRAINING if draining else calls.Reason.NO_UPSTREAM
             )
-            self._evict(limiter.close(table, reason))
+            self._evict(limiter.close(table, reason, closed))
         self._on_slots_changed()
 
-    def _usable_slots(self):
-        """Return how many requests the upstream may be sent at once now."""
-        return instance.usable_slots(
-            self.instance_table, self._clock.boottime(), self._drain_seconds
-        )
-
     # Requests
 
     async def run(self, attempt):
@@ -238,7 +272,11 @@
             attempt.body.fetch()
             await attempt.body.read()
             refusal = crashes.refusal_for(
-                self.crashes, fingerprint(attempt), now
+                self.crashes, attempts.fingerprint(attempt), now
+            )
+        if refusal is None:
+            refusal = calldemand.refusal_for_parent(
+                self.demand, attempt, self._call_wait, now
             )
         if refusal is not None:
             return self._refuse(attempt, refusal)
@@ -252,6 +290,7 @@
             attempt.objective_at,
             attempt.deadline,
             attempt.may_queue,
+            attempt.call,
         )
         if not attempt.body.complete:
             refusal = limiter.refusal_for_fetch(
@@ -276,7 +315,22 @@
             self._log_refusal('gate.failed', attempt, outcome.refusal)
         return outcome
 
+    def _call_wait(self, service):
+        """Return the seconds that a call to a service is assumed to wait."""
+        now = self._clock.monotonic()
+        return calldemand.assumed_wait(
+            [
+                balancer.expected_wait(candidate, now, call=True)
+                for candidate in self.candidates(service)
+                if candidate.reachable and candidate.load.slots
+            ]
+        )
+
     def _refuse(self, attempt, refusal):
+        if refusal.reason is calls.Reason.NO_UPSTREAM and not refusal.detail:
+            refusal = dataclasses.replace(
+                refusal, detail=self._rollout_closed()
+            )
         if refusal.reason is not calls.Reason.NO_SLOT:
             self._log_refusal('gate.refused', attempt, refusal)
         return attempts.Outcome(refusal=refusal)
@@ -326,6 +380,14 @@
         A request that is not idempotent is not cancelled when its caller
         leaves, because how far it ran would be unknown.
         """
+        calldemand.start_run(
+            self.demand,
+            attempt.request,
+            attempt.route,
+            attempt.rank,
+            attempt.deadline,
+            self._clock.monotonic(),
+        )
         waiter = eagertask.Waiter()
         task = eagertask.EagerTask(
             self._forward(attempt),
@@ -341,6 +403,16 @@
 
     def _finish(self, key, attempt, waiter, task):
         now = self._clock.monotonic()
+        succeeded = (
+            task.error is None
+            and task.result.answer is not None
+            and not _is_failure(task.result)
+        )
+        waited = calldemand.end_run(
+            self.demand, attempt.request, now, succeeded
+        )
+        if succeeded:
+            self._capacity.record(key, waited, now)
         if task.error is not None:
             self._release(key, learn=False)
             if isinstance(task.error, asyncio.CancelledError):
@@ -355,16 +427,18 @@
             self._release(key, failed=_is_failure(outcome))
         if outcome.answer is None:
             if outcome.refusal.reason is calls.Reason.UPSTREAM_CUT:
-                self._suspect_crash(fingerprint(attempt))
+                self._suspect_crash(attempts.fingerprint(attempt))
         elif self.crashes.suspects:
-            crashes.record_answer(self.crashes, fingerprint(attempt), now)
+            crashes.record_answer(
+                self.crashes, attempts.fingerprint(attempt), now
+            )
         waiter.set_result(outcome)
 
     async def _forward(self, attempt):
         body = attempt.body.data
         now = self._clock.monotonic()
         upstream = self.instance_table.current
-        if not self._usable_slots():
+        if not self.offered_slots:
             return attempts.Outcome(refusal=_UNREACHABLE)
         connection = await self._take_connection(attempt, now)
         if isinstance(connection, callclient.Failure):
@@ -372,13 +446,18 @@
         now = self._clock.monotonic()
         if (
             upstream.id != self.instance_table.current.id
-            or not self._usable_slots()
+            or not self.offered_slots
         ):
             self._pool.release(connection)
             return attempts.Outcome(refusal=_UNREACHABLE)
         if now >= attempt.deadline:
             self._pool.release(connection)
             return attempts.Outcome(refusal=_DEADLINE_PASSED)
+        closed = self._rollout_closed()
+        if closed:
+            self._pool.release(connection)
+            refusal = dataclasses.replace(_UNREACHABLE, detail=closed)
+            return attempts.Outcome(refusal=refusal)
         remaining_ms = max(1, int((attempt.deadline - now) * _MS))
         names = self._names
         message = callclient.ClientRequest(
@@ -396,6 +475,20 @@
                 (names.expected_upstream, upstream.id.encode('latin-1')),
             ),
         )
+        exchange = self._exchange(attempt, upstream, connection, message, head)
+        if self.rollout_gate is None:
+            return await exchange
+        return await self.rollout_gate.observe(
+            upstream,
+            attempt,
+            instance.warmup_factor(self.instance_table, self._clock.boottime())
+            == 1.0,
+            exchange,
+        )
+
+    async def _exchange(self, attempt, upstream, connection, message, head):
+        """Send a request on a connection and wait for its outcome."""
+        now = self._clock.monotonic()
         answer_deadline = attempt.deadline + ANSWER_GRACE_S
         # Silence is no reason to end a request before its deadline.
         bounds = callclient.ExchangeLimits(answer_deadline, math.inf)
@@ -601,15 +694,6 @@
             )
 
 
-def fingerprint(attempt):
-    """Return a hex digest that identifies a request when it is retried."""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    digest.update(attempt.method.encode())
-    digest.update(attempt.target)
-    digest.update(attempt.body.data)
-    return digest.hexdigest()
-
-
 def _unknown_outcome(reason, detail=''):
     refusal = calls.Refusal(errors.Outcome.UNKNOWN, reason, detail=detail)
     return attempts.Outcome(refusal=refusal, sent=True)
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -11,11 +11,13 @@
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import errors
+from jujubefold.sidecar import answertransfer
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import balancer
 from jujubefold.sidecar import crashreports
 from jujubefold.sidecar import distribution
 from jujubefold.sidecar import frames
+from jujubefold.sidecar import freshnessexchange
 from jujubefold.sidecar import limiter
 from jujubefold.sidecar import link
 from jujubefold.sidecar import peering
@@ -67,7 +69,10 @@
         readers: The `readers.ReaderTable`.
         traffic: The `link.Traffic` of all links.
         version_exchange: The `versionexchange.VersionExchange`.
+        freshness_exchange: The `freshnessexchange.FreshnessExchange`.
         peer_server: The `peerserver.PeerServer`.
+        rollouts: The `rollouts.Rollouts`; None without rollouts.
+        quotas: The `quotaexchange.QuotaExchange`; None without quotas.
     """
 
     def __init__(
@@ -84,16 +89,22 @@
         self.roster = roster.RosterTable(own_member)
         self._peering = peering.PeeringTable(own_member)
         self._peering_changed = False
+        self.quotas = None
         self.traffic = link.Traffic()
         self._traffic_logged_at = clock.monotonic()
         self.readers = readers.ReaderTable(clock.monotonic(), bootstrap)
         self._own_member = own_member
+        self.rollouts = None
         self._egress = egress
+        egress.candidates = self.candidates
         self._versions = versions
         self._clock = clock
         self._rng = rng
         self._event_log = event_log
         self._store_era = store_era
+        self._answers = answertransfer.AnswerFetcher(
+            own_member.capacity, clock
+        )
         self._peers = {}
         # Cache of candidates by service; cleared when a member changes.
         self._candidates_by_service = {}
@@ -105,6 +116,9 @@
         self.version_exchange = versionexchange.VersionExchange(
             self, versions, clock, store_era, event_log
         )
+        self.freshness_exchange = freshnessexchange.FreshnessExchange(
+            self, versions, clock, store_era, event_log
+        )
         self.peer_server = peerserver.PeerServer(
             egress,
             clock,
@@ -171,6 +185,7 @@
             self.traffic.near
             if peering.is_near(self._peering, member)
             else self.traffic.far,
+            self._answers,
         )
         self._peers[member.vm] = Peer(
             outgoing,
@@ -298,6 +313,7 @@
             transfers=True,
             era=self._versions.stamp.era,
             store_era=self._store_era.known,
+            answer_parts=True,
         )
 
     # Offers
@@ -357,6 +373,7 @@
             attempt.headers,
             body,
             len(fetched),
+            attempt.call,
         )
         result = await peer.link.offer(offer, fetched)
         return self._outcome_of(candidate, result)
@@ -367,7 +384,8 @@
         if message is None:
             balancer.penalize(candidate, now)
             return attempts.Outcome(refusal=result.refusal, sent=result.sent)
-        balancer.update_load(candidate, _decode_load(message.load), now)
+        if isinstance(message, frames.Refused) or not message.body_size:
+            balancer.update_load(candidate, _decode_load(message.load), now)
         if isinstance(message, frames.Answered):
             body = message.body
             answer = callserver.Answer(
@@ -444,8 +462,20 @@
                 self.version_exchange.handle_document(message, channel)
             case frames.MembersChanged():
                 self.apply_members(message)
+            case frames.FreshnessRequest() | frames.Freshness():
+                self.freshness_exchange.handle(message, channel)
             case frames.CrashEvidence():
                 self._crash_reports.handle(message)
+            case frames.RolloutReport() | frames.RolloutState():
+                if self.rollouts is not None:
+                    self.rollouts.handle(message, channel)
+            case (
+                frames.QuotaRequest()
+                | frames.QuotaAnswer()
+                | frames.QuotaReturn()
+            ):
+                if self.quotas is not None:
+                    self.quotas.handle(channel.vm, message, channel.send)
 
     def _handle_hello(self, hello, channel):
         self.add_member(hello.member)
@@ -455,6 +485,11 @@
         )
 
     def _update_load(self, peer, load):
+        vm = peer.candidate.vm
+        if self.rollouts is not None and vm in self.roster.members:
+            if (vm in self._peering.closed) == bool(load.slots):
+                self._peering.closed ^= {vm}
+                self._peering_changed = True
         balancer.update_load(
             peer.candidate, _decode_load(load), self._clock.monotonic()
         )
@@ -464,6 +499,8 @@
         if peer is None or peer.link is not outgoing:
             return
         up = outgoing.up
+        if up and self.rollouts is not None:
+            self.rollouts.send_all(outgoing)
         if peer.candidate.reachable != up:
             self._event_log.record(
                 'link.up' if up else 'link.down',
@@ -570,9 +607,13 @@
         for peer in tuple(self._peers.values()):
             guarded(peer.link.sweep, now)
         guarded(self.peer_server.sweep, now)
+        guarded(self._answers.sweep, now)
         guarded(self._crash_reports.send_new)
         guarded(self._broadcast_load_change, now)
         guarded(self.version_exchange.sweep, now)
+        guarded(self.freshness_exchange.sweep)
+        if self.quotas is not None:
+            guarded(self.quotas.sweep)
         if now - self._traffic_logged_at > TRAFFIC_LOG_INTERVAL_S:
             guarded(self._log_traffic, now)
 
@@ -587,6 +628,8 @@
 
     def announce_shutdown(self):
         """Ask all other daemons to send no more offers."""
+        if self.quotas is not None:
+            self.quotas.stopping = True
         self.peer_server.announce_shutdown()
 
     def close(self):
@@ -604,6 +647,8 @@
         message.mean_duration_ms / _MS,
         message.failure_percent / 100,
         message.fetch_backlog_ms / _MS,
+        message.track,
+        message.waiting_calls,
     )
 
 
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -34,6 +34,8 @@
             failed.
         fetch_backlog_ms: Milliseconds for which the gate's link is busy with
             bodies that are being fetched.
+        track: Version of the upstream in a rollout: 0 stable, 1 new.
+        waiting_calls: Those of `waiting` that are calls of running requests.
     """
 
     running: int
@@ -42,6 +44,8 @@
     mean_duration_ms: int
     failure_percent: int
     fetch_backlog_ms: int = 0
+    track: int = 0
+    waiting_calls: int = 0
 
 
 class Hello(Message, tag='hello'):
@@ -55,6 +59,7 @@
         transfers: Whether the sender understands `Offer.body_size`.
         era: Era of the store in which `version` was seen; 0 if unknown.
         store_era: Newest era of the store that the sender knows.
+        answer_parts: Whether the sender understands `Answered.body_size`.
     """
 
     member: roster.Member
@@ -64,6 +69,7 @@
     transfers: bool = False
     era: int = 0
     store_era: int = 0
+    answer_parts: bool = False
 
 
 class Offer(Message, tag='offer'):
@@ -87,6 +93,8 @@
         body: The whole body, unless it is transferred.
         body_size: Bytes of a body that the receiver fetches once it has
             admitted the request; 0 if `body` is whole.
+        call: Whether a request that runs at the sender made it; `rank` is
+            then that of the running request.
     """
 
     sequence: int
@@ -104,6 +112,7 @@
     headers: HeaderPairs
     body: bytes
     body_size: int = 0
+    call: bool = False
 
 
 class BodyRequest(Message, tag='pull'):
@@ -148,8 +157,10 @@
         status: HTTP status.
         upstream_ms: Milliseconds that the upstream took to answer.
         headers: End-to-end headers.
-        body: The whole body.
+        body: The whole body, or its first bytes.
         load: Load of the sender's gate.
+        body_size: Bytes of a body of which the receiver fetches the rest; 0
+            if `body` is whole.
     """
 
     sequence: int
@@ -158,6 +169,7 @@
     headers: HeaderPairs
     body: bytes
     load: Load
+    body_size: int = 0
 
 
 class Refused(Message, tag='refused'):
@@ -293,6 +305,121 @@
     blame_milli: int
 
 
+class RolloutReport(Message, tag='rollout-report'):
+    """Counts of the sender's gate during a rollout.
+
+    Args:
+        body: A `rollout.GateReport`, encoded by `rolloutmessages`.
+    """
+
+    body: bytes
+
+
+class RolloutState(Message, tag='rollout-state'):
+    """What the sender knows of rollouts.
+
+    Args:
+        body: A `rolloutmessages.States`, encoded there.
+    """
+
+    body: bytes
+
+
+class FreshnessRequest(Message, tag='confirm'):
+    """Asks how long ago the receiver's version was the newest.
+
+    Args:
+        question: Identifies the question within the sender's incarnation.
+    """
+
+    question: int
+
+
+class Freshness(Message, tag='confirmed'):
+    """Answers a `FreshnessRequest`.
+
+    Args:
+        question: As in the request.
+        version: Configuration version in force at the sender.
+        era: As in `Hello`.
+        age_ms: Milliseconds since that version, or an older one, was the
+            newest one of the store; -1 if that is not known.
+        store_era: As in `Hello`.
+    """
+
+    question: int
+    version: int
+    era: int
+    age_ms: int
+    store_era: int
+
+
+class AnswerRequest(Message, tag='pull-answer'):
+    """Requests a part of an answer's body.
+
+    Args:
+        sequence: Identifies the offer.
+        offset: Position of the part's first byte.
+        size: Bytes of the part.
+    """
+
+    sequence: int
+    offset: int
+    size: int
+
+
+class AnswerPart(Message, tag='answer-part'):
+    """A part of an answer's body.
+
+    Args:
+        sequence: Identifies the offer.
+        offset: Position of the part's first byte.
+        data: The part; empty if the sender does not hold the body any more.
+    """
+
+    sequence: int
+    offset: int
+    data: bytes
+
+
+class QuotaRequest(Message, tag='quota'):
+    """Requests tokens of tenants' buckets; without any, only an answer.
+
+    Args:
+        sequence: Identifies the request within the sender's incarnation.
+        tokens: Pairs of a tenant's name and the number of tokens.
+    """
+
+    sequence: int
+    tokens: tuple[tuple[str, int], ...] = ()
+
+
+class QuotaAnswer(Message, tag='quota-answer'):
+    """Answers a `QuotaRequest`.
+
+    Args:
+        sequence: That of the request.
+        grants: For each pair of the request, the number of tokens granted,
+            or -1 if the sender is not the tenant's owner, and milliseconds
+            until the next token is expected.
+    """
+
+    sequence: int
+    grants: tuple[tuple[int, int], ...] = ()
+
+
+class QuotaReturn(Message, tag='quota-return'):
+    """Returns tokens whose requests were not sent to an upstream.
+
+    Without any, it only shows that the sender can reach the receiver.
+
+    Args:
+        tokens: As in `QuotaRequest`.
+    """
+
+    tokens: tuple[tuple[str, int], ...] = ()
+
+
 _MessageTypes = (
     Hello
     | Offer
@@ -310,6 +437,15 @@
     | ConfigurationRequest
     | ConfigurationDocument
     | CrashEvidence
+    | RolloutReport
+    | RolloutState
+    | FreshnessRequest
+    | Freshness
+    | AnswerRequest
+    | AnswerPart
+    | QuotaRequest
+    | QuotaAnswer
+    | QuotaReturn
     | Load
 )
 _encoder = msgspec.msgpack.Encoder()
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -20,10 +20,13 @@
 from jujubefold import problems
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import balancer
+from jujubefold.sidecar import calldemand
 from jujubefold.sidecar import callerwait
 from jujubefold.sidecar import egress
 from jujubefold.sidecar import limiter
+from jujubefold.sidecar import quotaexchange
 from jujubefold.sidecar import retrybudget
+from jujubefold.sidecar import tenants
 from jujubefold.sidecar import trafficsplit
 from jujubefold.sidecar import transfer
 
@@ -42,6 +45,8 @@
 # start.
 NO_UPSTREAM_RETRY_S = 0.3
 NO_VERSION_RETRY_S = 0.5
+# Seconds; a confirmation is asked for twice a second.
+UNCONFIRMED_RETRY_S = 0.5
 # Range of the random factor on Retry-After, so that refused callers do not
 # all retry at once.
 RETRY_AFTER_JITTER = (0.8, 1.6)
@@ -50,6 +55,16 @@
 _FAILURES = range(500, 600)
 _MS = 1000
 _MAX_DEADLINE_DIGITS = 9
+# Reasons whose status tells the caller that repeating the request is of no
+# use.
+_OWN_STATUS = frozenset(
+    {
+        calls.Reason.NO_ROUTE,
+        calls.Reason.MALFORMED,
+        calls.Reason.UNAUTHENTICATED,
+        calls.Reason.QUOTA,
+    }
+)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -60,22 +75,28 @@
         attempt: The `attempt.Attempt` that is offered to gates.
         service: Service whose upstreams may answer it.
         max_sends: Maximum number of times it may be sent to an upstream.
+        tenant: The `tenants.Tenant` that sent it; None without one.
         offer_count: Number of offers made so far.
         sends: Number of times it was sent to an upstream.
         offer_log: One entry for each offer, for the log line.
         offered_to: VM whose gate holds the request now; '' for none.
         retry_bucket: Budget bucket in which the next offer was counted as
             a retry; None if the next offer is not a retry.
+        parent: The `calldemand.Run` on this VM that made it, or None.
+        quota: The `quotaexchange.Decision` on it; None without a quota.
     """
 
     attempt: attempts.Attempt
     service: str
     max_sends: int
+    tenant: tenants.Tenant | None = None
     offer_count: int = 0
     sends: int = 0
     offer_log: list = dataclasses.field(default_factory=list)
     offered_to: str = ''
     retry_bucket: retrybudget.Bucket | None = None
+    parent: calldemand.Run | None = None
+    quota: quotaexchange.Decision | None = None
 
 
 class Ingress(callhandler.Handler):
@@ -92,11 +113,18 @@
         rng: A `random.Random`.
         event_log: An `eventlog.EventLog`.
         metrics: A `metrics.SidecarMetrics`.
+        demand: The `calldemand.DemandTable` of this VM's gate.
+        calls_first: Whether calls of running requests go before others,
+            whatever the configuration asks for.
 
     Attributes:
         closing: Whether new requests are refused because the daemon is
             stopping.
         retry_table: The retry budget passed to the constructor.
+        rollout_choice: The `rollouts.Rollouts`; None without rollouts.
+        keys_confirmed: Called without arguments; returns whether the keys of
+            the version in force are sure to be current.
+        quotas: The `quotaexchange.QuotaExchange`; None without quotas.
     """
 
     def __init__(
@@ -111,6 +139,8 @@
         rng,
         event_log,
         metrics,
+        demand,
+        calls_first=False,
     ):
         self._names = names
         self._service = service.encode('latin-1')
@@ -122,11 +152,16 @@
         self._rng = rng
         self._event_log = event_log
         self._metrics = metrics
+        self._demand = demand
+        self._calls_first = calls_first
         self._attempt_ids = itertools.count(1)
         self._tasks = {}
         self._mean_durations = {}
         self._wait_estimates = callerwait.WaitTable()
         self.closing = False
+        self.rollout_choice = None
+        self.keys_confirmed = lambda: True
+        self.quotas = None
 
     @property
     def in_flight(self):
@@ -152,7 +187,8 @@
         """
         now = self._clock.monotonic()
         request = exchange.request
-        mesh = self._versions.current.mesh
+        configuration = self._versions.current
+        mesh = configuration.mesh
         if self.closing:
             self._refuse(exchange, calls.Reason.DRAINING, 0.0)
             return
@@ -163,6 +199,19 @@
         if route is None:
             self._refuse(exchange, calls.Reason.NO_ROUTE, 0.0)
             return
+        if (
+            tenants.needs_key(configuration, route)
+            and not self.keys_confirmed()
+        ):
+            # Its key may have been removed, or added, since.
+            self._refuse(
+                exchange, calls.Reason.UNCONFIRMED, UNCONFIRMED_RETRY_S
+            )
+            return
+        sender = tenants.authenticate(configuration, route, request.headers)
+        if sender.is_error():
+            self._refuse(exchange, sender.error, 0.0)
+            return
         remaining = self._remaining(request, route)
         if remaining is None:
             self._refuse(exchange, calls.Reason.MALFORMED, 0.0)
@@ -171,11 +220,15 @@
             # It waited for earlier requests of its connection.
             self._refuse(exchange, calls.Reason.DEADLINE, 0.0)
             return
-        call = self._new_call(request, route, mesh.number, remaining)
+        call = self._new_call(
+            request, route, configuration, sender.ok, remaining
+        )
         task = eagertask.EagerTask(
             self._serve(call), functools.partial(self._finish, exchange)
         )
         self._tasks[task] = call
+        if call.parent is not None:
+            calldemand.start_call(call.parent, call.service, now)
         exchange.on_disconnect = task.cancel
         task.start()
 
@@ -209,44 +262,71 @@
             return None
         return min(int(value) / _MS, route.timeout.request)
 
-    def _new_call(self, request, route, version, remaining):
+    def _new_call(self, request, route, configuration, tenant, remaining):
         names = self._names
         now = request.received_at
         request_id = request.fields.get(names.request)
-        headers = httpheads.end_to_end_headers(request.headers, names.reserved)
+        parent = None
+        if self._calls_first or configuration.calls_first:
+            parent = calldemand.running_parent(
+                self._demand, (request_id or b'').decode('latin-1')
+            )
+        headers = httpheads.end_to_end_headers(
+            request.headers,
+            names.reserved
+            if configuration.keys is None
+            else names.reserved_with_tenants,
+        )
         if request_id is None:
             request_id = b'%016x' % self._rng.getrandbits(64)
             headers.append((names.request, request_id))
         headers.append((names.caller, self._service))
-        waited = callerwait.estimate(
-            self._wait_estimates, route.name, round(remaining * _MS)
-        )
+        if tenant is not None:
+            headers.append((names.tenant, tenant.name.encode()))
+        rank, deadline, waited = _rank(route, tenant), now + remaining, 0.0
+        if parent is None:
+            waited = callerwait.estimate(
+                self._wait_estimates, route.name, round(remaining * _MS)
+            )
+        else:
+            rank, deadline = parent.rank, min(deadline, parent.deadline)
         return _Call(
             attempts.Attempt(
                 key=next(self._attempt_ids),
                 request=request_id.decode('latin-1'),
                 route=route.name,
-                version=version,
-                rank=-route.priority,
+                version=configuration.mesh.number,
+                rank=rank,
                 idempotent=calls.is_idempotent(route, request.method),
                 arrived_at=now,
                 objective_at=now + route.latency_objective - waited,
-                deadline=now + remaining,
+                deadline=deadline,
                 method=request.method,
                 target=request.target,
                 headers=headers,
                 body=_take_body(request),
+                call=parent is not None,
             ),
             trafficsplit.choose(self._traffic_splits, route),
             route.retry.attempts,
+            tenant,
+            parent=parent,
         )
 
     # Offers
 
     async def _serve(self, call):
         """Offer a request to gates until it is done; return the outcome."""
+        if call.tenant is not None and self.quotas is not None:
+            call.quota = await self.quotas.acquire(call.tenant)
+            if not call.quota.granted:
+                refusal = quotaexchange.refusal(call.quota)
+                return attempts.Outcome(refusal=refusal)
         tried_vms = full_vms = frozenset()
         best = None
+        preference = None
+        if self.rollout_choice is not None:
+            preference = self.rollout_choice.choose_track(call.service)
         duration = self._mean_durations.get(call.attempt.route, 0.0)
         while True:
             now = self._clock.monotonic()
@@ -258,6 +338,8 @@
                     tried_vms,
                     full_vms,
                     call.attempt.body.size,
+                    preference,
+                    call.attempt.deadline - now if call.parent else None,
                 ),
                 now,
                 self._rng,
@@ -285,6 +367,8 @@
                 tried_vms |= {choice.candidate.vm}
             if not self._may_offer_again(call, outcome):
                 return best
+            if preference is not None:
+                preference = self.rollout_choice.redirect(call.service)
 
     async def _offer(self, call, candidate, may_queue, now):
         call.offer_count += 1
@@ -362,6 +446,8 @@
 
     def _finish(self, exchange, task):
         call = self._tasks.pop(task)
+        if call.quota is not None and not call.sends and not call.offered_to:
+            self.quotas.put_back(call.quota)
         outcome = task.result
         if isinstance(task.error, asyncio.CancelledError):
             outcome = attempts.Outcome(refusal=self._deadline_refusal(call))
@@ -373,9 +459,33 @@
                 )
             )
         caller_left = not exchange.sender_connected
+        if call.parent is not None:
+            self._record_call(call, None if caller_left else outcome)
         status = self._reply(exchange, outcome)
         self._log_outcome(call, outcome, status, caller_left)
 
+    def _record_call(self, call, outcome):
+        now = self._clock.monotonic()
+        attempt = call.attempt
+        changed = calldemand.end_call(
+            self._demand,
+            call.parent,
+            call.service,
+            attempt.arrived_at,
+            attempt.deadline,
+            outcome,
+            now,
+        )
+        if changed is not None:
+            self._event_log.record(
+                'call.shortage',
+                service=call.service,
+                short=changed.short,
+                without_room=sum(changed.recent),
+                run_seconds=round(changed.run_seconds, 4),
+                allowed=round(changed.time_allowed, 3),
+            )
+
     def _deadline_refusal(self, call):
         may_have_run = call.offered_to or call.sends
         ran = (
@@ -416,14 +526,16 @@
         )
 
     def _refusal_answer(self, refusal):
-        """Return the answer for a refusal, with Retry-After on a 503."""
+        """Return the answer for a refusal, with Retry-After on 429 and 503."""
         without_retry_after = dataclasses.replace(refusal, retry_after=0.0)
         status, headers, body = problems.encode(
             without_retry_after,
             problems.RequestContext(version=self._versions.number),
             _http_status(refusal),
         )
-        if status == 503:
+        if status == 401:
+            headers.append(tenants.CHALLENGE)
+        if status in (429, 503):
             retry_seconds = max(limiter.MIN_RETRY_AFTER_S, refusal.retry_after)
             retry_seconds *= self._rng.uniform(*RETRY_AFTER_JITTER)
             headers.append((self._names.retry_after, b'%.3f' % retry_seconds))
@@ -436,6 +548,10 @@
             call.service, attempt.route, status, seconds
         )
         refusal = outcome.refusal
+        tenant = {}
+        if call.tenant is not None:
+            tenant['tenant'] = call.tenant.name
+            self._metrics.count_tenant_response(call.tenant.name, status)
         self._event_log.record_request(
             'call.left' if caller_left else 'call.ended',
             succeeded=status in _SUCCESS and not caller_left,
@@ -449,9 +565,17 @@
             reason='' if refusal is None else refusal.reason,
             ran='' if refusal is None else refusal.ran,
             offers=call.offer_log,
+            **tenant,
         )
 
 
+def _rank(route, tenant):
+    """Return the rank of a request; a tenant's priority goes first."""
+    if tenant is not None and tenant.priority is not None:
+        return tenant.priority
+    return -route.priority
+
+
 def _take_body(request):
     """Return a request's body and free the chunks that it came in."""
     body = transfer.WholeBody(b''.join(request.chunks))
@@ -516,7 +640,7 @@
 
 def _http_status(refusal):
     """Return the HTTP status; 503 only if the request did not run."""
-    if refusal.reason in (calls.Reason.NO_ROUTE, calls.Reason.MALFORMED):
+    if refusal.reason in _OWN_STATUS:
         return problems.status_of(refusal)
     if refusal.ran is errors.Outcome.DID_NOT_RUN:
         return 503
--- a/jujubefold/sidecar/instance.py
+++ b/jujubefold/sidecar/instance.py
@@ -70,6 +70,7 @@
         sequence: Increases with each announcement of one start.
         started_ms: Unix milliseconds of its start; 0 if not reported.
         warmup: Seconds until it has warmed up.
+        version: Version of its software; empty if not reported.
     """
 
     id: str
@@ -80,6 +81,7 @@
     sequence: int
     started_ms: int = 0
     warmup: float = 0.0
+    version: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- a/jujubefold/sidecar/limiter.py
+++ b/jujubefold/sidecar/limiter.py
@@ -4,6 +4,9 @@
 is not expected to be answered in time is refused as soon as that is known,
 so that its caller still has time to retry. An upstream in need may name a
 rate of requests; then they are also started no faster than that.
+
+Calls of requests that run elsewhere go first, and are kept as long as they
+can end in time: refusing one loses the work of the request that made it.
 """
 
 import dataclasses
@@ -64,6 +67,8 @@
         objective_at: Monotonic seconds until which an answer is on time.
         deadline: Monotonic seconds at which the caller stops waiting.
         may_queue: Whether it may wait for a slot.
+        call: Whether a running request made it; `rank` and `deadline` then
+            allow for those of that request.
     """
 
     key: object
@@ -73,6 +78,7 @@
     objective_at: float
     deadline: float
     may_queue: bool = True
+    call: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +110,9 @@
         failure_rate: Share of recent requests that the upstream failed.
         fetch_backlog: Seconds for which the gate's link is busy with bodies
             that are being fetched.
+        track: Version of the upstream in a rollout: 0 stable, 1 new.
+        waiting_calls: Those of `waiting` that running requests made; they
+            go before the others.
     """
 
     running: int = 0
@@ -112,6 +121,8 @@
     mean_duration: float = INITIAL_DURATION_S
     failure_rate: float = 0.0
     fetch_backlog: float = 0.0
+    track: int = 0
+    waiting_calls: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,6 +139,8 @@
         failure_rate: Share of recent requests that the upstream failed.
         sampled_at: Monotonic seconds of the last of them.
         pace: The `pace.Pace` at which requests are started.
+        learned_limit: Requests that the upstream handles well at once; None
+            if that is not learned.
     """
 
     slots: int = 0
@@ -139,6 +152,7 @@
     failure_rate: float = 0.0
     sampled_at: float = 0.0
     pace: paces.Pace = dataclasses.field(default_factory=paces.Pace)
+    learned_limit: int | None = None
 
 
 def acquire(table, request, now):
@@ -166,7 +180,7 @@
     if not request.may_queue:
         return _refused(calls.Reason.NO_SLOT, MIN_RETRY_AFTER_S)
     starts = _predicted_starts(table, now, request)
-    if starts[request.key] + expected > _admission_limit(request):
+    if starts[request.key] + expected > _admission_limit(table, request):
         return _refused(
             calls.Reason.QUEUE_FULL, _retry_after(table, starts, now)
         )
@@ -196,7 +210,8 @@
         return _refused(calls.Reason.DEADLINE, 0.0).refusal
     starts = _predicted_starts(table, now, request)
     end = max(now + fetch_seconds, starts[request.key]) + expected
-    if end > min(_admission_limit(request), request.deadline):
+    limit = _admission_limit(table, request)
+    if end > (limit if request.call else min(limit, request.deadline)):
         retry_after = max(fetch_seconds, _retry_after(table, starts, now))
         return _refused(
             calls.Reason.QUEUE_FULL, min(MAX_RETRY_AFTER_S, retry_after)
@@ -224,6 +239,17 @@
     return fill_slots(table, now)
 
 
+def usable_slots(table):
+    """Return how many requests may run at once.
+
+    Args:
+        table: A `SlotTable`.
+    """
+    if table.learned_limit is None:
+        return table.slots
+    return min(table.slots, table.learned_limit)
+
+
 def fill_slots(table, now):
     """Give free slots to queued requests.
 
@@ -252,7 +278,7 @@
     Returns:
         Seconds; None if no queued request waits for the rate limit.
     """
-    if not table.waiting or len(table.running) >= table.slots:
+    if not table.waiting or len(table.running) >= usable_slots(table):
         return None
     return paces.earliest_start(table.pace, now) - now
 
@@ -279,12 +305,13 @@
     return tuple((request.key, refusal) for request in overdue)
 
 
-def close(table, reason):
+def close(table, reason, detail=''):
     """Refuse all queued requests, and admit none while no upstream serves.
 
     Args:
         table: A `SlotTable`.
         reason: A `calls.Reason` for the refusals.
+        detail: Explanation for people; may be empty.
 
     Returns:
         As `evict_overdue`.
@@ -292,20 +319,23 @@
     table.slots = 0
     keys = tuple(table.waiting)
     table.waiting.clear()
-    refusal = _refused(reason, MIN_RETRY_AFTER_S).refusal
+    refusal = dataclasses.replace(
+        _refused(reason, MIN_RETRY_AFTER_S).refusal, detail=detail
+    )
     return tuple((key, refusal) for key in keys)
 
 
-def load(table, now, fetch_backlog=0.0):
+def load(table, now, fetch_backlog=0.0, track=0):
     """Return the `Load` of a table.
 
     Args:
         table: A `SlotTable`.
         now: Monotonic seconds.
         fetch_backlog: As in `Load`.
+        track: As in `Load`.
     """
     running = len(table.running)
-    slots = table.slots
+    slots = usable_slots(table)
     duration = table.mean_duration * table.warmup_factor
     per_second = table.pace.per_second
     if slots and per_second is not None:
@@ -322,6 +352,8 @@
         duration,
         decayed_failure_rate(table.failure_rate, now - table.sampled_at),
         fetch_backlog,
+        track,
+        sum(request.call for request in table.waiting.values()),
     )
 
 
@@ -350,7 +382,7 @@
 def _may_start(table, now):
     """Return whether a slot is free and the rate limit allows a start."""
     return (
-        len(table.running) < table.slots
+        len(table.running) < usable_slots(table)
         and paces.earliest_start(table.pace, now) <= now
     )
 
@@ -385,8 +417,12 @@
     )
 
 
-def _admission_limit(request):
+def _admission_limit(table, request):
     """Return until when a new request must be predicted to end."""
+    if request.call:
+        return _latest_start(table, request) + expected_duration(
+            table, request.route
+        )
     late = _allowed_time(request, LATE_SHARE)
     on_time = ON_TIME_SHARE * (request.objective_at - request.arrived_at)
     return request.arrived_at + max(on_time, late)
@@ -399,6 +435,8 @@
     rank; it is refused while its caller still has time to retry.
     """
     expected = expected_duration(table, request.route)
+    if request.call:
+        return request.deadline - expected * MIN_REMAINING_SHARE
     late = _allowed_time(request, QUEUED_SHARE)
     latest_end = max(request.objective_at, request.arrived_at + late)
     return min(
@@ -408,9 +446,17 @@
 
 
 def _queue_order(table, request, now):
-    """Return the sort key: by rank, on time before late, then by urgency."""
-    start_by = request.objective_at - expected_duration(table, request.route)
-    return (request.rank, start_by < now, start_by)
+    """Return the sort key.
+
+    Calls go before others. Others are ordered by rank, on time before late,
+    then by urgency. Calls are ordered by rank and deadline, also beyond their
+    objectives: their parents' work is lost only at the deadline.
+    """
+    expected = expected_duration(table, request.route)
+    if request.call:
+        return (False, request.rank, False, request.deadline - expected)
+    start_by = request.objective_at - expected
+    return (True, request.rank, start_by < now, start_by)
 
 
 def _predicted_starts(table, now, arrival=None):
@@ -428,7 +474,11 @@
         )
         for run in table.running.values()
     ]
-    slots_free_at.extend([now] * (table.slots - len(slots_free_at)))
+    usable = usable_slots(table)
+    slots_free_at.extend([now] * (usable - len(slots_free_at)))
+    if len(slots_free_at) > usable:
+        # More run than the limit, which has fallen, allows to replace.
+        slots_free_at = sorted(slots_free_at)[-usable:]
     heapq.heapify(slots_free_at)
     queue = list(table.waiting.values())
     if arrival is not None:
--- a/jujubefold/sidecar/metrics.py
+++ b/jujubefold/sidecar/metrics.py
@@ -19,6 +19,9 @@
     3.2,
     math.inf,
 )
+# Tenants that are counted by name; the others are counted together.
+MAX_TENANT_LABELS = 99
+OTHER_TENANTS = 'other'
 
 
 class SidecarMetrics:
@@ -33,6 +36,13 @@
         slots: Gauge of the slots that may be used now.
         limit: Gauge of the requests a second that the upstream takes; 0
             without a limit.
+        rollout_share: Gauge of the share of a service's requests that goes
+            to a new version.
+        rollout_answers: Gauge of the ended requests of the own upstream
+            since the last order.
+        rollout_bad: Gauge of the bad answers among them.
+        capacity: Gauge of the requests that the upstream handles well at once,
+            as the gate learned; 0 if it learns nothing.
     """
 
     def __init__(self):
@@ -42,9 +52,15 @@
             'Requests answered, by service, route and status.',
             registry=self._registry,
         )
+        self._tenant_requests = aioprometheus.Counter(
+            'jujubefold_tenant_requests_total',
+            'Requests answered that carried a known key, by tenant.',
+            registry=self._registry,
+        )
+        self._tenant_labels = set()
         self._unrouted = aioprometheus.Counter(
             'jujubefold_requests_unrouted_total',
-            'Requests refused before a route was chosen, by reason.',
+            'Requests refused before they were offered to a gate, by reason.',
             registry=self._registry,
         )
         self._request_seconds = aioprometheus.Histogram(
@@ -53,6 +69,11 @@
             registry=self._registry,
             buckets=REQUEST_BUCKETS_S,
         )
+        self._quota_decisions = aioprometheus.Counter(
+            'jujubefold_quota_decisions_total',
+            'Requests of tenants with a quota, by who decided and decision.',
+            registry=self._registry,
+        )
         self._store_calls = aioprometheus.Counter(
             'jujubefold_store_calls_total',
             'Calls to the platform by operation and outcome.',
@@ -79,6 +100,21 @@
             'Bytes sent to other daemons, by kind of message and scope.',
             registry=self._registry,
         )
+        self._rollout_steps = aioprometheus.Counter(
+            'jujubefold_rollout_steps_total',
+            'Steps of rollouts that this daemon wrote, by phase.',
+            registry=self._registry,
+        )
+        self._rollout_conflicts = aioprometheus.Counter(
+            'jujubefold_rollout_conflicts_total',
+            'Steps of rollouts refused because another daemon wrote first.',
+            registry=self._registry,
+        )
+        self._rollout_takeovers = aioprometheus.Counter(
+            'jujubefold_rollout_takeovers_total',
+            'Rollouts that this daemon took over from another one.',
+            registry=self._registry,
+        )
         self.version = self._gauge(
             'jujubefold_version_in_force', 'Configuration version in force.'
         )
@@ -102,6 +138,22 @@
             'jujubefold_gate_limit',
             'Requests a second that the upstream takes; 0 without a limit.',
         )
+        self.rollout_share = self._gauge(
+            'jujubefold_rollout_share',
+            "Share of a service's requests for the new version.",
+        )
+        self.rollout_answers = self._gauge(
+            'jujubefold_rollout_answers',
+            'Ended requests of the upstream since the order, by version.',
+        )
+        self.rollout_bad = self._gauge(
+            'jujubefold_rollout_bad_answers',
+            'Bad answers among them, by version.',
+        )
+        self.capacity = self._gauge(
+            'jujubefold_gate_capacity',
+            'Learned limit of requests in slots at once; 0 if none.',
+        )
 
     def count_response(self, service, route, status, seconds):
         """Count an answer to a routed request.
@@ -117,14 +169,38 @@
         )
         self._request_seconds.observe({'service': service}, seconds)
 
+    def count_tenant_response(self, tenant, status):
+        """Count an answer to a tenant's request.
+
+        Args:
+            tenant: Name of the tenant.
+            status: HTTP status of the answer.
+        """
+        if tenant not in self._tenant_labels:
+            if len(self._tenant_labels) >= MAX_TENANT_LABELS:
+                tenant = OTHER_TENANTS
+            else:
+                self._tenant_labels.add(tenant)
+        self._tenant_requests.inc({'tenant': tenant, 'status': str(status)})
+
     def count_unrouted(self, reason):
-        """Count a request that was refused before a route was chosen.
+        """Count a request that was refused before it was offered to a gate.
 
         Args:
             reason: A `calls.Reason`.
         """
         self._unrouted.inc({'reason': reason.value})
 
+    def count_quota_decision(self, source, granted):
+        """Count a decision on a request of a tenant with a quota.
+
+        Args:
+            source: As in `quotaexchange.Decision`.
+            granted: Whether the request may run.
+        """
+        decision = 'granted' if granted else 'denied'
+        self._quota_decisions.inc({'source': source, 'decision': decision})
+
     def count_store_call(self, operation, outcome, seconds):
         """Count a call to the platform's store.
 
@@ -159,6 +235,23 @@
         for kind, size in sent_bytes.items():
             self._link_bytes.set({'kind': kind, 'scope': scope}, size)
 
+    def set_rollout_control(self, steps, conflicts, takeovers):
+        """Set what the `rolloutcontroller.Controller` counted.
+
+        Args:
+            steps: Number of steps written by phase; phases without one are
+                left out.
+            conflicts: Number of writes refused by their condition.
+            takeovers: Number of rollouts taken over.
+        """
+        for phase, count in steps.items():
+            if count:
+                self._rollout_steps.set({'phase': phase.value}, count)
+        if conflicts:
+            self._rollout_conflicts.set({}, conflicts)
+        if takeovers:
+            self._rollout_takeovers.set({}, takeovers)
+
     def render(self):
         """Return all metrics in the text exposition format, as bytes."""
         body, _ = renderer.render(self._registry, ['text/plain'])
--- a/jujubefold/sidecar/options.py
+++ b/jujubefold/sidecar/options.py
@@ -104,6 +104,21 @@
     grace: Seconds
 
 
+class Tenants(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Tenants and their keys.
+
+    Args:
+        strict_revoke: Whether requests with keys are refused unless it is
+            certain that no key was removed in the last `revoke` seconds
+            that this daemon does not know of.
+        revoke: Seconds after the acknowledgement of a version that removes
+            a key, from which no request with it is run.
+    """
+
+    strict_revoke: bool = False
+    revoke: Seconds = 5.0
+
+
 class Logs(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Logging.
 
@@ -114,6 +129,57 @@
     level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
 
 
+class Rollouts(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of rollouts; without this section there are none.
+
+    Args:
+        exposure_share: Share of a service's requests that a bad version may
+            get.
+        exposure_slack: Requests that it may get in addition.
+        rollback: Seconds after its 50th bad answer within which it must get
+            no more requests.
+    """
+
+    exposure_share: typing.Annotated[float, msgspec.Meta(gt=0, le=1)]
+    exposure_slack: typing.Annotated[float, msgspec.Meta(ge=0)]
+    rollback: Seconds
+
+
+class Capacity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Capacity of the upstream.
+
+    Args:
+        learn: Whether the gate learns how many requests the upstream handles
+            well at once; see `capacity`.
+    """
+
+    learn: bool = False
+
+
+class Calls(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Calls that running requests make.
+
+    Args:
+        first: Whether they go before other requests, whatever the
+            configuration asks for; see `calldemand`.
+    """
+
+    first: bool = False
+
+
+class Quotas(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of a tenant's requests in the whole fleet; see `quota.Policy`.
+
+    Args:
+        domains: Names of all failure domains.
+    """
+
+    window: Seconds
+    overage: Ratio
+    slack: typing.Annotated[float, msgspec.Meta(ge=0)]
+    domains: typing.Annotated[tuple[Name, ...], msgspec.Meta(min_length=1)]
+
+
 class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of a sidecar, by section."""
 
@@ -124,6 +190,11 @@
     retries: Retries
     stop: Stop
     logs: Logs = Logs()
+    rollouts: Rollouts | None = None
+    tenants: Tenants = Tenants()
+    capacity: Capacity = Capacity()
+    calls: Calls = Calls()
+    quotas: Quotas | None = None
 
 
 def load(path):
--- a/jujubefold/sidecar/versions.py
+++ b/jujubefold/sidecar/versions.py
@@ -6,6 +6,7 @@
 
 from jujubefold import mesh
 from jujubefold.sidecar import distribution
+from jujubefold.sidecar import tenants as tenants_module
 
 # Unknown values of one version that are logged; a new kind of route usually
 # comes on many routes.
@@ -70,11 +71,24 @@
         mesh: The `mesh.Mesh`, with the number of its version.
         limits: The `CallerLimits`.
         unknown_values: Each `UnknownValue` in it.
+        tenants: Each `tenants.Tenant` by name.
+        keys: The `tenants.KeyTable` that finds a tenant by its key; None if
+            the configuration has no table of tenants, so that requests need
+            no key.
+        calls_first: Whether calls of running requests go before other
+            requests, as its routes or tenants ask for.
     """
 
     mesh: mesh.Mesh
     limits: CallerLimits = CallerLimits()
     unknown_values: tuple[UnknownValue, ...] = ()
+    tenants: dict[str, tenants_module.Tenant] = dataclasses.field(
+        default_factory=dict
+    )
+    keys: tenants_module.KeyTable | None = dataclasses.field(
+        default=None, compare=False, repr=False
+    )
+    calls_first: bool = False
 
 
 class Versions:
@@ -92,6 +106,9 @@
 
     Attributes:
         current: The `Configuration` in force.
+        keys_withdrawn: Whether the store, after its return from an older
+            copy, was given a configuration that lacks a key in force, but
+            whose number is too low to replace the one in force.
     """
 
     def __init__(
@@ -105,6 +122,7 @@
         self._count_fault = count_fault
         self._era = 0
         self._era_without = 0
+        self.keys_withdrawn = False
 
     @property
     def number(self):
@@ -184,6 +202,7 @@
         """
         if body == self._bodies.get(self.number):
             self._era = max(self._era, era)
+            self.keys_withdrawn = False
             return
         decoded = self._decode(body)
         if decoded.is_error():
@@ -199,10 +218,14 @@
         before = self.number
         stamp = Stamp(configuration.mesh.number, era)
         if stamp <= self.stamp:
-            if source == 'store':
+            if source == 'store' and stamp.era > self._era:
+                self.keys_withdrawn = _withdraws(
+                    self.current.keys, configuration.keys
+                )
                 self._log_lost(stamp)
             return
         self.current = configuration
+        self.keys_withdrawn = False
         self._era = era
         self._bodies[stamp.number] = body
         self._bodies.move_to_end(stamp.number)
@@ -245,3 +268,16 @@
                 found=found.number,
                 store_era=found.era,
             )
+
+
+def _withdraws(in_force, found):
+    """Return whether a key that is in force is not among those found.
+
+    Args:
+        in_force: `tenants.KeyTable` or None.
+        found: The same of a later configuration of a lower number, which the
+            store was given after it had returned from an older copy.
+    """
+    if in_force is None or found is None:
+        return False
+    return not found.holds_keys_of(in_force)
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -41,7 +41,9 @@
     'service',
     'max_attempts',
     'traffic_split',
+    'public',
 ]
+TENANT_COLUMNS = ['name', 'api_keys', 'priority', 'rate_per_s', 'burst']
 
 
 class SilenceableFeed(rowfeed.RowFeed):
@@ -66,6 +68,9 @@
     async def remove(self, table, key):
         return await self._answer(self._feed.remove(table, key), 0.0)
 
+    async def transact(self, conditions, puts):
+        return await self._answer(self._feed.transact(conditions, puts), 0.0)
+
     async def _answer(self, call, wait):
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait + STORE_TIMEOUT_S
@@ -108,11 +113,18 @@
         'service': service,
         'max_attempts': 2,
         'traffic_split': None,
+        'public': None,
         **overrides,
     }
     return [values[column] for column in ROUTE_COLUMNS]
 
 
+def tenant(name, *api_keys, **overrides):
+    """Return a row of the configuration's table of tenants."""
+    values = {'name': name, 'api_keys': list(api_keys), **overrides}
+    return [values.get(column) for column in TENANT_COLUMNS]
+
+
 ROUTES = (
     route('read', '/read/'),
     route('write', '/write/', 'non_idempotent'),
@@ -121,10 +133,14 @@
 SERVICES = ('pickups', 'routes')
 
 
-def document(version=1, routes=ROUTES, services=SERVICES, **limits):
+def document(
+    version=1, routes=ROUTES, services=SERVICES, tenants=None, **limits
+):
     """Return a configuration document in the platform's format."""
+    table = {'columns': TENANT_COLUMNS, 'rows': tenants}
     return json.dumps(
         {
+            **({} if tenants is None else {'tenants': table}),
             'version': version,
             'routes': {'columns': ROUTE_COLUMNS, 'rows': list(routes)},
             'services': {
@@ -164,6 +180,7 @@
     Attributes:
         limit: Text of the limit that its answers name; '' for none.
         leaving: Whether its answers say that it leaves.
+        version: Version of its software in its announcements.
     """
 
     def __init__(self, name='i-1', slots=4):
@@ -171,6 +188,7 @@
         self.slots = slots
         self.limit = ''
         self.leaving = False
+        self.version = 'v1'
         self.requests = []
         self.handler = self.answer
         self.sequence = 0
@@ -251,13 +269,22 @@
 
 
 class Fleet:
-    """Sidecars that share an in-memory store."""
+    """Sidecars that share an in-memory store.
+
+    Attributes:
+        rollouts: The `options.Rollouts` of sidecars that are added.
+        new_rollout_controller: As in `daemon.Platform`, for the same.
+        tenants: Settings of daemons that are started from now on.
+    """
 
     def __init__(self):
         self.feed = rowfeed.MemoryRowFeed()
+        self.rollouts = None
+        self.new_rollout_controller = adapter.PLATFORM.new_rollout_controller
         self.daemons = {}
         self.event_logs = {}
         self.upstreams = {}
+        self.tenants = options.Tenants()
         self._ids = random.Random(1)
 
     async def start(self, version=1):
@@ -276,9 +303,11 @@
         slots=4,
         feed=None,
         capacity=0.0,
+        version='v1',
     ):
         """Add a VM with a sidecar and an announced upstream."""
         upstream = Upstream(f'i-{vm}', slots)
+        upstream.version = version
         await upstream.start()
         self.upstreams[vm] = upstream
         await self.add_daemon(vm, domain, service, feed, capacity)
@@ -299,13 +328,18 @@
             options.Store(f'{LOOPBACK}:1'),
             options.Retries(0.2, 10.0, 56.0),
             options.Stop(6.0),
+            rollouts=self.rollouts,
+            tenants=self.tenants,
+            calls=options.Calls(first=True),
         )
         return await self.restart(vm, daemon_options, feed)
 
     async def restart(self, vm, daemon_options, feed=None):
         """Start a VM's sidecar with the given `options.Options`."""
         platform = dataclasses.replace(
-            adapter.PLATFORM, new_feed=lambda *args: feed or self.feed
+            adapter.PLATFORM,
+            new_feed=lambda *args: feed or self.feed,
+            new_rollout_controller=self.new_rollout_controller,
         )
         event_log = self.event_logs[vm] = RecordingEventLog()
         sidecar = daemon.Daemon(
@@ -324,7 +358,7 @@
             'born': born,
             'info': {
                 'service': self.daemons[vm].options.upstream.service,
-                'version': 'v1',
+                'version': upstream.version,
                 'zone': 'a',
                 'slots': upstream.slots,
             },
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -45,6 +45,9 @@
         found = self.load(VALID).ok
         self.assertEqual(2.0, found.upstream.drain)
         self.assertEqual('INFO', found.logs.level)
+        self.assertFalse(found.capacity.learn)
+        found = self.load(VALID + '[capacity]\nlearn = true').ok
+        self.assertTrue(found.capacity.learn)
 
     def test_invalid_settings_name_their_key(self):
         for old, new, where in (
@@ -60,6 +63,31 @@
             self.assertTrue(found.is_error(), new)
             self.assertIn(where, found.error.where, new)
 
+    def test_quotas_are_off_without_their_section(self):
+        self.assertIsNone(self.load(VALID).ok.quotas)
+        section = (
+            '[quotas]\nwindow = 5\noverage = 0.1\nslack = 20\n'
+            'domains = ["a", "b"]\n'
+        )
+        found = self.load(VALID + section).ok.quotas
+        self.assertEqual((5.0, ('a', 'b')), (found.window, found.domains))
+        found = self.load(VALID + section.replace('"a", "b"', ''))
+        self.assertIn('quotas.domains', found.error.where)
+
     def test_an_error_names_a_missing_file(self):
         found = options.load('/nowhere/settings.toml')
         self.assertIn('/nowhere/settings.toml', found.error.where)
+
+    def test_rollouts_are_off_without_their_section(self):
+        # Deployments whose platform names no bounds must behave as before.
+        self.assertIsNone(self.load(VALID).ok.rollouts)
+        section = """
+[rollouts]
+exposure_share = 0.1
+exposure_slack = 50
+rollback = 5
+"""
+        found = self.load(VALID + section).ok.rollouts
+        self.assertEqual(options.Rollouts(0.1, 50.0, 5.0), found)
+        wrong = section.replace('0.1', '-0.1')
+        self.assertIn('rollouts', self.load(VALID + wrong).error.where)
