--- a/jujubefold/sidecar/attempt.py
+++ b/jujubefold/sidecar/attempt.py
@@ -113,6 +113,13 @@
     sent: bool = False
     upstream_time: float = 0.0
 
+    @property
+    def failed(self):
+        """Whether the upstream failed the request, or its answer was lost."""
+        if self.answer is not None:
+            return self.answer.status >= 500
+        return self.sent
+
     @property
     def not_run(self):
         """Whether it is certain that the request did not and will not run."""
@@ -129,3 +136,14 @@
     digest.update(attempt.target)
     digest.update(attempt.body.data)
     return digest.hexdigest()
+
+
+def unknown_outcome(reason, detail=''):
+    """Return the `Outcome` of a request that was sent and may have run.
+
+    Args:
+        reason: A `calls.Reason`.
+        detail: Explanation for people; may be empty.
+    """
+    refusal = calls.Refusal(errors.Outcome.UNKNOWN, reason, detail=detail)
+    return Outcome(refusal=refusal, sent=True)
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -424,7 +424,7 @@
             outcome = attempts.Outcome(refusal=refusal, sent=True)
         else:
             outcome = task.result
-            self._release(key, failed=_is_failure(outcome))
+            self._release(key, failed=outcome.failed)
         if outcome.answer is None:
             if outcome.refusal.reason is calls.Reason.UPSTREAM_CUT:
                 self._suspect_crash(attempts.fingerprint(attempt))
@@ -539,10 +539,10 @@
             names.seal in fields or answer.status not in _SUCCESS
         )
         if not is_valid or b'content-encoding' in fields:
-            return _unknown_outcome(calls.Reason.UPSTREAM_GARBLED)
+            return attempts.unknown_outcome(calls.Reason.UPSTREAM_GARBLED)
         if answer.status in _NOT_RUN_STATUSES and not attempt.idempotent:
             # To the caller these statuses mean that it did not run.
-            return _unknown_outcome(calls.Reason.UPSTREAM_FAILED)
+            return attempts.unknown_outcome(calls.Reason.UPSTREAM_FAILED)
         return attempts.Outcome(
             answer=answer, sent=True, upstream_time=upstream_time
         )
@@ -621,7 +621,7 @@
             self.update_slots()
         if not failure.sent:
             return attempts.Outcome(refusal=_UNREACHABLE)
-        return _unknown_outcome(
+        return attempts.unknown_outcome(
             callclient.UNKNOWN_OUTCOME_REASONS[failure.kind], failure.detail
         )
 
@@ -692,14 +692,3 @@
             self._event_log.record(
                 effect.event.name, detail=effect.event.detail
             )
-
-
-def _unknown_outcome(reason, detail=''):
-    refusal = calls.Refusal(errors.Outcome.UNKNOWN, reason, detail=detail)
-    return attempts.Outcome(refusal=refusal, sent=True)
-
-
-def _is_failure(outcome):
-    if outcome.answer is not None:
-        return outcome.answer.status >= 500
-    return outcome.sent
