--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -406,7 +406,7 @@
         succeeded = (
             task.error is None
             and task.result.answer is not None
-            and not _is_failure(task.result)
+            and not task.result.failed
         )
         waited = calldemand.end_run(
             self.demand, attempt.request, now, succeeded
