Serve what the rollout controller counted as metrics

Steps, conflicts and takeovers were counted and documented, but nothing read them. 16 tests of rollouts with several sidecars pass, one now finds the step completed on one daemon's metrics page.

--- a/jujubefold/sidecar/rollouts.py
+++ b/jujubefold/sidecar/rollouts.py
@@ -465,6 +465,10 @@
             }
             metrics.rollout_answers.set(labels, counts.ended)
             metrics.rollout_bad.set(labels, counts.bad)
+        controller = self._controller
+        metrics.set_rollout_control(
+            controller.steps, controller.conflicts, controller.takeovers
+        )
 
     def close(self):
         """Stop the controller and the writing of sums."""
--- a/tests/rolloutcontrol.py
+++ b/tests/rolloutcontrol.py
@@ -21,6 +21,7 @@
         self._on_state = on_state
         self._orders = ()
         self.services = ()
+        self.steps, self.conflicts, self.takeovers = {}, 0, 0
 
     def set_orders(self, orders):
         self._orders = orders
--- a/tests/test_rolloutfleet.py
+++ b/tests/test_rolloutfleet.py
@@ -94,6 +94,9 @@
             self.assertEqual('completed', state)
             self.assertEqual({200}, set(statuses))
             self.assertGreater(count(fleet, NEW), ended_new)
+            pages = [item._render_metrics() for item in fleet.daemons.values()]
+            step = b'jujubefold_rollout_steps_total{phase="completed"} 1'
+            self.assertEqual(1, sum(step in page for page in pages))
 
         # With more slack, since the exposure is not what is tested here.
         self.run_rollout(answering, check, slack=1000.0)
