Let the soak change keys and send requests that carry them

Each run has a tenant whose oldest key is removed every one to three seconds while daemons are killed, paused, cut off and the store returns from copies. A request with a key that was removed over 5 s before it was sent must not run, and no upstream may see a key.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 
 from soak import checks
 from soak import faults
+from soak import keys
 from soak import testbed as testbeds
 from soak import versionwatch
 
@@ -33,6 +34,7 @@
     """
     testbed = testbeds.Testbed(seed, size, folder)
     callers = checks.Callers(testbed)
+    keyring = keys.Keys(testbed)
     done = asyncio.Event()
     fault_log = (pathlib.Path(folder) / 'faults').open('w')
     await testbed.start()
@@ -45,6 +47,8 @@
         tasks = [
             asyncio.ensure_future(callers.run(done)) for _ in range(CALLERS)
         ]
+        tasks.append(asyncio.ensure_future(keyring.change(done)))
+        tasks.append(asyncio.ensure_future(keyring.call(done)))
         watch = versionwatch.VersionWatch(testbed)
         watching = asyncio.ensure_future(watch.run())
         loop = asyncio.get_running_loop()
@@ -70,6 +74,7 @@
         violations.extend(checks.violations(testbed, callers))
         violations.extend(checks.drain_violations(testbed))
         violations.extend(checks.limit_violations(testbed))
+        violations.extend(keyring.violations())
         served = sum(result.status == 200 for result in callers.results)
         print(
             f'seed {seed}: {served} of {len(callers.results)} served', end=''
@@ -77,6 +82,8 @@
         print(
             f', {watch.checked} times held to have a version in time', end=''
         )
+        keyed = sum(sent.status == 200 for sent in keyring.requests)
+        print(f', {keyed} of {len(keyring.requests)} with keys', end='')
         print(f', {len(violations)} guarantees violated')
         return violations
     finally:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -199,6 +199,7 @@
     testbed.store.mode = 'reset'
     await asyncio.sleep(STORE_AWAY_S)
     testbed.store.restore(copied)
+    testbed.note_keys()
     testbed.store.mode = 'serve'
     await asyncio.sleep(duration / 2)
     testbed.publish_lost()
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -23,6 +23,8 @@
 DRAIN_S = 2.0
 GRACE_S = 6.0
 HEARTBEAT_INTERVAL_S = 0.4
+# Requests whose targets begin with it need a key.
+KEYED_PREFIX = '/keyed/'
 
 # Settings of a daemon, to be formatted with its addresses.
 SETTINGS = """
@@ -49,6 +51,9 @@
 slack = 56.0
 [stop]
 grace = {grace}
+[tenants]
+strict_revoke = true
+revoke = 5.0
 """
 
 
@@ -345,6 +350,10 @@
         self.calm = Calm()
         self.version = 0
         self.target = ''
+        # Keys of the next version; empty without tenants.
+        self.keys = ()
+        # Loop time and keys of each version that the store had.
+        self._stored_keys = []
         # Loop time and number of each version published.
         self._published = []
         self._document = b''
@@ -377,13 +386,39 @@
         """Write the newest version, with content that none had before."""
         self._writes += 1
         self.target = f'/new-{self._writes}/'
-        new = sidecars.route('new', self.target)
+        routes = [
+            sidecars.route('read', '/read/', public=True),
+            sidecars.route('write', '/write/', 'non_idempotent', public=True),
+            sidecars.route('keyed', KEYED_PREFIX),
+            sidecars.route('new', self.target, public=True),
+        ]
+        tenants = [sidecars.tenant('acme', *self.keys)] if self.keys else None
         self._document = sidecars.document(
-            self.version, [*sidecars.ROUTES, new]
+            self.version, routes, tenants=tenants
         )
         self.store.put('op', 'config', self._document)
         now = asyncio.get_running_loop().time()
         self._published.append((now, self.version))
+        self.note_keys()
+
+    def note_keys(self):
+        """Note the keys that the store has from now on."""
+        document = msgspec.json.decode(self.store.value('op', 'config'))
+        rows = document.get('tenants', {}).get('rows', [])
+        keys = frozenset(key for row in rows for key in row[1])
+        now = asyncio.get_running_loop().time()
+        self._stored_keys.append((now, keys))
+
+    def keys_since(self, oldest):
+        """Yield the keys of each version that the store had since then.
+
+        Args:
+            oldest: Loop time.
+        """
+        ends = [at for at, _ in self._stored_keys[1:]] + [math.inf]
+        for (_, keys), end in zip(self._stored_keys, ends, strict=True):
+            if end > oldest:
+                yield keys
 
     def newest_before(self, latest):
         """Return the number of the newest version published by a loop time."""
