--- a/jujubefold/sidecar/rolloutevidence.py
+++ b/jujubefold/sidecar/rolloutevidence.py
@@ -4,10 +4,12 @@
 it holds a few seconds of readings of six failure domains and 40 new gates.
 """
 
+import bisect
 import collections
 import dataclasses
 import enum
 import math
+import operator
 
 import msgspec
 
@@ -243,13 +245,14 @@
         durations: Count in each of `rollout.BUCKETS`.
         limit: Seconds.
     """
-    found = 0.0
-    for index, count in enumerate(durations):
-        low, high = _bounds(index)
-        if low >= limit:
-            found += count
-        elif high > limit:
-            found += count * math.log(high / limit) / math.log(high / low)
+    index = bisect.bisect_left(rollout.BUCKET_BOUNDS_S, limit)
+    low, high = _bounds(index)
+    found = sum(durations[index + 1 :])
+    if low >= limit:
+        return found + durations[index]
+    if durations[index] and high > limit:
+        part = math.log(high / limit) / math.log(high / low)
+        return found + durations[index] * part
     return found
 
 
@@ -456,28 +459,33 @@
 def _judge_all(reports, old, known_bad_share, seconds, needed):
     """Return the `Judgement` by route and in total, as of one upstream."""
     ended = sum(report.ended for report in reports)
-    new = total(reports, old)
+    bad = sum(report.bad for report in reports)
     before = {counts.route: counts for counts in old.routes}
-    for counts in (new, *new.routes):
-        name = getattr(counts, 'route', '')
-        other = before.get(name) if name else old
-        old_bad, old_ended = (other.bad, other.ended) if other else (0, 0)
-        if _is_above(
-            counts.bad, counts.ended, old_bad, old_ended, known_bad_share
-        ):
+    seen = collections.Counter()
+    seen_bad = collections.Counter()
+    for report in reports:
+        for counts in report.routes:
+            seen[counts.route] += counts.ended
+            seen_bad[counts.route] += counts.bad
+    compared = [('', ended, bad, old.ended, old.bad)]
+    for name, number in seen.items():
+        other = before.get(name, rollout.RouteCounts(name))
+        compared.append((name, number, seen_bad[name], other.ended, other.bad))
+    for name, number, number_bad, old_ended, old_bad in compared:
+        if _is_above(number_bad, number, old_bad, old_ended, known_bad_share):
             return Judgement(
                 Verdict.BAD,
                 name,
                 (),
-                counts.ended,
-                _share(counts.bad, counts.ended),
+                number,
+                _share(number_bad, number),
                 _share(old_bad, old_ended),
             )
     if seconds >= MIN_SLOW_SPAN_S:
         slow = _judge_slow(reports, before)
         if slow is not None:
             return slow
-    share, old_share = _share(new.bad, new.ended), _share(old.bad, old.ended)
+    share, old_share = _share(bad, ended), _share(old.bad, old.ended)
     durations = sum(
         sum(counts.durations)
         for report in reports
@@ -487,12 +495,11 @@
     # Answers while warming up say nothing about slowness.
     enough = ended >= needed and durations >= needed / 2
     verdict = Verdict.SOUND if enough else Verdict.UNKNOWN
-    seen = {counts.route: counts.ended for counts in new.routes}
     if ended >= MIN_FOR_ROUTES:
         for name, counts in before.items():
             if (
                 counts.ended >= ROUTE_SHARE * old.ended
-                and seen.get(name, 0) < MIN_ROUTE
+                and seen[name] < MIN_ROUTE
             ):
                 verdict = Verdict.UNKNOWN
     return Judgement(verdict, '', (), ended, share, old_share)
@@ -525,24 +532,22 @@
     everything_old = rollout.RouteCounts('')
     for counts in old.values():
         everything_old = _combine(everything_old, counts, 1)
+    bases = {}
     for report in reports:
         if not report.warm:
             continue
         for counts in report.routes:
-            base = old.get(counts.route)
-            if base is None or sum(base.durations) < MIN_OLD:
-                base = everything_old
-            if sum(base.durations) < MIN_OLD:
+            if counts.route not in bases:
+                bases[counts.route] = _base(counts.route, old, everything_old)
+            base, limit, old_slow, ended = bases[counts.route]
+            if ended < MIN_OLD:
                 continue
-            limit = SLOW_FACTOR * quantile(base.durations, 0.5)
-            found = (
-                report.vm,
-                above(counts.durations, limit * _speed(counts, base)),
-                sum(counts.durations),
-                above(base.durations, limit),
-                sum(base.durations),
+            slow = above(counts.durations, limit)
+            if slow:
+                slow = above(counts.durations, limit * _speed(counts, base))
+            by_route[counts.route].append(
+                (report.vm, slow, sum(counts.durations), old_slow, ended)
             )
-            by_route[counts.route].append(found)
     everything = [item for found in by_route.values() for item in found]
     for name, found in (('', everything), *by_route.items()):
         slow = sum(item[1] for item in found)
@@ -564,6 +569,23 @@
     return None
 
 
+def _base(route, old, everything_old):
+    """Return what answers on a route are compared with.
+
+    Returns:
+        The old version's `rollout.RouteCounts`, on all routes if this one has
+        few; the limit of slow answers in seconds; how many were slow; how many
+        there were.
+    """
+    base = old.get(route)
+    if base is None or sum(base.durations) < MIN_OLD:
+        base = everything_old
+    limit = SLOW_FACTOR * quantile(base.durations, 0.5)
+    if not limit:
+        return base, 0.0, 0.0, 0
+    return base, limit, above(base.durations, limit), sum(base.durations)
+
+
 def _most_upstreams_slow(found):
     """Return whether most upstreams answer slowly by themselves."""
     slow = collections.Counter()
@@ -595,16 +617,12 @@
 
 
 def _combine(counts, other, sign):
+    combine = operator.add if sign > 0 else operator.sub
     return rollout.RouteCounts(
         counts.route,
-        counts.ended + sign * other.ended,
-        counts.bad + sign * other.bad,
-        tuple(
-            max(0, own + sign * more)
-            for own, more in zip(
-                counts.durations, other.durations, strict=False
-            )
-        ),
+        combine(counts.ended, other.ended),
+        combine(counts.bad, other.bad),
+        tuple(map(combine, counts.durations, other.durations)),
     )
 
 
