--- a/jujubefold/sidecar/rolloutplan.py
+++ b/jujubefold/sidecar/rolloutplan.py
@@ -71,12 +71,10 @@
     Args:
         exposure_share: Share of the requests that a bad version may get.
         exposure_slack: Requests that it may get beside these.
-        rollback: Seconds after the 50th bad answer without requests to it.
     """
 
     exposure_share: float = 0.1
     exposure_slack: float = 50.0
-    rollback: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -318,7 +316,12 @@
     """Return the next step in the phase `CANARY`, or None."""
     elapsed = (now_s - record.started) / order.duration
     remaining = record.deadline - now_s
-    usable = _usable(evidence, excluded, elapsed)
+    idle = _idle_canaries(record, evidence, now_s)
+    usable = [
+        gate
+        for gate in _usable(evidence, excluded, elapsed)
+        if gate.vm not in idle
+    ]
     left = exposure_left(
         policy, evidence.exposed, evidence.total, evidence.rate, remaining
     )
@@ -399,6 +402,19 @@
     return share
 
 
+def _idle_canaries(record, evidence, now_s):
+    """Return VMs of canaries that get no requests, as lost ones do not."""
+    expected = evidence.rate * record.share * rolloutevidence.RECENT_S
+    held = now_s - record.stepped_at >= 2 * rolloutevidence.RECENT_S
+    if not held or expected < MIN_ANSWERS_STEP * len(record.canaries):
+        return set()
+    return {
+        gate.vm
+        for gate in evidence.recent.new
+        if gate.vm in record.canaries and not gate.started
+    }
+
+
 def _busy_share(record, evidence, now_s):
     """Return the share of the canaries' slots that are in use; None unknown.
 
--- a/tests/test_rolloutplan.py
+++ b/tests/test_rolloutplan.py
@@ -171,6 +171,12 @@
         )
         found = self.step(record, view(gates[1:]), 102.0)
         self.assertEqual({'d1-1', 'd2-2'}, set(found.canaries))
+        # The reports of a VM that is lost stay as they were.
+        works = [report('d1-1', started=50), *gates[::2]]
+        span = rolloutevidence.Span(view().overall.old, works, 2.0)
+        evidence = view(gates, recent=span, rate=1100.0)
+        found = self.step(record, evidence, 105.5)
+        self.assertEqual({'d1-1', 'd2-2'}, set(found.canaries))
 
     def test_rollout_without_evidence_is_rolled_back_at_the_bound(self):
         """Guards against an order that ends without an answer."""
