--- a/jujubefold/sidecar/rolloutcontroller.py
+++ b/jujubefold/sidecar/rolloutcontroller.py
@@ -426,7 +426,6 @@
         now = self._clock.boottime()
         if now - read_at > MAX_EVIDENCE_AGE_S:
             # This process was paused; others may have gone on.
-            self._wake.set()
             return False
         service.written_at = now
         answer = await self._feed.transact([condition], puts)
@@ -445,11 +444,9 @@
                 self._event_log.record(
                     'rollout.conflict', service=name, step=record.step
                 )
-                self._wake.set()
             case errors.StoreOutcomeUnknown():
                 # The next read of the records shows whether it took effect.
                 service.pending = record, event, fields
-                self._wake.set()
         return False
 
     def _log_step(self, record, event, fields):
--- a/jujubefold/sidecar/rolloutevidence.py
+++ b/jujubefold/sidecar/rolloutevidence.py
@@ -40,6 +40,11 @@
 # Answers of one upstream or of the old version from which its share counts.
 MIN_UPSTREAM = 10
 MIN_OLD = 30
+# The old version's answers from which their median counts.
+MIN_BASE = 12
+# Bad or slow answers with which a version is not called sound while it has
+# given few, if their share is one that a verdict needs.
+MIN_SUSPICIOUS = 3
 # Distance of the others' share of bad answers within which one bad upstream
 # is a fault of its own, and the number of upstreams of which it is one.
 ALONE_DISTANCE = 0.05
@@ -492,8 +497,18 @@
         if report.warm
         for counts in report.routes
     )
-    # Answers while warming up say nothing about slowness.
-    enough = ended >= needed and durations >= needed / 2
+    # Answers while warming up say nothing about slowness, and without the old
+    # version's there is nothing to compare them with.
+    enough = (
+        ended >= needed
+        and durations >= needed / 2
+        and sum(sum(counts.durations) for counts in old.routes) >= MIN_BASE
+        and not (
+            ended < MIN_FOR_ROUTES
+            and bad >= MIN_SUSPICIOUS
+            and share - old_share >= BAD_DISTANCE
+        )
+    )
     verdict = Verdict.SOUND if enough else Verdict.UNKNOWN
     if ended >= MIN_FOR_ROUTES:
         for name, counts in before.items():
@@ -519,7 +534,7 @@
 
 
 def _judge_slow(reports, old):
-    """Return the `Judgement` if the version is slow, else None.
+    """Return the `Judgement` if the version is slow or may be, else None.
 
     Each route is judged by its own median, so that the mix of routes does
     not matter. Gates that warm up are left out.
@@ -540,7 +555,7 @@
             if counts.route not in bases:
                 bases[counts.route] = _base(counts.route, old, everything_old)
             base, limit, old_slow, ended = bases[counts.route]
-            if ended < MIN_OLD:
+            if ended < MIN_BASE:
                 continue
             slow = above(counts.durations, limit)
             if slow:
@@ -552,20 +567,24 @@
     for name, found in (('', everything), *by_route.items()):
         slow = sum(item[1] for item in found)
         ended = sum(item[2] for item in found)
-        if ended < MIN_DURATIONS or slow < MIN_SLOW:
+        if not ended or slow < MIN_SUSPICIOUS:
             continue
         # The old version's share has the new one's mix of routes.
         old_share = sum(item[2] * item[3] / item[4] for item in found) / ended
         old_ended = min(item[4] for item in found)
+        if slow / ended - old_share < SLOW_DISTANCE:
+            continue
+        verdict = Verdict.UNKNOWN
         if (
-            slow / ended - old_share >= SLOW_DISTANCE
+            ended >= MIN_DURATIONS
+            and slow >= MIN_SLOW
             and interval(slow, ended)[0]
             > interval(old_share * old_ended, old_ended)[1]
             and _most_upstreams_slow(found)
         ):
-            return Judgement(
-                Verdict.SLOW, name, (), ended, slow / ended, old_share
-            )
+            verdict = Verdict.SLOW
+        if verdict is Verdict.SLOW or (not name and ended < MIN_FOR_ROUTES):
+            return Judgement(verdict, name, (), ended, slow / ended, old_share)
     return None
 
 
@@ -578,7 +597,7 @@
         there were.
     """
     base = old.get(route)
-    if base is None or sum(base.durations) < MIN_OLD:
+    if base is None or sum(base.durations) < MIN_BASE:
         base = everything_old
     limit = SLOW_FACTOR * quantile(base.durations, 0.5)
     if not limit:
--- a/tests/test_rolloutevidence.py
+++ b/tests/test_rolloutevidence.py
@@ -86,8 +86,10 @@
         """Guards against bad versions that pass and good ones that don't."""
         cases = (
             (BAD, [gate('a', 20, 10), gate('b', 20, 10)], None),
-            # Fewer than six bad answers say nothing.
-            (SOUND, [gate('a', 20, 3), gate('b', 20, 2)], None),
+            # Fewer than six bad answers are no verdict, unless they are few
+            # among many.
+            (UNKNOWN, [gate('a', 15, 3), gate('b', 15, 2)], None),
+            (SOUND, [gate('a', 40, 3), gate('b', 40, 2)], None),
             (SOUND, [gate('a', 40), gate('b', 40, 1)], None),
             # Both versions are equally bad.
             (SOUND, [gate('a', 40, 20), gate('b', 40, 20)], gate('', 200, 99)),
