--- a/jujubefold/sidecar/rolloutevidence.py
+++ b/jujubefold/sidecar/rolloutevidence.py
@@ -98,7 +98,8 @@
 
     Args:
         old: Sum of the `rollout.GateReport` of the old version.
-        new: `rollout.GateReport` of each gate of the new version.
+        new: `rollout.GateReport` of each gate of the new version, also of
+            earlier starts of its daemon.
         seconds: Length; from the first request to the new version that was
             seen, if that is later.
     """
@@ -361,7 +362,7 @@
             sum(self._old_started.values()),
             {domain: item.old for domain, item in self._evidence.items()},
             {
-                report.vm: report
+                (report.vm, report.incarnation): report
                 for item in self._evidence.values()
                 for report in item.new
             },
@@ -416,16 +417,16 @@
             ),
             old_running,
             old_running + sum(gate.running for gate in last.new.values()),
-            {vm: self._mean_running(vm) for vm in last.new},
+            self._mean_running(),
         )
 
-    def _mean_running(self, vm):
-        running = [
-            reading.new[vm].running
-            for reading in self._history
-            if vm in reading.new
-        ]
-        return sum(running) / len(running)
+    def _mean_running(self):
+        """Return the mean of the requests that ran at each new gate."""
+        running = collections.defaultdict(float)
+        for reading in self._history:
+            for (vm, _), report in reading.new.items():
+                running[vm] += report.running / len(self._history)
+        return dict(running)
 
     def _span(self, before):
         """Return the `Span` from a `_Reading` to the last one."""
@@ -441,8 +442,8 @@
                 self._none,
             ),
             tuple(
-                difference(new.get(vm), report)
-                for vm, report in last.new.items()
+                difference(new.get(name), report)
+                for name, report in last.new.items()
             ),
             max(
                 0.0,
@@ -458,7 +459,7 @@
     new_started: int
     old_started: int
     old: dict[str, rollout.GateReport]
-    new: dict[str, rollout.GateReport]
+    new: dict[tuple[str, int], rollout.GateReport]
 
 
 def _judge_all(reports, old, known_bad_share, seconds, needed):
--- a/jujubefold/sidecar/rolloutplan.py
+++ b/jujubefold/sidecar/rolloutplan.py
@@ -411,7 +411,7 @@
     return {
         gate.vm
         for gate in evidence.recent.new
-        if gate.vm in record.canaries and not gate.started
+        if gate.vm in record.canaries and gate.slots and not gate.started
     }
 
 
@@ -509,7 +509,7 @@
     return (
         record.loaded
         or record.share >= SHARES[1]
-        or len(gates) * REQUESTS_TO_TRIP <= left
+        or sum(gate.slots > 0 for gate in gates) * REQUESTS_TO_TRIP <= left
     )
 
 
@@ -522,7 +522,9 @@
     """
     if record.phase is not rollout.Phase.CANARY or not evidence.rate:
         return False
-    slots = {gate.vm: gate.slots for gate in evidence.overall.new}
+    slots = {
+        gate.vm: gate.slots for gate in evidence.overall.new if gate.slots
+    }
     canaries = sum(slots.get(vm, 0) for vm in record.canaries)
     everything = sum(slots.values())
     if not canaries:
--- a/tests/test_rolloutevidence.py
+++ b/tests/test_rolloutevidence.py
@@ -30,9 +30,10 @@
         seconds *= 8.0 if slow and index % 2 else 1.0
         durations[rollout.bucket(seconds)] += 1
     routes = (rollout.RouteCounts('r', ended, bad, tuple(durations)),)
+    values = {'slots': 8, 'started': ended, 'ended': ended, 'bad': bad}
     return rollout.GateReport(
-        ORDER, 's', vm, incarnation, bool(vm), 8, ended, ended, bad,
-        **{'routes': routes, **fields},
+        ORDER, 's', vm, incarnation, bool(vm),
+        **{**values, 'routes': routes, **fields},
     )  # fmt: skip
 
 
@@ -64,11 +65,18 @@
             )
             ledger.add({'d': evidence}, record, now)
         self.assertEqual(130, ledger.view(record).exposed)
+        # Both starts of a daemon are reported, the earlier without its gate.
+        both = gate('v', 100, 6, slots=0), gate('v', 40, 6, incarnation=2)
+        evidence = rollout.Evidence(ORDER, both, gate('', 900), 1, 1, 'a/1')
+        ledger.add({'d': evidence}, record, 3.5)
+        view = ledger.view(record)
+        self.assertEqual(140, view.exposed)
+        self.assertEqual([6, 6], [item.bad for item in view.overall.new])
         other = rollout.Evidence(
             rollout.OrderId(1, 9), (gate('v', 999),), gate('', 9), 1, 1, 'a/1'
         )
         ledger.add({'d': other}, record, 4.0)
-        self.assertEqual(130, ledger.view(record).exposed)
+        self.assertEqual(140, ledger.view(record).exposed)
 
 
 class TestInterval(testtools.TestCase):
