--- a/jujubefold/sidecar/rolloutevidence.py
+++ b/jujubefold/sidecar/rolloutevidence.py
@@ -4,10 +4,12 @@
 it holds a few seconds of readings of six failure domains and 40 new gates.
 """
 
+import bisect
 import collections
 import dataclasses
 import enum
 import math
+import operator
 
 import msgspec
 
@@ -38,6 +40,11 @@
 # Answers of one upstream or of the old version from which its share counts.
 MIN_UPSTREAM = 10
 MIN_OLD = 30
+# The old version's answers from which their median counts.
+MIN_BASE = 12
+# Bad or slow answers with which a version is not called sound while it has
+# given few, if their share is one that a verdict needs.
+MIN_SUSPICIOUS = 3
 # Distance of the others' share of bad answers within which one bad upstream
 # is a fault of its own, and the number of upstreams of which it is one.
 ALONE_DISTANCE = 0.05
@@ -91,7 +98,8 @@
 
     Args:
         old: Sum of the `rollout.GateReport` of the old version.
-        new: `rollout.GateReport` of each gate of the new version.
+        new: `rollout.GateReport` of each gate of the new version, also of
+            earlier starts of its daemon.
         seconds: Length; from the first request to the new version that was
             seen, if that is later.
     """
@@ -243,13 +251,14 @@
         durations: Count in each of `rollout.BUCKETS`.
         limit: Seconds.
     """
-    found = 0.0
-    for index, count in enumerate(durations):
-        low, high = _bounds(index)
-        if low >= limit:
-            found += count
-        elif high > limit:
-            found += count * math.log(high / limit) / math.log(high / low)
+    index = bisect.bisect_left(rollout.BUCKET_BOUNDS_S, limit)
+    low, high = _bounds(index)
+    found = sum(durations[index + 1 :])
+    if low >= limit:
+        return found + durations[index]
+    if durations[index] and high > limit:
+        part = math.log(high / limit) / math.log(high / low)
+        return found + durations[index] * part
     return found
 
 
@@ -353,7 +362,7 @@
             sum(self._old_started.values()),
             {domain: item.old for domain, item in self._evidence.items()},
             {
-                report.vm: report
+                (report.vm, report.incarnation): report
                 for item in self._evidence.values()
                 for report in item.new
             },
@@ -408,16 +417,16 @@
             ),
             old_running,
             old_running + sum(gate.running for gate in last.new.values()),
-            {vm: self._mean_running(vm) for vm in last.new},
+            self._mean_running(),
         )
 
-    def _mean_running(self, vm):
-        running = [
-            reading.new[vm].running
-            for reading in self._history
-            if vm in reading.new
-        ]
-        return sum(running) / len(running)
+    def _mean_running(self):
+        """Return the mean of the requests that ran at each new gate."""
+        running = collections.defaultdict(float)
+        for reading in self._history:
+            for (vm, _), report in reading.new.items():
+                running[vm] += report.running / len(self._history)
+        return dict(running)
 
     def _span(self, before):
         """Return the `Span` from a `_Reading` to the last one."""
@@ -433,8 +442,8 @@
                 self._none,
             ),
             tuple(
-                difference(new.get(vm), report)
-                for vm, report in last.new.items()
+                difference(new.get(name), report)
+                for name, report in last.new.items()
             ),
             max(
                 0.0,
@@ -450,49 +459,63 @@
     new_started: int
     old_started: int
     old: dict[str, rollout.GateReport]
-    new: dict[str, rollout.GateReport]
+    new: dict[tuple[str, int], rollout.GateReport]
 
 
 def _judge_all(reports, old, known_bad_share, seconds, needed):
     """Return the `Judgement` by route and in total, as of one upstream."""
     ended = sum(report.ended for report in reports)
-    new = total(reports, old)
+    bad = sum(report.bad for report in reports)
     before = {counts.route: counts for counts in old.routes}
-    for counts in (new, *new.routes):
-        name = getattr(counts, 'route', '')
-        other = before.get(name) if name else old
-        old_bad, old_ended = (other.bad, other.ended) if other else (0, 0)
-        if _is_above(
-            counts.bad, counts.ended, old_bad, old_ended, known_bad_share
-        ):
+    seen = collections.Counter()
+    seen_bad = collections.Counter()
+    for report in reports:
+        for counts in report.routes:
+            seen[counts.route] += counts.ended
+            seen_bad[counts.route] += counts.bad
+    compared = [('', ended, bad, old.ended, old.bad)]
+    for name, number in seen.items():
+        other = before.get(name, rollout.RouteCounts(name))
+        compared.append((name, number, seen_bad[name], other.ended, other.bad))
+    for name, number, number_bad, old_ended, old_bad in compared:
+        if _is_above(number_bad, number, old_bad, old_ended, known_bad_share):
             return Judgement(
                 Verdict.BAD,
                 name,
                 (),
-                counts.ended,
-                _share(counts.bad, counts.ended),
+                number,
+                _share(number_bad, number),
                 _share(old_bad, old_ended),
             )
     if seconds >= MIN_SLOW_SPAN_S:
         slow = _judge_slow(reports, before)
         if slow is not None:
             return slow
-    share, old_share = _share(new.bad, new.ended), _share(old.bad, old.ended)
+    share, old_share = _share(bad, ended), _share(old.bad, old.ended)
     durations = sum(
         sum(counts.durations)
         for report in reports
         if report.warm
         for counts in report.routes
     )
-    # Answers while warming up say nothing about slowness.
-    enough = ended >= needed and durations >= needed / 2
+    # Answers while warming up say nothing about slowness, and without the old
+    # version's there is nothing to compare them with.
+    enough = (
+        ended >= needed
+        and durations >= needed / 2
+        and sum(sum(counts.durations) for counts in old.routes) >= MIN_BASE
+        and not (
+            ended < MIN_FOR_ROUTES
+            and bad >= MIN_SUSPICIOUS
+            and share - old_share >= BAD_DISTANCE
+        )
+    )
     verdict = Verdict.SOUND if enough else Verdict.UNKNOWN
-    seen = {counts.route: counts.ended for counts in new.routes}
     if ended >= MIN_FOR_ROUTES:
         for name, counts in before.items():
             if (
                 counts.ended >= ROUTE_SHARE * old.ended
-                and seen.get(name, 0) < MIN_ROUTE
+                and seen[name] < MIN_ROUTE
             ):
                 verdict = Verdict.UNKNOWN
     return Judgement(verdict, '', (), ended, share, old_share)
@@ -512,7 +535,7 @@
 
 
 def _judge_slow(reports, old):
-    """Return the `Judgement` if the version is slow, else None.
+    """Return the `Judgement` if the version is slow or may be, else None.
 
     Each route is judged by its own median, so that the mix of routes does
     not matter. Gates that warm up are left out.
@@ -525,45 +548,64 @@
     everything_old = rollout.RouteCounts('')
     for counts in old.values():
         everything_old = _combine(everything_old, counts, 1)
+    bases = {}
     for report in reports:
         if not report.warm:
             continue
         for counts in report.routes:
-            base = old.get(counts.route)
-            if base is None or sum(base.durations) < MIN_OLD:
-                base = everything_old
-            if sum(base.durations) < MIN_OLD:
+            if counts.route not in bases:
+                bases[counts.route] = _base(counts.route, old, everything_old)
+            base, limit, old_slow, ended = bases[counts.route]
+            if ended < MIN_BASE:
                 continue
-            limit = SLOW_FACTOR * quantile(base.durations, 0.5)
-            found = (
-                report.vm,
-                above(counts.durations, limit * _speed(counts, base)),
-                sum(counts.durations),
-                above(base.durations, limit),
-                sum(base.durations),
+            slow = above(counts.durations, limit)
+            if slow:
+                slow = above(counts.durations, limit * _speed(counts, base))
+            by_route[counts.route].append(
+                (report.vm, slow, sum(counts.durations), old_slow, ended)
             )
-            by_route[counts.route].append(found)
     everything = [item for found in by_route.values() for item in found]
     for name, found in (('', everything), *by_route.items()):
         slow = sum(item[1] for item in found)
         ended = sum(item[2] for item in found)
-        if ended < MIN_DURATIONS or slow < MIN_SLOW:
+        if not ended or slow < MIN_SUSPICIOUS:
             continue
         # The old version's share has the new one's mix of routes.
         old_share = sum(item[2] * item[3] / item[4] for item in found) / ended
         old_ended = min(item[4] for item in found)
+        if slow / ended - old_share < SLOW_DISTANCE:
+            continue
+        verdict = Verdict.UNKNOWN
         if (
-            slow / ended - old_share >= SLOW_DISTANCE
+            ended >= MIN_DURATIONS
+            and slow >= MIN_SLOW
             and interval(slow, ended)[0]
             > interval(old_share * old_ended, old_ended)[1]
             and _most_upstreams_slow(found)
         ):
-            return Judgement(
-                Verdict.SLOW, name, (), ended, slow / ended, old_share
-            )
+            verdict = Verdict.SLOW
+        if verdict is Verdict.SLOW or (not name and ended < MIN_FOR_ROUTES):
+            return Judgement(verdict, name, (), ended, slow / ended, old_share)
     return None
 
 
+def _base(route, old, everything_old):
+    """Return what answers on a route are compared with.
+
+    Returns:
+        The old version's `rollout.RouteCounts`, on all routes if this one has
+        few; the limit of slow answers in seconds; how many were slow; how many
+        there were.
+    """
+    base = old.get(route)
+    if base is None or sum(base.durations) < MIN_BASE:
+        base = everything_old
+    limit = SLOW_FACTOR * quantile(base.durations, 0.5)
+    if not limit:
+        return base, 0.0, 0.0, 0
+    return base, limit, above(base.durations, limit), sum(base.durations)
+
+
 def _most_upstreams_slow(found):
     """Return whether most upstreams answer slowly by themselves."""
     slow = collections.Counter()
@@ -595,16 +637,12 @@
 
 
 def _combine(counts, other, sign):
+    combine = operator.add if sign > 0 else operator.sub
     return rollout.RouteCounts(
         counts.route,
-        counts.ended + sign * other.ended,
-        counts.bad + sign * other.bad,
-        tuple(
-            max(0, own + sign * more)
-            for own, more in zip(
-                counts.durations, other.durations, strict=False
-            )
-        ),
+        combine(counts.ended, other.ended),
+        combine(counts.bad, other.bad),
+        tuple(map(combine, counts.durations, other.durations)),
     )
 
 
