--- a/jujubefold/platform/configuration.py
+++ b/jujubefold/platform/configuration.py
@@ -217,7 +217,7 @@
         tuple(value for item in routes for value in item.unknown_values),
         {} if keys is None else keys.tenants,
         keys,
-        keys is not None or any(item.is_download for item in routes),
+        any(item.is_download for item in routes),
     )
 
 
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -128,6 +128,9 @@
             self.traffic,
             own_member.failure_domain,
         )
+        self.peer_server.divides_answers = lambda: (
+            versions.current.has_downloads
+        )
         self._crash_reports = crashreports.CrashReports(
             own_member, egress, self, clock, event_log
         )
--- a/jujubefold/sidecar/peerserver.py
+++ b/jujubefold/sidecar/peerserver.py
@@ -75,6 +75,8 @@
     Attributes:
         closing: Whether new offers are refused because the daemon is
             stopping.
+        divides_answers: Called without arguments; returns whether large
+            answers are sent in parts.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self._domain = domain
         self._stopping = False
         self.closing = False
+        self.divides_answers = lambda: True
 
     @property
     def busy(self):
@@ -358,7 +361,7 @@
                 sent=True,
             )
         entry.result = result_message(sequence, outcome, self._egress)
-        if entry.connection.answer_parts:
+        if entry.connection.answer_parts and self.divides_answers():
             entry.result = self._answers.hold(key, entry.result)
         entry.connection.send(entry.result)
 
--- a/jujubefold/sidecar/versions.py
+++ b/jujubefold/sidecar/versions.py
@@ -75,8 +75,7 @@
         keys: The `tenants.KeyTable` that finds a tenant by its key; None if
             the configuration has no table of tenants, so that requests need
             no key.
-        calls_first: Whether calls of running requests go before other
-            requests, as its routes or tenants ask for.
+        has_downloads: Whether some routes have large answers.
     """
 
     mesh: mesh.Mesh
@@ -88,7 +87,12 @@
     keys: tenants_module.KeyTable | None = dataclasses.field(
         default=None, compare=False, repr=False
     )
-    calls_first: bool = False
+    has_downloads: bool = False
+
+    @property
+    def calls_first(self):
+        """Whether calls of running requests go before other requests."""
+        return self.keys is not None or self.has_downloads
 
 
 class Versions:
--- a/tests/test_answertransfer.py
+++ b/tests/test_answertransfer.py
@@ -219,6 +219,23 @@
 
         self.run_with(scenario)
 
+    def test_answers_are_whole_in_fleets_without_downloads(self):
+        # Other deployments must not pay a round trip for each large answer.
+        async def scenario(fleet, asker):
+            requests = self.delay_parts(fleet)
+            file = sidecars.route('file', '/file/')
+            await fleet.configure(
+                sidecars.document(2, (*sidecars.ROUTES, file))
+            )
+            await sidecars.wait_until(
+                lambda: fleet.daemons['vm-2'].versions.number == 2, 5.0
+            )
+            response = await fleet.call('vm-1', '/file/x')
+            self.assertEqual((200, BODY), (response.status, response.body))
+            self.assertEqual([], requests)
+
+        self.run_with(scenario)
+
     def test_a_daemon_of_the_release_before_is_sent_whole_answers(self):
         async def scenario(fleet, asker):
             requests = self.delay_parts(fleet)
