Give the messages for parts of bodies one shape, and split a long function

AnswerRequest and AnswerPart repeated the fields of BodyRequest and BodyPart; both pairs now share their bases, with the same tags and order on the wire. _new_call built the forwarded headers too; they have a function of their own (a generated request id now follows the caller's service).

--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -115,8 +115,8 @@
     call: bool = False
 
 
-class BodyRequest(Message, tag='pull'):
-    """Requests a part of an offer's body.
+class PartRequest(Message):
+    """Base of requests for a part of a body.
 
     Args:
         sequence: Identifies the offer.
@@ -129,8 +129,8 @@
     size: int
 
 
-class BodyPart(Message, tag='part'):
-    """A part of an offer's body.
+class Part(Message):
+    """Base of the parts of a body.
 
     Args:
         sequence: Identifies the offer.
@@ -143,6 +143,14 @@
     data: bytes
 
 
+class BodyRequest(PartRequest, tag='pull'):
+    """Requests a part of an offer's body."""
+
+
+class BodyPart(Part, tag='part'):
+    """A part of an offer's body."""
+
+
 class Cancel(Message, tag='cancel'):
     """Cancels an offer, because its sender no longer awaits the result."""
 
@@ -354,33 +362,16 @@
     store_era: int
 
 
-class AnswerRequest(Message, tag='pull-answer'):
-    """Requests a part of an answer's body.
+class AnswerRequest(PartRequest, tag='pull-answer'):
+    """Requests a part of an answer's body."""
 
-    Args:
-        sequence: Identifies the offer.
-        offset: Position of the part's first byte.
-        size: Bytes of the part.
-    """
 
-    sequence: int
-    offset: int
-    size: int
-
-
-class AnswerPart(Message, tag='answer-part'):
+class AnswerPart(Part, tag='answer-part'):
     """A part of an answer's body.
 
-    Args:
-        sequence: Identifies the offer.
-        offset: Position of the part's first byte.
-        data: The part; empty if the sender does not hold the body any more.
+    The data is empty if the sender does not hold the body any more.
     """
 
-    sequence: int
-    offset: int
-    data: bytes
-
 
 class QuotaRequest(Message, tag='quota'):
     """Requests tokens of tenants' buckets; without any, only an answer.
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -55,8 +55,8 @@
 _FAILURES = range(500, 600)
 _MS = 1000
 _MAX_DEADLINE_DIGITS = 9
-# Reasons whose status tells the caller that repeating the request is of no
-# use.
+# Reasons with a status of their own: the cause is the request or its sender,
+# not this daemon's or an upstream's state, which 503 tells.
 _OWN_STATUS = frozenset(
     {
         calls.Reason.NO_ROUTE,
@@ -271,18 +271,10 @@
             parent = calldemand.running_parent(
                 self._demand, (request_id or b'').decode('latin-1')
             )
-        headers = httpheads.end_to_end_headers(
-            request.headers,
-            names.reserved
-            if configuration.keys is None
-            else names.reserved_with_tenants,
-        )
+        headers = self._forwarded_headers(request, configuration, tenant)
         if request_id is None:
             request_id = b'%016x' % self._rng.getrandbits(64)
             headers.append((names.request, request_id))
-        headers.append((names.caller, self._service))
-        if tenant is not None:
-            headers.append((names.tenant, tenant.name.encode()))
         rank, deadline, waited = _rank(route, tenant), now + remaining, 0.0
         if parent is None:
             waited = callerwait.estimate(
@@ -313,6 +305,20 @@
             parent=parent,
         )
 
+    def _forwarded_headers(self, request, configuration, tenant):
+        """Return the headers for an upstream, without a caller's key."""
+        names = self._names
+        headers = httpheads.end_to_end_headers(
+            request.headers,
+            names.reserved
+            if configuration.keys is None
+            else names.reserved_with_tenants,
+        )
+        headers.append((names.caller, self._service))
+        if tenant is not None:
+            headers.append((names.tenant, tenant.name.encode()))
+        return headers
+
     # Offers
 
     async def _serve(self, call):
