Let requests queue in other failure domains while that is on time

Cause: a request queued elsewhere only if its own failure domain had no upstream of the service, and moved only to a slot that was reported free.

Change: unless the own domain has a free slot that is on time, all slots and queues of the service compete by expected latency; another domain must save 30 ms (12 ms before) and answer on time.

--- a/jujubefold/sidecar/balancer.py
+++ b/jujubefold/sidecar/balancer.py
@@ -2,9 +2,9 @@
 
 The upstream with the least expected latency is chosen, estimated from load
 reports that are slightly out of date. Traffic between failure domains is
-charged, so a request leaves its own only if it would be late there and
-another one has a free slot. When all upstreams are loaded, moving it would
-only displace other requests.
+charged, so a request leaves its own only where that saves more time than the
+distance costs, and only for an upstream that would answer on time. When all
+upstreams are loaded, moving it would only displace other requests.
 """
 
 import dataclasses
@@ -15,7 +15,7 @@
 
 # Seconds added to the expected latency, by distance: what a request may lose
 # by staying nearer.
-DISTANCE_COST_S = {'own': 0.0, 'domain': 0.001, 'region': 0.012, 'far': 0.08}
+DISTANCE_COST_S = {'own': 0.0, 'domain': 0.001, 'region': 0.03, 'far': 0.08}
 # Distances within the failure domain of this daemon.
 SAME_DOMAIN = frozenset({'own', 'domain'})
 # An answer counts as on time if it is expected within this share of the time
@@ -108,11 +108,15 @@
 def choose(candidates, criteria, now, rng):
     """Return the `Choice` for a request, or None without a candidate.
 
-    The order of preference is: a free slot in the own failure domain, the
-    queue there, and a free slot elsewhere, each if that is on time; else a
-    free slot or the queue in the own failure domain. Without an upstream in
-    the own failure domain, the request may queue elsewhere. So may the call
-    of a running request that would miss its deadline in the own one.
+    A free slot in the own failure domain is taken if it is on time. Else all
+    slots and queues of the service compete, so that failure domains with
+    more callers than upstreams use the room of the others. If none is on
+    time, the request stays in the own failure domain: elsewhere it would
+    only delay others. The call of a running request may leave it as long as
+    the call can end before its deadline.
+
+    Answers a load of up to the capacity of all upstreams of a service that is
+    spread unevenly over its failure domains.
 
     Args:
         candidates: Each `Candidate` of the service, in any order.
@@ -127,33 +131,19 @@
     ]
     if criteria.preference is not None:
         available = _on_track(available, criteria, now)
-    near = [item for item in available if item.distance in SAME_DOMAIN]
-    far = [item for item in available if item.distance not in SAME_DOMAIN]
-    near_free = _fastest(
-        _with_free_slot(near, criteria, now), criteria, now, rng
-    )
+    free = _with_free_slot(available, criteria, now)
+    near_free = _fastest(_near(free), criteria, now, rng)
     if near_free is not None and _is_on_time(near_free, criteria, now):
         return Choice(near_free, False)
-    queues = [item for item in near or far if item.vm not in criteria.excluded]
-    queue = _fastest(queues, criteria, now, rng)
-    if near and queue is not None and _is_on_time(queue, criteria, now):
-        return Choice(queue, True)
-    far_free = _fastest(
-        _with_free_slot(far, criteria, now), criteria, now, rng
-    )
-    if far_free is not None and _is_on_time(far_free, criteria, now):
-        return Choice(far_free, False)
-    if near_free is not None:
-        return Choice(near_free, False)
-    call_time_left = criteria.call_time_left
-    if call_time_left is not None and not (
-        queue is not None
-        and expected_latency(queue, criteria, now)
-        <= call_time_left * ON_TIME_SHARE
+    usable = [item for item in available if item.vm not in criteria.excluded]
+    best = _fastest(usable, criteria, now, rng)
+    if (
+        best is not None
+        and _near(available)
+        and not _is_worth_leaving_for(best, criteria, now)
     ):
-        queues = [x for x in available if x.vm not in criteria.excluded]
-        queue = _fastest(queues, criteria, now, rng)
-    return None if queue is None else Choice(queue, True)
+        best = near_free or _fastest(_near(usable), criteria, now, rng)
+    return None if best is None else Choice(best, best not in free)
 
 
 def expected_latency(candidate, criteria, now):
@@ -269,6 +259,25 @@
     )
 
 
+def _is_worth_leaving_for(candidate, criteria, now):
+    """Return whether a request may leave its failure domain for a candidate.
+
+    A call has until its deadline: its parent's work is lost only then.
+    """
+    if _is_on_time(candidate, criteria, now):
+        return True
+    return (
+        criteria.call_time_left is not None
+        and expected_latency(candidate, criteria, now)
+        <= criteria.call_time_left * ON_TIME_SHARE
+    )
+
+
+def _near(candidates):
+    """Return the candidates of the own failure domain."""
+    return [item for item in candidates if item.distance in SAME_DOMAIN]
+
+
 def _fastest(candidates, criteria, now, rng):
     return min(
         candidates,
--- a/tests/placement.py
+++ b/tests/placement.py
@@ -91,6 +91,14 @@
         )
         return 1 - found['refused'] / found.total()
 
+    def on_time(self, domain):
+        """Return the share of a failure domain's requests that were on time.
+
+        Args:
+            domain: Failure domain of the callers.
+        """
+        return self.ends[domain]['on time'] / self.ends[domain].total()
+
     def run(self, per_s, seconds):
         """Let the callers of each VM send requests, and wait for all ends.
 
