Put calls of running requests first on every deployment

Precedence of calls existed, but was switched on by `bounds.exposure_share`, or by tenants and downloads, which have nothing to do with it.

Change: `[calls] first` is true unless the settings say otherwise; the template and the configuration no longer decide it. Callers whose ids do not continue the id of a running request are served as before.

--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -114,8 +114,7 @@
         event_log: An `eventlog.EventLog`.
         metrics: A `metrics.SidecarMetrics`.
         demand: The `calldemand.DemandTable` of this VM's gate.
-        calls_first: Whether calls of running requests go before others,
-            whatever the configuration asks for.
+        calls_first: Whether calls of running requests go before others.
 
     Attributes:
         closing: Whether new requests are refused because the daemon is
@@ -140,7 +139,7 @@
         event_log,
         metrics,
         demand,
-        calls_first=False,
+        calls_first=True,
     ):
         self._names = names
         self._service = service.encode('latin-1')
@@ -267,7 +266,7 @@
         now = request.received_at
         request_id = request.fields.get(names.request)
         parent = None
-        if self._calls_first or configuration.calls_first:
+        if self._calls_first:
             parent = calldemand.running_parent(
                 self._demand, (request_id or b'').decode('latin-1')
             )
--- a/jujubefold/sidecar/options.py
+++ b/jujubefold/sidecar/options.py
@@ -160,11 +160,10 @@
     """Calls that running requests make.
 
     Args:
-        first: Whether they go before other requests, whatever the
-            configuration asks for; see `calldemand`.
+        first: Whether they go before other requests; see `calldemand`.
     """
 
-    first: bool = False
+    first: bool = True
 
 
 class Quotas(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/jujubefold/sidecar/versions.py
+++ b/jujubefold/sidecar/versions.py
@@ -89,11 +89,6 @@
     )
     has_downloads: bool = False
 
-    @property
-    def calls_first(self):
-        """Whether calls of running requests go before other requests."""
-        return self.keys is not None or self.has_downloads
-
 
 class Versions:
     """Holds the newest configuration that this daemon knows.
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -330,7 +330,6 @@
             options.Stop(6.0),
             rollouts=self.rollouts,
             tenants=self.tenants,
-            calls=options.Calls(first=True),
         )
         return await self.restart(vm, daemon_options, feed)
 
