Prefer the faster one of two upstreams with room

Change: each daemon learns by upstream how its answers compare with the mean of the route (weight 0.03, half-life 5 s, at most 5 times the mean). The expected latency uses it.

Ruled out: the gate's mean duration, which varies by a quarter with the mixture of routes.

--- a/jujubefold/sidecar/balancer.py
+++ b/jujubefold/sidecar/balancer.py
@@ -33,6 +33,14 @@
 # Seconds added to the expected latency of a penalized upstream, so that it
 # is chosen last.
 PENALTY_S = 10.0
+# Weight of the newest answer in the mean slowness of an upstream: about the
+# last 30 determine it, as durations of one kind of request vary by their mean.
+SLOWNESS_WEIGHT = 0.03
+# Multiple of the mean duration that one answer counts at most.
+MAX_SLOWNESS = 5.0
+# Seconds without an answer after which a difference in speed counts half. A
+# slow upstream that is avoided shows only by new requests that it is sound.
+SLOWNESS_HALF_LIFE_S = 5.0
 # Random share added to the expected latency, so that daemons with equal
 # reports don't all choose the same upstream.
 JITTER = 0.1
@@ -53,6 +61,9 @@
         reachable: Whether its daemon can be sent offers now.
         capacity: Megabits a second between this daemon and it; 0 if unknown
             or on the same VM.
+        slowness: Mean of the time that it took for an answer, as a multiple
+            of the mean of all upstreams for that route.
+        answered_at: Monotonic seconds of the last answer that counts in it.
     """
 
     vm: str
@@ -64,6 +75,8 @@
     penalized_until: float = 0.0
     reachable: bool = False
     capacity: float = 0.0
+    slowness: float = 1.0
+    answered_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,7 +85,7 @@
 
     Args:
         time_left: Seconds until an answer is late; negative if it is.
-        duration: Seconds that an upstream needs, without queueing.
+        duration: Mean seconds that upstreams need, without queueing.
         excluded: Names of VMs that must not be offered the request again.
         full: Names of VMs whose gates had no free slot for it; it may still
             queue there.
@@ -156,7 +169,8 @@
     """
     load = candidate.load
     is_call = criteria.call_time_left is not None
-    seconds = expected_wait(candidate, now, is_call) + criteria.duration
+    seconds = expected_wait(candidate, now, is_call)
+    seconds += criteria.duration * expected_slowness(candidate, now)
     failure_rate = limiter.decayed_failure_rate(
         load.failure_rate, now - candidate.reported_at
     )
@@ -187,6 +201,33 @@
     return load.mean_duration * excess / load.slots
 
 
+def expected_slowness(candidate, now):
+    """Return the expected duration as a multiple of the mean of the service.
+
+    Args:
+        candidate: A `Candidate`.
+        now: Monotonic seconds.
+    """
+    age = max(0.0, now - candidate.answered_at)
+    weight = 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
+    return 1.0 + (candidate.slowness - 1.0) * weight
+
+
+def record_duration(candidate, seconds, mean, now):
+    """Learn an upstream's speed from the time that it took for an answer.
+
+    Args:
+        candidate: The `Candidate` that answered.
+        seconds: Seconds that it took, without queueing.
+        mean: Mean seconds of all upstreams for that route; above 0.
+        now: Monotonic seconds.
+    """
+    before = expected_slowness(candidate, now)
+    sample = min(MAX_SLOWNESS, seconds / mean)
+    candidate.slowness = before + SLOWNESS_WEIGHT * (sample - before)
+    candidate.answered_at = now
+
+
 def update_load(candidate, load, now):
     """Store a load report of a candidate's gate.
 
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -389,9 +389,7 @@
         call.sends += outcome.sent
         _refund_unsent_retry(call, outcome.sent)
         if outcome.upstream_time:
-            self._update_mean_duration(
-                call.attempt.route, outcome.upstream_time
-            )
+            self._record_duration(call.attempt.route, candidate, outcome)
         call.offer_log.append(
             {
                 'vm': candidate.vm,
@@ -406,8 +404,13 @@
         )
         return outcome
 
-    def _update_mean_duration(self, route, seconds):
+    def _record_duration(self, route, candidate, outcome):
+        seconds = outcome.upstream_time
         mean = self._mean_durations.get(route, seconds)
+        if not outcome.failed:
+            balancer.record_duration(
+                candidate, seconds, mean, self._clock.monotonic()
+            )
         mean += limiter.EWMA_WEIGHT * (seconds - mean)
         self._mean_durations[route] = mean
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -137,6 +137,29 @@
         found = {choose(candidates, now=later, seed=s) for s in range(40)}
         self.assertEqual({'one', 'two'}, found)
 
+    def test_faster_one_of_two_free_upstreams_is_chosen(self):
+        """Guards requests that only a fast upstream answers on time."""
+        for mean in (0.005, 0.1, 1.0):
+            slow, fast = (
+                candidate('slow', 'domain'),
+                candidate('fast', 'domain'),
+            )
+            for _ in range(40):
+                balancer.record_duration(slow, 1.4 * mean, mean, 0.0)
+                balancer.record_duration(fast, 0.6 * mean, mean, 0.0)
+            for seed in range(20):
+                self.assertEqual('fast', choose([slow, fast], seed=seed))
+
+    def test_slow_upstream_is_tried_again_after_a_while(self):
+        slow = candidate('slow', 'domain')
+        for _ in range(200):
+            balancer.record_duration(slow, 9.0, 0.1, 0.0)
+        now = balancer.expected_slowness(slow, 0.0)
+        self.assertGreater(now, 4.0)
+        self.assertLessEqual(now, balancer.MAX_SLOWNESS)
+        later = 8 * balancer.SLOWNESS_HALF_LIFE_S
+        self.assertLess(balancer.expected_slowness(slow, later), 1.05)
+
     def test_offers_since_the_report_count_as_load(self):
         one, two = candidate('one', 'domain'), candidate('two', 'domain')
         one.offers_since_report = 9
