--- a/tests/callfleet.py
+++ b/tests/callfleet.py
@@ -199,7 +199,8 @@
             )
             for name, work in works.items()
         ]  # fmt: skip
-        document = sidecars.document(1, rows, tuple(sizes))
+        services = sorted({work.service for work in works.values()})
+        document = sidecars.document(1, rows, tuple(services))
         found = adapter.PLATFORM.decode(document).ok
         self.versions = types.SimpleNamespace(current=found, number=1)
         self.vms = {}
