--- a/jujubefold/sidecar/balancer.py
+++ b/jujubefold/sidecar/balancer.py
@@ -34,7 +34,7 @@
 # is chosen last.
 PENALTY_S = 10.0
 # Weight of the newest answer in the mean slowness of an upstream: about the
-# last 30 determine it, as durations of one kind of request vary by their mean.
+# last 30 determine it. Durations of one route vary by as much as their mean.
 SLOWNESS_WEIGHT = 0.03
 # Multiple of the mean duration that one answer counts at most.
 MAX_SLOWNESS = 5.0
--- a/tests/callfleet.py
+++ b/tests/callfleet.py
@@ -271,7 +271,7 @@
         self.ends[kind][late if status == 200 else 'failed'] += counted
 
     async def _sweep(self):
-        """Report gates that fill or free, as the fleet does."""
+        """Report gates that fill or free to their failure domain."""
         room = dict.fromkeys(self.vms, True)
         while True:
             await asyncio.sleep(loads.SWEEP_S)
@@ -284,7 +284,8 @@
                 room[vm.own_vm] = not room[vm.own_vm]
                 for other in self.vms.values():
                     candidate = other.by_service[vm.service][vm.own_vm]
-                    balancer.update_load(candidate, load, now)
+                    if candidate.distance in balancer.SAME_DOMAIN:
+                        balancer.update_load(candidate, load, now)
 
     def served(self, kind):
         """Return the share of a kind's requests that were answered in time."""
--- a/tests/domainfleet.py
+++ b/tests/domainfleet.py
@@ -198,23 +198,6 @@
             domain = self._domains[vm.own_vm]
             self.ends[domain][end] += self.scenario.worths[kind]
 
-    async def _sweep(self):
-        """Report gates that fill or free to their failure domain."""
-        room = dict.fromkeys(self.vms, True)
-        while True:
-            await asyncio.sleep(loads.SWEEP_S)
-            now = self.clock.monotonic()
-            for vm in self.vms.values():
-                vm.ingress.cancel_expired(now)
-                load = vm.egress.load()
-                if (load.running < load.slots) == room[vm.own_vm]:
-                    continue
-                room[vm.own_vm] = not room[vm.own_vm]
-                for other in self.vms.values():
-                    candidate = other.by_service[vm.service][vm.own_vm]
-                    if candidate.distance == 'domain':
-                        balancer.update_load(candidate, load, now)
-
     def credit(self, name):
         """Return the share of the worth that a kind or domain earned."""
         ends = self.ends[name]
