Ask for the newest version in the soak's check of recovery

The check asked for the route of version 2, the newest at its start, while soak.keys goes on publishing versions with routes of their own; once version 3 was in force, no daemon could answer 200.

The check asks for the route of the newest version at the time of each request. It is stricter: a daemon that still serves the older one no longer passes. tests/test_soak.py plays both cases; the first failed before.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -147,23 +147,29 @@
 async def unrecovered(testbed, callers):
     """Yield one line for each VM that does not serve the newest version.
 
-    All VMs are asked at the same time, for up to `RECOVERY_S` seconds.
+    All VMs are asked at the same time, for up to `RECOVERY_S` seconds. Versions
+    may go on being published meanwhile, and each has a route of its own: what
+    is asked for is the route of the newest at that moment.
     """
     deadline = asyncio.get_running_loop().time() + RECOVERY_S
-    target = f'{testbed.target}x'
-    statuses = await asyncio.gather(
-        *(_status_once_served(vm, target, deadline) for vm in testbed.vms)
+    answers = await asyncio.gather(
+        *(_newest_once_served(testbed, vm, deadline) for vm in testbed.vms)
     )
-    for vm, status in zip(testbed.vms, statuses, strict=True):
+    for vm, (target, status) in zip(testbed.vms, answers, strict=True):
         if status != 200:
             yield f'not recovered: {vm.name} answers {status} to {target}'
 
 
-async def _status_once_served(vm, target, deadline):
-    """Send requests until one is served; return the last one's status."""
+async def _newest_once_served(testbed, vm, deadline):
+    """Send requests until one is served; return the last one and its status.
+
+    Returns:
+        Pair of the target and the status.
+    """
     loop = asyncio.get_running_loop()
-    status = None
+    target, status = None, None
     while loop.time() < deadline and status != 200:
+        target = f'{testbed.target}x'
         try:
             async with asyncio.timeout(2.0):
                 answer = await sidecars.request(
@@ -180,7 +186,7 @@
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             status = 0
         await asyncio.sleep(0.05)
-    return status
+    return target, status
 
 
 def drain_violations(testbed):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -132,6 +132,46 @@
             self.assertEqual(expected, kinds)
 
 
+class TestRecovery(testtools.TestCase):
+    def unrecovered(self, answer, recovery=8.0):
+        """Check a VM that answers a target of a testbed by a function."""
+        testbed = types.SimpleNamespace(
+            target='/new-1/',
+            vms=[types.SimpleNamespace(name='vm', callers='')],
+        )
+
+        async def request(address, method, target, headers):
+            return types.SimpleNamespace(status=answer(testbed, target))
+
+        async def scenario():
+            return [line async for line in checks.unrecovered(testbed, None)]
+
+        self.patch(checks, 'RECOVERY_S', recovery)
+        self.patch(checks.sidecars, 'request', request)
+        return asyncio.run(scenario())
+
+    def test_version_published_meanwhile_is_the_one_asked_for(self):
+        """A daemon that starts while version 2 is replaced by 3 serves 3."""
+        targets = iter(('/new-2/', '/new-3/'))
+
+        def answer(testbed, target):
+            if testbed.target != '/new-3/':
+                testbed.target = next(targets)
+                return 503
+            return 200 if target == '/new-3/x' else 404
+
+        self.assertEqual([], self.unrecovered(answer))
+
+    def test_older_version_is_not_enough(self):
+        def answer(testbed, target):
+            return 200 if target == '/new-0/x' else 404
+
+        self.assertEqual(
+            ['not recovered: vm answers 404 to /new-1/x'],
+            self.unrecovered(answer, recovery=0.2),
+        )
+
+
 class TestLimits(testtools.TestCase):
     def violations(self, times):
         limit = testbeds.NamedLimit(2.0, since=10.0, arrivals=times)
