Keep announced full gates full until they announce room

Cause: a load report counts less with age and nothing after 1 s. Gates tell their own failure domain when they fill and when they have room again, not in between, so a gate that stays full looked empty to each daemon that had not offered to it within a second. With few requests a daemon, all of them went to the full gates nearby first, then queued there.

Change: a gate that announced no room counts as full until it announces or reports room. Answers to offers do not set this: the gate announces nothing if it has room again before its next check. Only within the failure domain, since only there room is announced. The simulation plays these announcements.

--- a/jujubefold/sidecar/balancer.py
+++ b/jujubefold/sidecar/balancer.py
@@ -64,6 +64,8 @@
         slowness: Mean of the time that it took for an answer, as a multiple
             of the mean of all upstreams for that route.
         answered_at: Monotonic seconds of the last answer that counts in it.
+        announced_full: Whether its gate announced that no slot is free, and
+            none has been reported free since.
     """
 
     vm: str
@@ -77,6 +79,7 @@
     capacity: float = 0.0
     slowness: float = 1.0
     answered_at: float = 0.0
+    announced_full: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -242,6 +245,31 @@
     candidate.load = load
     candidate.reported_at = now
     candidate.offers_since_report = 0
+    if has_room(load):
+        candidate.announced_full = False
+
+
+def announce_load(candidate, load, now):
+    """Store a load report that a gate sent because it filled or freed.
+
+    Gates announce both to their own failure domain. Until it announces room,
+    such a gate stays full, however old its report is: daemons that send few
+    requests would offer each of them to the full gates nearby first.
+
+    Args:
+        candidate: The `Candidate` to change.
+        load: The `limiter.Load` announced.
+        now: Monotonic seconds.
+    """
+    update_load(candidate, load, now)
+    candidate.announced_full = (
+        candidate.distance in SAME_DOMAIN and not has_room(load)
+    )
+
+
+def has_room(load):
+    """Return whether a `limiter.Load` has a free slot."""
+    return load.running < load.slots
 
 
 def penalize(candidate, now):
@@ -257,14 +285,18 @@
 def _occupancy(candidate, now, call=False):
     """Return how many requests are expected to hold or wait for a slot.
 
-    The reported ones count less the older the report is. For a call, only
-    other calls count as waiting.
+    The reported ones count less the older the report is, but for those that
+    fill a gate which announces when it has room again. For a call, only other
+    calls count as waiting.
     """
     load = candidate.load
     age = max(0.0, now - candidate.reported_at)
     weight = max(0.0, 1.0 - age / REPORT_MAX_AGE_S)
     waiting = load.waiting_calls if call else load.waiting
-    return (load.running + waiting) * weight + candidate.offers_since_report
+    reported = (load.running + waiting) * weight
+    if candidate.announced_full:
+        reported = max(reported, load.slots)
+    return reported + candidate.offers_since_report
 
 
 def _on_track(candidates, criteria, now):
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -417,9 +417,9 @@
             self._handle_hello(message, outgoing)
             peer = self._peers.get(message.member.vm)
             if peer is not None:
-                self._update_load(peer, message.load)
+                self._update_load(peer, message.load, balancer.update_load)
         elif isinstance(message, frames.Load) and peer is not None:
-            self._update_load(peer, message)
+            self._update_load(peer, message, balancer.announce_load)
         elif isinstance(message, frames.ShutdownNotice) and peer is not None:
             peer.candidate.reachable = False
             self._mark_down(outgoing.vm)
@@ -487,15 +487,13 @@
             versions_module.Stamp(hello.version, hello.era), channel
         )
 
-    def _update_load(self, peer, load):
+    def _update_load(self, peer, load, update):
         vm = peer.candidate.vm
         if self.rollouts is not None and vm in self.roster.members:
             if (vm in self._peering.closed) == bool(load.slots):
                 self._peering.closed ^= {vm}
                 self._peering_changed = True
-        balancer.update_load(
-            peer.candidate, _decode_load(load), self._clock.monotonic()
-        )
+        update(peer.candidate, _decode_load(load), self._clock.monotonic())
 
     def _handle_link_state(self, outgoing):
         peer = self._peers.get(outgoing.vm)
@@ -589,7 +587,8 @@
         """Report the load to nearby daemons when the gate fills or frees."""
         if now - self._load_reported_at < MIN_LOAD_INTERVAL_S:
             return
-        if _has_room(self._egress.load()) == _has_room(self._reported_load):
+        load = self._egress.load()
+        if balancer.has_room(load) == balancer.has_room(self._reported_load):
             return
         self._mark_load_reported()
         self.peer_server.broadcast(
@@ -660,10 +659,6 @@
     return min(one.capacity, other.capacity)
 
 
-def _has_room(load):
-    return load.running < load.slots
-
-
 def _unreachable_outcome():
     return attempts.Outcome(
         refusal=calls.Refusal(
--- a/tests/placement.py
+++ b/tests/placement.py
@@ -78,6 +78,7 @@
         for name, table in self._tables.items():
             pace.set_rate(table.pace, self._vms[name].limit, 0.0)
         self._candidates = {vm.name: self._new_candidates(vm) for vm in vms}
+        self._had_room = dict.fromkeys(self._tables, True)
 
     def served(self, *domains):
         """Return the share of requests that were answered.
@@ -244,8 +245,21 @@
         self._wake_later(now, table)
 
     def _sweep(self, now):
-        for table in self._tables.values():
+        for name, table in self._tables.items():
             self._evict(now, table)
+            self._report_room(now, name, table)
+
+    def _report_room(self, now, name, table):
+        """Report a gate that filled or freed to its failure domain."""
+        load = limiter.load(table, now)
+        has_room = balancer.has_room(load)
+        if has_room == self._had_room[name]:
+            return
+        self._had_room[name] = has_room
+        domain = self._vms[name].domain
+        for vm, candidates in self._candidates.items():
+            if self._vms[vm].domain == domain:
+                balancer.announce_load(candidates[name], load, now)
 
 
 def _distance(vm, other):
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -166,6 +166,26 @@
         for seed in range(20):
             self.assertEqual('two', choose([one, two], seed=seed))
 
+    def test_announced_full_gate_stays_full_until_it_has_room(self):
+        """Answers to other offers may show it full in between."""
+        near, far = candidate('near', 'domain'), candidate('far')
+        full, free = candidate('x', running=6).load, candidate('x').load
+
+        def may_queue(item, now):
+            return decide([item], now=now).may_queue
+
+        balancer.update_load(near, full, 0.0)
+        self.assertFalse(may_queue(near, 9.0))
+        balancer.announce_load(near, full, 9.0)
+        self.assertTrue(may_queue(near, 18.0))
+        balancer.update_load(near, full, 18.0)
+        self.assertTrue(may_queue(near, 27.0))
+        balancer.announce_load(near, free, 27.0)
+        self.assertFalse(may_queue(near, 27.0))
+        # Gates announce no room to other failure domains.
+        balancer.announce_load(far, full, 0.0)
+        self.assertFalse(may_queue(far, 9.0))
+
     def test_reported_queue_counts_less_with_age(self):
         busy = candidate('busy', running=6, waiting=20)
         criteria = balancer.Criteria(0.5, 0.1)
