--- a/jujubefold/sidecar/balancer.py
+++ b/jujubefold/sidecar/balancer.py
@@ -177,14 +177,15 @@
     is_call = criteria.call_time_left is not None
     seconds = expected_wait(candidate, now, is_call)
     seconds += criteria.duration * expected_slowness(candidate, now)
-    failure_rate = limiter.decayed_failure_rate(
-        load.failure_rate, now - candidate.reported_at
-    )
-    seconds /= max(MIN_SUCCESS_RATE, 1 - failure_rate)
-    # A failure mostly loses the request. An upstream that fails fast would
-    # otherwise look like the least loaded one.
-    excess = max(0.0, failure_rate - SOUND_FAILURE_RATE)
-    seconds += excess * max(criteria.time_left, criteria.duration)
+    if load.failure_rate:
+        failure_rate = limiter.decayed_failure_rate(
+            load.failure_rate, now - candidate.reported_at
+        )
+        seconds /= max(MIN_SUCCESS_RATE, 1 - failure_rate)
+        # A failure mostly loses the request. An upstream that fails fast
+        # would otherwise look like the least loaded one.
+        excess = max(0.0, failure_rate - SOUND_FAILURE_RATE)
+        seconds += excess * max(criteria.time_left, criteria.duration)
     if now < candidate.penalized_until:
         seconds += PENALTY_S
     if criteria.body_size > transfer.INLINE_BYTES:
@@ -203,7 +204,9 @@
             such calls only.
     """
     load = candidate.load
-    excess = max(0.0, _occupancy(candidate, now, call) + 1 - load.slots)
+    excess = _occupancy(candidate, now, call) + 1 - load.slots
+    if excess <= 0.0:
+        return 0.0
     return load.mean_duration * excess / load.slots
 
 
@@ -214,6 +217,8 @@
         candidate: A `Candidate`.
         now: Monotonic seconds.
     """
+    if candidate.slowness == 1.0:
+        return 1.0
     age = max(0.0, now - candidate.answered_at)
     weight = 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
     return 1.0 + (candidate.slowness - 1.0) * weight
@@ -290,10 +295,12 @@
     calls count as waiting.
     """
     load = candidate.load
-    age = max(0.0, now - candidate.reported_at)
-    weight = max(0.0, 1.0 - age / REPORT_MAX_AGE_S)
-    waiting = load.waiting_calls if call else load.waiting
-    reported = (load.running + waiting) * weight
+    reported = 0.0
+    age = now - candidate.reported_at
+    if age < REPORT_MAX_AGE_S:
+        waiting = load.waiting_calls if call else load.waiting
+        weight = 1.0 - age / REPORT_MAX_AGE_S if age > 0.0 else 1.0
+        reported = (load.running + waiting) * weight
     if candidate.announced_full:
         reported = max(reported, load.slots)
     return reported + candidate.offers_since_report
