--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -555,10 +555,11 @@
         Only the daemons that `fleet.Fleet` selects as readers follow them; the
         others hear from them, also while this daemon stops.
         """
-        self._configurations.update(
-            self.fleet.should_read_versions and not self._closed
+        reads_versions, reads_members = (
+            should_read and not self._closed
+            for should_read in self.fleet.tables_to_read()
         )
-        reads_members = self.fleet.should_read_members and not self._closed
+        self._configurations.update(reads_versions)
         if reads_members and not self._members.running:
             self._members.skip_to(self.fleet.readers.members_version)
         self._members.update(reads_members)
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -276,24 +276,21 @@
             return None
         return round(self._clock.monotonic() - seen_at, 3)
 
-    @property
-    def should_read_versions(self):
-        """Whether this daemon should read versions from the platform."""
-        return readers.should_read_versions(
-            self.readers,
-            bool(self._versions.number),
-            self.is_reader,
-            self._clock.monotonic(),
-        )
+    def tables_to_read(self):
+        """Return what this daemon should read from the platform now.
 
-    @property
-    def should_read_members(self):
-        """Whether this daemon should read members from the platform."""
-        return readers.should_read_members(
-            self.readers,
-            self.roster.complete,
-            self.is_reader,
-            self._clock.monotonic(),
+        Returns:
+            Whether it should read versions, and whether members.
+        """
+        is_reader = self.is_reader
+        now = self._clock.monotonic()
+        return (
+            readers.should_read_versions(
+                self.readers, bool(self._versions.number), is_reader, now
+            ),
+            readers.should_read_members(
+                self.readers, self.roster.complete, is_reader, now
+            ),
         )
 
     def _remove_peer(self, vm):
--- a/tests/callfleet.py
+++ b/tests/callfleet.py
@@ -285,7 +285,7 @@
                 for other in self.vms.values():
                     candidate = other.by_service[vm.service][vm.own_vm]
                     if candidate.distance in balancer.SAME_DOMAIN:
-                        balancer.update_load(candidate, load, now)
+                        balancer.announce_load(candidate, load, now)
 
     def served(self, kind):
         """Return the share of a kind's requests that were answered in time."""
