Import what rollouts and the other daemon need only for them

Cause: nothing is served after a power loss until the daemon is imported.

Change: crashes keeps the evidence; crashexchange, which only the other daemon imports, has its messages, and with it dispatch, effects, the overlay and the membership leave the sidecar. What rollouts need is imported if the settings have any. Garbage is not collected during the start, and first 5 s after it.

--- a/jujubefold/callgate.py
+++ b/jujubefold/callgate.py
@@ -14,6 +14,7 @@
 from jujubefold import callserver
 from jujubefold import crashes
 from jujubefold import eagertask
+from jujubefold import effects
 from jujubefold import errors
 from jujubefold import events
 from jujubefold import gate
@@ -561,10 +562,10 @@
         )
         upstream_id = f'{self._identity.vm}/{self._identity.incarnation}'
         now = self._clock.monotonic()
-        for effect in crashes.record_crash(
+        for event in crashes.record_crash(
             self._crashes, upstream_id, cut_requests, now
         ):
-            self._emit(effect)
+            self._emit(effects.RecordEvent(event))
 
     async def _is_upstream_alive(self, cut_requests):
         """Return whether the upstream still runs after it cut answers.
--- a/jujubefold/core.py
+++ b/jujubefold/core.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from jujubefold import crashes
+from jujubefold import crashexchange
 from jujubefold import dispatch
 from jujubefold import dissemination
 from jujubefold import flooding
@@ -60,7 +61,7 @@
     probing.run,
     dissemination.run,
     flooding.run,
-    crashes.run,
+    crashexchange.run,
 )
 
 
--- a/jujubefold/crashes.py
+++ b/jujubefold/crashes.py
@@ -10,12 +10,9 @@
 import dataclasses
 
 from jujubefold import calls
-from jujubefold import dispatch
-from jujubefold import effects
 from jujubefold import errors
 from jujubefold import events
 from jujubefold import messages
-from jujubefold import overlay
 
 # Blame, in thousandths of a crash, at which a request is blocked.
 BLOCK_BLAME_MILLI = 1000
@@ -164,9 +161,9 @@
         del table.answered_at[next(iter(table.answered_at))]
     suspect = table.suspects.pop(fingerprint, None)
     if suspect is not None:
-        _queue_report(table, _clearance_report(fingerprint))
+        _queue_report(table, clearance_report(fingerprint))
         for upstream in suspect.evidence:
-            _queue_clearance(table, upstream, fingerprint)
+            queue_clearance(table, upstream, fingerprint)
 
 
 def record_crash(table, upstream, running, now):
@@ -182,7 +179,7 @@
         now: Monotonic seconds.
 
     Returns:
-        Iterator of `effects.Effect`.
+        Iterator of `events.Event`.
     """
     distinct = tuple(dict.fromkeys(running))
     weights = [_weight(table, fingerprint) for fingerprint in distinct]
@@ -196,42 +193,6 @@
         yield from _add_evidence(table, fingerprint, upstream, new, now)
 
 
-def run(tables, context):
-    """Send queued reports to the neighbours and drop old evidence.
-
-    Args:
-        tables: The daemon's `core.Tables`.
-        context: A `dispatch.Context`.
-
-    Returns:
-        Iterator of `effects.Effect`.
-    """
-    table = tables.crashes
-    _drop_expired(table, context.now)
-    yield from _send_clearances(table, tables.membership)
-    if not table.outbox:
-        return
-    keys = tuple(table.outbox)[:MAX_REPORTS_PER_TICK]
-    reports = tuple(table.outbox.pop(key) for key in keys)
-    for member in overlay.neighbours(tables.membership):
-        for report in reports:
-            yield effects.Send(member.peer_address, report)
-
-
-@dispatch.handle.register
-def _(item: messages.CrashReport, tables, context, sender=''):
-    table = tables.crashes
-    if not _is_acceptable(table, tables.membership, item, sender, context.now):
-        return
-    if item.count == 0:
-        _apply_clearance(table, item, context.now)
-        return
-    if _was_answered_recently(table, item.fingerprint, context.now):
-        _queue_clearance(table, item.upstream, item.fingerprint)
-        return
-    yield from merge_report(table, item, context.now)
-
-
 def merge_report(table, report, now):
     """Merge another daemon's evidence into the table.
 
@@ -241,7 +202,7 @@
         now: Monotonic seconds.
 
     Returns:
-        Iterator of `effects.Effect`.
+        Iterator of `events.Event`.
     """
     evidence = Evidence(
         min(report.count, MAX_COUNT_PER_UPSTREAM),
@@ -252,14 +213,90 @@
     )
 
 
-def _send_clearances(table, members):
-    for _ in range(min(len(table.pending_clearances), MAX_REPORTS_PER_TICK)):
-        vm, fingerprint = table.pending_clearances.pop()
-        member = members.members.get(vm)
-        if member is not None:
-            yield effects.Send(
-                member.peer_address, _clearance_report(fingerprint)
-            )
+def clearance_report(fingerprint):
+    """Return the report that clears a request.
+
+    Args:
+        fingerprint: The call's fingerprint.
+    """
+    return messages.CrashReport(fingerprint, upstream='', count=0)
+
+
+def queue_clearance(table, upstream, fingerprint):
+    """Send a clearance directly to the VM of an upstream at the next tick.
+
+    Args:
+        table: A `CrashTable`.
+        upstream: `vm/incarnation` of the daemon beside the upstream.
+        fingerprint: The call's fingerprint.
+    """
+    if len(table.pending_clearances) < MAX_QUEUED_REPORTS:
+        table.pending_clearances.add((_vm_of(upstream), fingerprint))
+
+
+def within_rate(table, sender, now):
+    """Count a received report; return whether its sender may send so many.
+
+    Args:
+        table: A `CrashTable`.
+        sender: Address of the daemon that sent it.
+        now: Monotonic seconds.
+    """
+    window = table.rate_windows.get(sender)
+    if window is None or window.since <= now - RATE_WINDOW_S:
+        window = table.rate_windows[sender] = RateWindow(now)
+    window.received += 1
+    return window.received <= MAX_REPORTS_PER_SENDER
+
+
+def was_answered_recently(table, fingerprint, now):
+    """Return whether this daemon's upstream answered a request just now.
+
+    Args:
+        table: A `CrashTable`.
+        fingerprint: The call's fingerprint.
+        now: Monotonic seconds.
+    """
+    answered_at = table.answered_at.get(fingerprint)
+    return answered_at is not None and now - answered_at < CLEARANCE_TTL_S
+
+
+def apply_clearance(table, item, now):
+    """Clear a request that another daemon's upstream answered.
+
+    Args:
+        table: A `CrashTable`.
+        item: The `messages.CrashReport` of the clearance.
+        now: Monotonic seconds.
+    """
+    suspect = table.suspects.get(item.fingerprint)
+    if suspect is None or suspect.blocked_until > now:
+        return
+    record_answer(table, item.fingerprint, now)
+
+
+def drop_expired(table, now):
+    """Drop evidence and rate windows that are too old.
+
+    Args:
+        table: A `CrashTable`.
+        now: Monotonic seconds.
+    """
+    old = [
+        fingerprint
+        for fingerprint, suspect in table.suspects.items()
+        if max(suspect.updated_at, suspect.blocked_until)
+        < now - EVIDENCE_TTL_S
+    ]
+    for fingerprint in old:
+        del table.suspects[fingerprint]
+    stale = [
+        sender
+        for sender, window in table.rate_windows.items()
+        if window.since <= now - RATE_WINDOW_S
+    ]
+    for sender in stale:
+        del table.rate_windows[sender]
 
 
 def _weight(table, fingerprint):
@@ -334,83 +371,16 @@
     suspect.blocked_until = now + duration
     suspect.block_count += 1
     suspect.blame_at_block_end = _total_blame(suspect)
-    yield effects.RecordEvent(
-        events.Event(
-            'request.condemned',
-            detail=f'{fingerprint} blocked for {duration:.0f} s',
-        )
+    yield events.Event(
+        'request.condemned',
+        detail=f'{fingerprint} blocked for {duration:.0f} s',
     )
 
 
-def _clearance_report(fingerprint):
-    return messages.CrashReport(fingerprint, upstream='', count=0)
-
-
 def _queue_report(table, report):
     if len(table.outbox) < MAX_QUEUED_REPORTS:
         table.outbox[report.fingerprint, report.upstream] = report
 
 
-def _is_acceptable(table, members, item, sender, now):
-    if not 0 < len(item.fingerprint) <= MAX_FINGERPRINT_CHARS:
-        return False
-    if item.count < 0 or item.blame_milli < 0:
-        return False
-    if item.count and not _is_member(members, item.upstream):
-        return False
-    return _within_rate(table, sender, now)
-
-
 def _vm_of(upstream):
     return upstream.rpartition('/')[0]
-
-
-def _queue_clearance(table, upstream, fingerprint):
-    if len(table.pending_clearances) < MAX_QUEUED_REPORTS:
-        table.pending_clearances.add((_vm_of(upstream), fingerprint))
-
-
-def _is_member(members, upstream):
-    vm, _, incarnation = upstream.rpartition('/')
-    member = (
-        members.local if vm == members.local.vm else members.members.get(vm)
-    )
-    return member is not None and str(member.incarnation) == incarnation
-
-
-def _within_rate(table, sender, now):
-    window = table.rate_windows.get(sender)
-    if window is None or window.since <= now - RATE_WINDOW_S:
-        window = table.rate_windows[sender] = RateWindow(now)
-    window.received += 1
-    return window.received <= MAX_REPORTS_PER_SENDER
-
-
-def _was_answered_recently(table, fingerprint, now):
-    answered_at = table.answered_at.get(fingerprint)
-    return answered_at is not None and now - answered_at < CLEARANCE_TTL_S
-
-
-def _apply_clearance(table, item, now):
-    suspect = table.suspects.get(item.fingerprint)
-    if suspect is None or suspect.blocked_until > now:
-        return
-    record_answer(table, item.fingerprint, now)
-
-
-def _drop_expired(table, now):
-    old = [
-        fingerprint
-        for fingerprint, suspect in table.suspects.items()
-        if max(suspect.updated_at, suspect.blocked_until)
-        < now - EVIDENCE_TTL_S
-    ]
-    for fingerprint in old:
-        del table.suspects[fingerprint]
-    stale = [
-        sender
-        for sender, window in table.rate_windows.items()
-        if window.since <= now - RATE_WINDOW_S
-    ]
-    for sender in stale:
-        del table.rate_windows[sender]
--- a/jujubefold/platform/__main__.py
+++ b/jujubefold/platform/__main__.py
@@ -1,5 +1,6 @@
 """Console program that runs a sidecar on the platform."""
 
+import gc
 import os
 import signal
 import sys
@@ -16,6 +17,8 @@
     # start is spent on the imports below; the settings are read again after
     # it.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Imports allocate much and free little; `daemon.serve` enables it again.
+    gc.disable()
     path = os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
     listeners = earlylistener.listen(path)
     import asyncio
--- a/jujubefold/platform/adapter.py
+++ b/jujubefold/platform/adapter.py
@@ -1,12 +1,27 @@
-"""Adapter: the parts of a sidecar that depend on this platform."""
+"""Adapter: the parts of a sidecar that depend on this platform.
+
+What only rollouts need is imported once the settings have them. After a power
+loss nothing is served until all imports are done.
+"""
 
 from jujubefold.platform import announcements
 from jujubefold.platform import configuration
 from jujubefold.platform import headers
-from jujubefold.platform import rollouts
 from jujubefold.platform import store
 from jujubefold.sidecar import daemon
-from jujubefold.sidecar import rolloutcontroller
+
+
+def _load_rollout_rows():
+    from jujubefold.platform import rollouts
+
+    return rollouts
+
+
+def _new_rollout_controller(*args):
+    from jujubefold.sidecar import rolloutcontroller
+
+    return rolloutcontroller.Controller(*args)
+
 
 PLATFORM = daemon.Platform(
     names=headers.NAMES,
@@ -17,6 +32,6 @@
     new_announcements=announcements.AnnouncementHandler,
     new_readiness=announcements.readiness,
     new_metrics=announcements.metrics,
-    rollouts=rollouts,
-    new_rollout_controller=rolloutcontroller.Controller,
+    load_rollout_rows=_load_rollout_rows,
+    new_rollout_controller=_new_rollout_controller,
 )
--- a/jujubefold/sidecar/crashreports.py
+++ b/jujubefold/sidecar/crashreports.py
@@ -47,12 +47,10 @@
             message.count,
             message.blame_milli,
         )
-        for effect in crashes.merge_report(
+        for event in crashes.merge_report(
             self._egress.crashes, report, self._clock.monotonic()
         ):
-            self._event_log.record(
-                effect.event.name, detail=effect.event.detail
-            )
+            self._event_log.record(event.name, detail=event.detail)
         self._fleet.peer_server.broadcast(
             message, self._own_member.failure_domain
         )
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -28,7 +28,6 @@
 from jujubefold.sidecar import options as settings
 from jujubefold.sidecar import quotaexchange
 from jujubefold.sidecar import retrybudget
-from jujubefold.sidecar import rollouts
 from jujubefold.sidecar import roster
 from jujubefold.sidecar import settingswatcher
 from jujubefold.sidecar import storeera
@@ -67,6 +66,9 @@
 # Net number of allocations that triggers a garbage collection. Most objects
 # of a request are freed by reference counting.
 GC_THRESHOLD = 20_000
+# Seconds after the start for the first one, so that callers who waited for
+# the start don't wait for that, too.
+COLLECT_AFTER_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,7 +91,8 @@
             daemon is ready; returns a request handler.
         new_metrics: Called with a function that returns the rendered
             metrics; returns a request handler.
-        rollouts: Module with the rows of rollouts; None without them.
+        load_rollout_rows: Returns the module with the rows of rollouts. Like
+            the next, it is called only if the settings have rollouts.
         new_rollout_controller: Creates a `rolloutcontroller.Controller`.
     """
 
@@ -101,8 +104,8 @@
     new_announcements: object
     new_readiness: object
     new_metrics: object
-    rollouts: object = None
-    new_rollout_controller: object = None
+    load_rollout_rows: object
+    new_rollout_controller: object
 
 
 class Daemon:
@@ -429,17 +432,21 @@
         policy = self._options.rollouts
         if policy is None:
             return None
+        # Most settings have none; see `platform.adapter`.
+        from jujubefold.sidecar import rollouts
+
         member = self._own_member
+        rows = self._platform.load_rollout_rows()
         created = rollouts.Rollouts(
             rollouts.Parts(
                 member,
                 self.fleet,
                 self.egress,
                 self._feed,
-                self._platform.rollouts,
+                rows,
                 lambda on_state: self._platform.new_rollout_controller(
                     self._feed,
-                    self._platform.rollouts,
+                    rows,
                     f'{member.vm}/{member.incarnation}',
                     policy,
                     self._clock,
@@ -623,6 +630,14 @@
     return retrybudget.Policy(retries.ratio, retries.window, retries.slack)
 
 
+def _collect_garbage():
+    """Collect what the start left, and look only at later objects again."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+    gc.enable()
+
+
 async def serve(path, platform, listeners=None):
     """Run a sidecar until SIGTERM or SIGINT.
 
@@ -663,9 +678,7 @@
         signal.SIGHUP, lambda: watcher.reload(daemon.reload)
     )
     backgroundtasks.spawn(watcher.run(daemon.reload))
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
+    loop.call_later(COLLECT_AFTER_S, _collect_garbage)
     await daemon.stop_requested.wait()
     await daemon.stop()
     return 0
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -686,9 +686,7 @@
         self.update_slots()
         self._event_log.record('upstream.crashed', requests=len(fingerprints))
         now = self._clock.monotonic()
-        for effect in crashes.record_crash(
+        for event in crashes.record_crash(
             self.crashes, self._daemon_id, fingerprints, now
         ):
-            self._event_log.record(
-                effect.event.name, detail=effect.event.detail
-            )
+            self._event_log.record(event.name, detail=event.detail)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -9,6 +9,7 @@
 from jujubefold import calls
 from jujubefold import core
 from jujubefold import crashes
+from jujubefold import crashexchange
 from jujubefold import dispatch
 from jujubefold import dissemination
 from jujubefold import effects
@@ -41,7 +42,7 @@
             sent = [
                 (item.membership.local.peer_address, effect)
                 for item in self.cores
-                for effect in crashes.run(item, self.context())
+                for effect in crashexchange.run(item, self.context())
             ]
             sent_count += len(sent)
             for sender, effect in sent:
@@ -117,7 +118,7 @@
             self.assertIsNone(fleet.refusal(0, POISON))
         emitted = fleet.crash(0, [POISON])
         self.assertIsNotNone(fleet.refusal(0, POISON))
-        self.assertIn('request.condemned', [e.event.name for e in emitted])
+        self.assertIn('request.condemned', [event.name for event in emitted])
 
     def test_suspects_resent_together_run_one_at_a_time(self):
         """Callers resend all requests that ran during the first crash.
@@ -233,7 +234,7 @@
         fleet.answer(0, POISON)
         table = self.report(fleet)
         self.assertEqual({}, table.suspects)
-        sent = list(crashes.run(fleet.cores[0], fleet.context()))
+        sent = list(crashexchange.run(fleet.cores[0], fleet.context()))
         self.assertEqual(
             [('vm-1:1', 0)], [(item.to, item.message.count) for item in sent]
         )
@@ -270,7 +271,7 @@
                 count = len(fleet.cores[0].crashes.suspects)
                 self.assertLessEqual(count, crashes.MAX_SUSPECTS)
         self.assertEqual(crashes.MAX_SUSPECTS, len(table.suspects))
-        sent = list(crashes.run(fleet.cores[0], fleet.context()))
+        sent = list(crashexchange.run(fleet.cores[0], fleet.context()))
         neighbours = len({effect.to for effect in sent})
         max_sent = neighbours * crashes.MAX_REPORTS_PER_TICK
         self.assertTrue(all(isinstance(e, effects.Send) for e in sent))
