Log the load by which an offer was placed, not the one after it

The line of a request named the gate's load as its answer reported it, since it was built after the offer, and neither the learned speed of the upstream nor whether the gate had announced that it is full, by which it was chosen, too. tests/test_callfleet.py failed before.

--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -378,7 +378,15 @@
     async def _offer(self, call, candidate, may_queue, now):
         call.offer_count += 1
         call.offered_to = candidate.vm
-        age = now - candidate.reported_at
+        # As believed now; the offer's answer brings a newer report.
+        believed = {
+            'running': candidate.load.running,
+            'waiting': candidate.load.waiting,
+            'slots': candidate.load.slots,
+            'age': round(now - candidate.reported_at, 3),
+            'full': candidate.announced_full,
+            'slowness': round(balancer.expected_slowness(candidate, now), 2),
+        }
         attempt = dataclasses.replace(call.attempt, may_queue=may_queue)
         outcome = await self._fleet.offer(candidate, attempt)
         call.offered_to = ''
@@ -394,10 +402,7 @@
             {
                 'vm': candidate.vm,
                 'distance': candidate.distance,
-                'running': candidate.load.running,
-                'waiting': candidate.load.waiting,
-                'slots': candidate.load.slots,
-                'age': round(age, 3),
+                **believed,
                 'took': round(self._clock.monotonic() - now, 4),
                 'end': _result_name(outcome),
             }
--- a/tests/callfleet.py
+++ b/tests/callfleet.py
@@ -72,7 +72,7 @@
         self.own_vm, self.service, self.speed = name, service, speed
         self.roster = types.SimpleNamespace(size=81)
         self.world, self.by_service = world, {}
-        log = sidecars.RecordingEventLog()
+        self.event_log = log = sidecars.RecordingEventLog()
         self.egress = SimulatedEgress(
             NAMES, world.clock, name, 2.0, 1, lambda: None, None, log
         )
--- a/tests/test_callfleet.py
+++ b/tests/test_callfleet.py
@@ -6,6 +6,8 @@
 
 import testtools
 
+from jujubefold.sidecar import balancer
+from jujubefold.sidecar import limiter
 from tests import callfleet
 from tests import pausedloop
 
@@ -59,6 +61,40 @@
     return world.runs[name][True] / max(1, world.runs[name].total())
 
 
+class TestOfferLog(testtools.TestCase):
+    def test_load_is_logged_as_believed_at_the_choice(self):
+        """The gate has more running by then, and its answer says so."""
+        believed = limiter.Load(running=2, waiting=0, slots=6)
+        logs = []
+
+        async def main(clock):
+            sizes = {'warehouse': 1, 'orders': 1}
+            world = callfleet.World(clock, WORKS, sizes, True)
+            vm = world.vms['orders-0']
+            candidate = vm.by_service['warehouse']['warehouse-0']
+            balancer.announce_load(candidate, believed, clock.monotonic())
+            candidate.slowness = 1.25
+            candidate.answered_at = clock.monotonic()
+            await vm.request('stock-reserve', 'request', 2.0)
+            logs.extend(vm.event_log.records)
+
+        pausedloop.run(main)
+        (offers,) = [
+            fields['offers'] for event, fields in logs if event == 'call.ended'
+        ]
+        self.assertEqual(
+            {
+                'running': 2,
+                'waiting': 0,
+                'slots': 6,
+                'age': 0.0,
+                'full': False,
+                'slowness': 1.25,
+            },
+            {key: offers[0][key] for key in list(offers[0])[2:8]},
+        )
+
+
 class TestCrest(testtools.TestCase):
     def test_runs_are_not_lost_for_their_calls(self):
         """Guards the collapse without a fault, and that nobody starves."""
