Forget what a gate announced on an earlier link

A daemon that had lost its link to a gate may have missed that it has room, and the gate announces nothing if it is full only until its next check. Found by reading; not seen in a run. The test of the early listeners stops the program between its two checks, so that load can't reorder them.

--- a/jujubefold/sidecar/balancer.py
+++ b/jujubefold/sidecar/balancer.py
@@ -254,6 +254,21 @@
         candidate.announced_full = False
 
 
+def introduce_load(candidate, load, now):
+    """Store the load report with which a gate's link opens.
+
+    What the gate announced on an earlier link no longer counts: this daemon
+    may have missed that it has room.
+
+    Args:
+        candidate: The `Candidate` to change.
+        load: The `limiter.Load` reported.
+        now: Monotonic seconds.
+    """
+    update_load(candidate, load, now)
+    candidate.announced_full = False
+
+
 def announce_load(candidate, load, now):
     """Store a load report that a gate sent because it filled or freed.
 
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -621,6 +621,7 @@
         self.egress.close()
         self.fleet.close()
         for name, server in self._servers.items():
+            # The fleet has closed that one.
             if name != 'peers':
                 await server.close()
 
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -414,7 +414,7 @@
             self._handle_hello(message, outgoing)
             peer = self._peers.get(message.member.vm)
             if peer is not None:
-                self._update_load(peer, message.load, balancer.update_load)
+                self._update_load(peer, message.load, balancer.introduce_load)
         elif isinstance(message, frames.Load) and peer is not None:
             self._update_load(peer, message, balancer.announce_load)
         elif isinstance(message, frames.ShutdownNotice) and peer is not None:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -182,6 +182,10 @@
         self.assertTrue(may_queue(near, 27.0))
         balancer.announce_load(near, free, 27.0)
         self.assertFalse(may_queue(near, 27.0))
+        # A link that opens again may have missed that it has room.
+        balancer.announce_load(near, full, 27.0)
+        balancer.introduce_load(near, full, 28.0)
+        self.assertFalse(may_queue(near, 36.0))
         # Gates announce no room to other failure domains.
         balancer.announce_load(far, full, 0.0)
         self.assertFalse(may_queue(far, 9.0))
--- a/tests/test_daemonstart.py
+++ b/tests/test_daemonstart.py
@@ -72,17 +72,20 @@
             process = self.start_process(path)
             os.set_blocking(process.stdout.fileno(), False)
             deadline = time.monotonic() + 30.0
-            while True:
+            caller = None
+            while caller is None:
+                # It must not go on between the two checks below.
+                process.send_signal(signal.SIGSTOP)
                 try:
                     caller = socket.create_connection((host, port), 10.0)
-                    break
+                    # The program has not started to serve.
+                    self.assertIsNone(process.stdout.read())
                 except OSError:
                     self.assertLess(time.monotonic(), deadline)
-                    time.sleep(0.002)
+                process.send_signal(signal.SIGCONT)
+                time.sleep(0.002)
             self.addCleanup(caller.close)
             caller.sendall(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
-            # The caller connected before the program has started to serve.
-            self.assertIsNone(process.stdout.read())
             # It has no version yet.
             self.assertTrue(caller.recv(100).startswith(b'HTTP/1.1 503'))
 
