--- a/soak/checks.py
+++ b/soak/checks.py
@@ -147,9 +147,9 @@
 async def unrecovered(testbed, callers):
     """Yield one line for each VM that does not serve the newest version.
 
-    All VMs are asked at the same time, for up to `RECOVERY_S` seconds. Versions
-    may go on being published meanwhile, and each has a route of its own: what
-    is asked for is the route of the newest at that moment.
+    All VMs are asked at the same time, for up to `RECOVERY_S` seconds.
+    Versions may go on being published meanwhile, and each has a route of its
+    own: what is asked for is the route of the newest at that moment.
     """
     deadline = asyncio.get_running_loop().time() + RECOVERY_S
     answers = await asyncio.gather(
