Let both simulated fleets share how an offer is made

tests/domainfleet.py repeated the offer of tests/callfleet.py with other distances. A VM names its hops now, and the fleet in failure domains only counts what leaves them.

--- a/tests/callfleet.py
+++ b/tests/callfleet.py
@@ -66,7 +66,13 @@
 
 
 class Vm:
-    """One VM; it is also the fleet that its ingress sees."""
+    """One VM; it is also the fleet that its ingress sees.
+
+    Attributes:
+        hops: Seconds that an offer takes in each direction, by distance.
+    """
+
+    hops = {'domain': HOP_S}
 
     def __init__(self, name, service, slots, speed, world):
         self.own_vm, self.service, self.speed = name, service, speed
@@ -114,11 +120,12 @@
         target = self.world.vms[candidate.vm]
         if target is self:
             return await self.egress.run(attempt)
+        hop = self.hops[candidate.distance]
         candidate.offers_since_report += 1
-        await asyncio.sleep(HOP_S)
+        await asyncio.sleep(hop)
         outcome = await target.egress.run(attempt)
         load = target.egress.load()
-        await asyncio.sleep(HOP_S)
+        await asyncio.sleep(hop)
         balancer.update_load(candidate, load, self.world.clock.monotonic())
         return outcome
 
--- a/tests/domainfleet.py
+++ b/tests/domainfleet.py
@@ -62,20 +62,12 @@
 
 
 class _Vm(callfleet.Vm):
+    hops = HOPS_S
+
     async def offer(self, candidate, attempt):
-        """Run a request at the gate of a candidate."""
-        target = self.world.vms[candidate.vm]
-        if target is self:
-            return await self.egress.run(attempt)
-        hop = HOPS_S[candidate.distance]
+        """Run a request at the gate of a candidate, and count where it is."""
         self.world.far += candidate.distance == 'region'
-        candidate.offers_since_report += 1
-        await asyncio.sleep(hop)
-        outcome = await target.egress.run(attempt)
-        load = target.egress.load()
-        await asyncio.sleep(hop)
-        balancer.update_load(candidate, load, self.world.clock.monotonic())
-        return outcome
+        return await super().offer(candidate, attempt)
 
     async def run(self, attempt):
         """Do the work of a request; return the status of its answer."""
