Show that one spoiled byte of a status leaves a client without an answer

Cause: a status of 600 or above from an instance is accepted, but has no status line; the KeyError ends the reply and closes the link to the other daemon.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -138,12 +138,14 @@
             self._record.add('run', request_id, self.id, message.first[1])
             await asyncio.sleep(self._work(message))
             self._record.add('ran', request_id, self.id)
-        writer.write(
-            web.answer(
-                '200 OK',
-                f'{request_id} at {self.id}'.encode(),
-                [('X-Request-Id', request_id), ('X-Server-Seal', self.id)],
-            )
+        writer.write(self.answer(request_id))
+
+    def answer(self, request_id):
+        """Return the bytes of the answer to a request that ran."""
+        return web.answer(
+            '200 OK',
+            f'{request_id} at {self.id}'.encode(),
+            [('X-Request-Id', request_id), ('X-Server-Seal', self.id)],
         )
 
     def deregistration(self):
