Show that one spoiled byte gives callers the next request's answer

Cause: the KeyError of a status of 600 or above leaves a pipeline after its entry was removed, so the next answer is sent in its place. The case checked only that callers get none.

The stand-ins lie flat in review/, and SIGTERM cancels a script.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,9 +8,9 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from standins import case as cases  # noqa: E402
-from standins import fleet as fleets  # noqa: E402
-from standins import platform  # noqa: E402
+import standin_case as cases  # noqa: E402
+import standin_fleet as fleets  # noqa: E402
+import standin_store as platform  # noqa: E402
 
 SERVICE = 'fittings'
 # Instances of the own zone are few and small, so that requests go to others.
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,7 @@
-"""An instance leaves while the store is down; then its daemon is killed."""
+"""An instance spoils one byte of some answers: the first of their status.
+
+The clients send further requests before the first one has been answered.
+"""
 
 import asyncio
 import pathlib
@@ -7,26 +10,38 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from standins import case as cases  # noqa: E402
-from standins import fleet as fleets  # noqa: E402
-from standins import platform  # noqa: E402
+import standin_case as cases  # noqa: E402
+import standin_fleet as fleets  # noqa: E402
+import standin_store as platform  # noqa: E402
+import standin_web as web  # noqa: E402
 
 SERVICE = 'fittings'
-DEADLINE_S = 3.6
-WORK_S = 0.33
-PER_SECOND = 12
-# Bounds of the deployment.
-DRAIN_S = 2.0
-CONTACT_S = 3.0
-# Seconds from the acknowledgement to the store's return, from there to the
-# kill, and until the next start.
-STORE_DOWN_S = 0.8
-KILL_AFTER_S = 0.3
-DOWN_S = 0.3
-# Seconds after its sending at which the heartbeat arrives.
-LATE_S = 4.0
-# Seconds for which the leaving instance still serves.
-SERVES_S = 14.0
+TIMEOUT_S = DEADLINE_S = 1.5
+WORK_S = 0.11
+# Clients, each with a connection of its own, and requests that each sends at
+# once, every so many seconds.
+CLIENTS = 12
+TOGETHER = 3
+PAUSE_S = 0.5
+SECONDS = 60.0
+# Every so many answers of the garbling instance is spoiled.
+SPOILED = 50
+
+
+class Garbler(fleets.Instance):
+    """An instance that spoils some answers."""
+
+    spoils = False
+    answers = 0
+
+    def answer(self, request_id):
+        """Return the bytes of an answer."""
+        data = super().answer(request_id)
+        self.answers += 1
+        if self.spoils and self.answers % SPOILED == 0:
+            self._record.add('spoiled', request_id, self.id)
+            return data.replace(b'HTTP/1.1 200', b'HTTP/1.1 600', 1)
+        return data
 
 
 async def play(trouble):
@@ -34,12 +49,12 @@
     store = platform.Store()
     await store.start()
     route = {
-        'name': 'scan-upload',
+        'name': 'client-profile',
         'host': 'shop.example',
-        'prefix': '/scan/',
-        'kind': 'non_idempotent',
-        'timeout_s': DEADLINE_S,
-        'target_latency_s': 1.8,
+        'prefix': '/profile/',
+        'kind': 'idempotent',
+        'timeout_s': TIMEOUT_S,
+        'target_latency_s': 0.5,
         'priority': 1,
         'service': SERVICE,
         'max_attempts': 2,
@@ -51,12 +66,13 @@
     )
     with tempfile.TemporaryDirectory() as folder:
         fleet = fleets.Fleet(store, folder)
-        for name, service in (
-            ('side-a-1', 'catalogue'),
-            ('side-a-2', SERVICE),
-            ('side-a-3', SERVICE),
+        for name, service, kind in (
+            ('side-a-1', 'catalogue', fleets.Instance),
+            ('side-a-2', SERVICE, fleets.Instance),
+            ('side-a-3', SERVICE, fleets.Instance),
+            ('side-a-4', SERVICE, Garbler),
         ):
-            instance = fleets.Instance(
+            instance = kind(
                 f'i-{name}', service, record, work=lambda message: WORK_S
             )
             fleet.add(name, 'cairo-a', instance)
@@ -68,96 +84,94 @@
                     ['the daemons did not become ready'],
                 )
             await asyncio.sleep(4.0)
-            statuses, acknowledged, late = await run(fleet, record, trouble)
+            fleet.machines['side-a-4'].instance.spoils = trouble
+            results = await run(fleet, record)
         finally:
             await fleet.close()
-    served = sum(status == 200 for status in statuses.values())
-    lost = [key for key, _ in late if statuses.get(key) != 200]
+    served = sum(answered == sent for sent, answered in results)
+    foreign = [
+        (sent, answered)
+        for sent, answered in results
+        if answered not in (sent, None)
+    ]
+    none = sum(answered is None for _, answered in results)
     notes = [
-        f'{served} requests served, {len(late)} reached the leaving instance'
-        f' later than {DRAIN_S} s after its acknowledgement,'
-        f' {len(lost)} of them were lost when it ended'
+        f'{served} requests served, {len(foreign)} with the answer to another,'
+        f' {none} not answered before their deadline'
     ]
     notes.extend(
-        f'DRAIN: {request_id} ran {after:.2f} s after the acknowledgement'
-        for request_id, after in late
+        f'MIXED: {sent} got the answer to {answered}'
+        for sent, answered in foreign
     )
-    if served < 100 or not acknowledged:
-        return (
-            cases.NOT_RUN,
-            record,
-            [*notes, 'too few were served, or nothing was acknowledged'],
-        )
-    return cases.BROKEN if late else cases.HELD, record, notes
+    if served < 100:
+        return cases.NOT_RUN, record, [*notes, 'too few were served']
+    return cases.BROKEN if foreign else cases.HELD, record, notes
 
 
-async def run(fleet, record, trouble):
-    """Let an instance leave.
+async def run(fleet, record):
+    """Let all clients send requests.
 
     Returns:
-        Each request's status by its id, whether the leaving was acknowledged,
-            and the id and time of each that ran there too late.
+        Pairs of a request's id and the id in the answer that its client got
+            in its turn; None without an answer.
     """
     caller = fleet.machines['side-a-1']
-    leaving = fleet.machines['side-a-2']
-    instance = leaving.instance
-    loop = asyncio.get_running_loop()
-    sent_at = {}
-    ran_at = {}
-    statuses = {}
-    instance.on_run = lambda key: ran_at.setdefault(key, loop.time())
-
-    async def send(number):
-        request_id = f'{number:016x}'
-        sent_at[request_id] = loop.time()
-        statuses[request_id], _ = await fleets.call(
-            record, caller, request_id, 'POST', '/scan/x', DEADLINE_S, b'scan'
-        )
-
-    async def send_all():
-        calls = []
-        while True:
-            calls.append(asyncio.ensure_future(send(len(calls))))
-            await asyncio.sleep(1 / PER_SECOND)
-
-    sending = asyncio.ensure_future(send_all())
-    await asyncio.sleep(4.0)
-    # This heartbeat is delayed on its way; the instance sends no other one.
-    late_beat = instance.heartbeat(leaving.zone)
-    late_at = loop.time() + LATE_S
-    leaving.stop_heartbeats()
-    if trouble:
-        record.add('store', 'down')
-        fleet.store.down = True
-    await asyncio.sleep(0.3)
-    acknowledged = await leaving.announce(instance.deregistration())
-    acknowledged_at = loop.time()
-    record.add('deregistered', instance.id, acknowledged)
-    await asyncio.sleep(STORE_DOWN_S)
-    fleet.store.down = False
-    record.add('store', 'up')
-    await asyncio.sleep(KILL_AFTER_S)
-    if trouble:
-        record.add('killed', leaving.name)
-        await leaving.kill(DOWN_S)
-        record.add('started', leaving.name)
-    calm_at = loop.time() + CONTACT_S
-    await asyncio.sleep(max(0.0, late_at - loop.time()))
-    record.add(
-        'late heartbeat', instance.id, await leaving.announce(late_beat)
+    results = []
+    await asyncio.gather(
+        *(client(number, caller, record, results) for number in range(CLIENTS))
     )
-    await asyncio.sleep(acknowledged_at + SERVES_S - loop.time())
-    record.add('ends', instance.id)
-    instance.end()
-    await asyncio.sleep(2.0)
-    sending.cancel()
-    await asyncio.sleep(DEADLINE_S)
-    late = [
-        (key, at - acknowledged_at)
-        for key, at in ran_at.items()
-        if sent_at[key] > calm_at and at > acknowledged_at + DRAIN_S
-    ]
-    return statuses, acknowledged, late
+    return results
+
+
+async def client(number, caller, record, results):
+    """Send requests on a connection, and on a new one after a failure."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + SECONDS
+    await asyncio.sleep(PAUSE_S * number / CLIENTS)
+    count = 0
+    connection = None
+    while loop.time() < end:
+        if connection is None:
+            connection = await asyncio.open_connection(
+                *web.split(caller.callers)
+            )
+        reader, writer = connection
+        sent = [f'{number:04x}{count + n:012x}' for n in range(TOGETHER)]
+        count += TOGETHER
+        for request_id in sent:
+            record.add('sent', request_id)
+            writer.write(
+                web.request(
+                    'GET',
+                    '/profile/x',
+                    [
+                        ('Host', 'shop.example'),
+                        ('X-Request-Id', request_id),
+                        ('X-Deadline-Ms', str(round(DEADLINE_S * 1000))),
+                    ],
+                )
+            )
+        answered = []
+        try:
+            async with asyncio.timeout(DEADLINE_S):
+                for _ in sent:
+                    message = await web.read(reader)
+                    found = message.fields.get('x-request-id')
+                    if message.first[1] == '200':
+                        answered.append(found)
+                    else:
+                        # A refusal of the daemon's own names no request.
+                        answered.append(found or sent[len(answered)])
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            writer.close()
+            connection = None
+        answered += [None] * (len(sent) - len(answered))
+        for request_id, found in zip(sent, answered, strict=True):
+            record.add('answered', request_id, found)
+            results.append((request_id, found))
+        await asyncio.sleep(PAUSE_S)
+    if connection is not None:
+        connection[1].close()
 
 
 if __name__ == '__main__':
--- a/review/standins/case.py
+++ b/review/standin_case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import traceback
 
@@ -19,8 +20,8 @@
     """
     trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
-        status, record, notes = asyncio.run(play(trouble))
-    except (Exception, KeyboardInterrupt):
+        status, record, notes = asyncio.run(_play(play, trouble))
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt):
         traceback.print_exc()
         sys.exit(NOT_RUN)
     for note in notes:
@@ -28,3 +29,11 @@
         print(note)
     record.write(pathlib.Path(path).resolve().parent / 'record.txt')
     sys.exit(status)
+
+
+async def _play(play, trouble):
+    """Play a case; a SIGTERM cancels it, so that it ends its processes."""
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
+    return await play(trouble)
--- a/review/standins/fleet.py
+++ b/review/standin_fleet.py
@@ -10,10 +10,10 @@
 import time
 import tomllib
 
-from standins import network
-from standins import web
+import standin_network as network
+import standin_web as web
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HEARTBEAT_S = 0.87
 # The settings that `deploy/settings.toml.in` gives, with the address at which
 # other daemons reach this one: that of the proxy before it.
--- a/review/standins/network.py
+++ b/review/standin_network.py
@@ -7,7 +7,7 @@
 import asyncio
 import socket
 
-from standins import web
+import standin_web as web
 
 READ_BYTES = 65536
 
--- a/review/standins/platform.py
+++ b/review/standin_store.py
@@ -6,7 +6,7 @@
 import time
 import urllib.parse
 
-from standins import web
+import standin_web as web
 
 ROUTE_COLUMNS = [
     'name',
