Log what a daemon finds when an offer is resumed

Cause: after a reconnection a daemon answers for the offers that the other one still awaits, and no line told which request it found by a number.

Change: the event offer.resumed has the sender and its start, the offer's number, whether it runs, has ended or was not received, and the id of the request that is known by that number.

Result: a test of the event; no change of behaviour.

--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -127,6 +127,7 @@
             transfer.new_table(own_member.capacity),
             self.traffic,
             own_member.failure_domain,
+            event_log,
         )
         self.peer_server.divides_answers = lambda: (
             versions.current.has_downloads
--- a/jujubefold/sidecar/peerserver.py
+++ b/jujubefold/sidecar/peerserver.py
@@ -47,6 +47,7 @@
 
     Args:
         connection: Connection over which the result is sent.
+        request: The caller's request id; empty if it was not received.
         task: The running request; None when it has ended.
         result: Message that was sent as the result; None while it runs.
         finished_at: Monotonic seconds at which it ended.
@@ -54,6 +55,7 @@
     """
 
     connection: link.Connection
+    request: str = ''
     task: eagertask.EagerTask | None = None
     result: object = None
     finished_at: float = 0.0
@@ -72,6 +74,7 @@
         transfers: The `transfer.TransferTable` of this daemon's link.
         traffic: The `link.Traffic` of this daemon.
         domain: Failure domain of this daemon.
+        event_log: An `eventlog.EventLog`.
 
     Attributes:
         closing: Whether new offers are refused because the daemon is
@@ -89,6 +92,7 @@
         transfers,
         traffic,
         domain,
+        event_log,
     ):
         self._egress = egress
         self._clock = clock
@@ -102,6 +106,7 @@
         self._answers = answertransfer.HeldAnswers()
         self._traffic = traffic
         self._domain = domain
+        self._event_log = event_log
         self._stopping = False
         self.closing = False
         self.divides_answers = lambda: True
@@ -249,7 +254,10 @@
                 connection, result=result, finished_at=self._clock.monotonic()
             )
             connection.send(result)
+            self._log_resumed(key, 'not-received')
             return
+        state = 'running' if entry.result is None else 'ended'
+        self._log_resumed(key, state, entry.request)
         entry.connection = connection
         if entry.result is not None:
             connection.send(entry.result)
@@ -257,6 +265,17 @@
             transfer.resume(self._transfers, key)
             self._request_parts()
 
+    def _log_resumed(self, key, state, request=''):
+        vm, incarnation, sequence = key
+        self._event_log.record_request(
+            'offer.resumed',
+            peer=vm,
+            start=incarnation,
+            sequence=sequence,
+            state=state,
+            request=request,
+        )
+
     def _cancel(self, key):
         entry = self._offers.get(key)
         if entry is not None and entry.task is not None:
@@ -277,7 +296,7 @@
             # It is running, has ended, or was reported as not received.
             return
         now = self._clock.monotonic()
-        entry = self._offers[key] = _ReceivedOffer(connection)
+        entry = self._offers[key] = _ReceivedOffer(connection, offer.request)
         if self.closing:
             # The process would exit before the request has ended.
             self._refuse(entry, offer, _STOPPING)
--- a/tests/test_peerserver.py
+++ b/tests/test_peerserver.py
@@ -12,6 +12,7 @@
 from jujubefold.sidecar import peerserver
 from jujubefold.sidecar import roster
 from jujubefold.sidecar import transfer
+from tests import sidecars
 
 LOAD = frames.Load(0, 0, 1, 50, 0)
 PEER = ('vm-2', 7)
@@ -92,6 +93,7 @@
                 transfer.new_table(0.0),
                 link.Traffic(),
                 'a',
+                sidecars.RecordingEventLog(),
             )
             await scenario(server, egress, paused_clock)
 
@@ -137,6 +139,22 @@
 
         self.run_scenario(scenario)
 
+    def test_resumed_offers_are_logged_with_the_request_they_find(self):
+        async def scenario(server, egress, _):
+            old = self.link(server)
+            server._handle_message(old, offer(5, 'request-5'))
+            self.link(server, 5, 6)
+            self.assertEqual(
+                [('running', 'request-5'), ('not-received', '')],
+                [
+                    (fields['state'], fields['request'])
+                    for event, fields in server._event_log.records
+                    if event == 'offer.resumed'
+                ],
+            )
+
+        self.run_scenario(scenario)
+
     def test_offer_without_connection_is_cancelled_after_timeout(self):
         async def scenario(server, egress, paused_clock):
             old = self.link(server)
@@ -164,6 +182,7 @@
             transfer.new_table(0.0),
             link.Traffic(),
             'a',
+            sidecars.RecordingEventLog(),
         )
         connection = Connection()
         server._handle_message(connection, hello())
