Number offers by one counter for all links of a daemon

Cause: each link counted its offers from 1, while the receiver knows an offer by its sender's start and that number for 2 s after its end. A link to another failure domain that is closed and opened again within 2 s reuses numbers; after the next loss of the connection its offers were given the results of earlier ones. Evidence: offer.resumed, logged since, shows request 1a6 under the number of the waiting request 1e9, between two link.up without a link.down (docs/incidents/reopened-link.md).

Change: one counter for all links; a greeting lists what is awaited, and the receiver forgets all else of that start; ingress compares the id that an answer repeats with the request's. The fault can no longer be written with two links, and an answer with another id is a doubt on any path.

Five tests failed before, the first with the answer of /write/a for /write/b.

--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import itertools
 import math
 
 from jujubefold import backgroundtasks
@@ -105,6 +106,7 @@
         self._answers = answertransfer.AnswerFetcher(
             own_member.capacity, clock
         )
+        self._offer_sequences = itertools.count(1)
         self._peers = {}
         # Cache of candidates by service; cleared when a member changes.
         self._candidates_by_service = {}
@@ -190,6 +192,7 @@
             if peering.is_near(self._peering, member)
             else self.traffic.far,
             self._answers,
+            self._offer_sequences,
         )
         self._peers[member.vm] = Peer(
             outgoing,
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -388,7 +388,9 @@
             'slowness': round(balancer.expected_slowness(candidate, now), 2),
         }
         attempt = dataclasses.replace(call.attempt, may_queue=may_queue)
-        outcome = await self._fleet.offer(candidate, attempt)
+        outcome = self._checked(
+            attempt, await self._fleet.offer(candidate, attempt)
+        )
         call.offered_to = ''
         if outcome.sent and not call.sends:
             retrybudget.record_first_attempt(
@@ -409,6 +411,29 @@
         )
         return outcome
 
+    def _checked(self, attempt, outcome):
+        """Return an outcome, or a doubt if its answer is not the request's.
+
+        Answers repeat the id of their request.
+        """
+        answer = outcome.answer
+        expected = self._names.request, attempt.request.encode('latin-1')
+        if answer is None or expected in answer.headers:
+            return outcome
+        self._event_log.record_request(
+            'call.foreign_answer',
+            request=attempt.request,
+            route=attempt.route,
+            status=answer.status,
+            answered=dict(answer.headers)
+            .get(self._names.request, b'')
+            .decode('latin-1'),
+        )
+        return attempts.unknown_outcome(
+            calls.Reason.UPSTREAM_GARBLED,
+            'the answer belongs to another request',
+        )
+
     def _record_duration(self, route, candidate, outcome):
         seconds = outcome.upstream_time
         mean = self._mean_durations.get(route, seconds)
--- a/jujubefold/sidecar/link.py
+++ b/jujubefold/sidecar/link.py
@@ -172,6 +172,9 @@
             answers at the address.
         sent_bytes: As in `Connection`.
         answers: The `answertransfer.AnswerFetcher` of this daemon.
+        sequences: Iterator of the numbers of offers, shared by all links of
+            this daemon. The receiver knows an offer by its number for longer
+            than a link may last.
 
     Attributes:
         vm: VM of the other daemon.
@@ -193,6 +196,7 @@
         on_displaced,
         sent_bytes,
         answers,
+        sequences,
     ):
         self._sent_bytes = sent_bytes
         self._answers = answers
@@ -209,7 +213,7 @@
         self._on_displaced = on_displaced
         self._connection = None
         self._pending = {}
-        self._sequence = 0
+        self._sequences = sequences
         self._task = None
         self._reconnect = asyncio.Event()
         self._received_at = 0.0
@@ -246,8 +250,7 @@
 
     def next_sequence(self):
         """Return the sequence number for the next offer."""
-        self._sequence += 1
-        return self._sequence
+        return next(self._sequences)
 
     async def offer(self, offer, body=b''):
         """Send an offer and wait for its result.
--- a/jujubefold/sidecar/peerserver.py
+++ b/jujubefold/sidecar/peerserver.py
@@ -180,8 +180,7 @@
             and now - entry.finished_at > RESULT_RETENTION_S
         ]
         for key in expired:
-            del self._offers[key]
-            self._answers.release(key)
+            self._forget(key)
 
     def _accept(self):
         connection = link.Connection(
@@ -241,9 +240,29 @@
         connection.send(self._make_hello())
         if self._stopping:
             connection.send(frames.ShutdownNotice())
+        self._forget_all_but(connection.peer, hello.resume)
         for sequence in hello.resume:
             self._resume(connection, sequence)
 
+    def _forget_all_but(self, peer, awaited):
+        """Forget the offers of a daemon that it no longer awaits.
+
+        Args:
+            peer: VM and incarnation of the daemon.
+            awaited: Sequence numbers of the offers that it awaits.
+        """
+        for key in tuple(self._offers):
+            if key[:-1] == peer and key[-1] not in awaited:
+                self._forget(key)
+
+    def _forget(self, key):
+        entry = self._offers.pop(key)
+        self._orphaned_at.pop(key, None)
+        self._answers.release(key)
+        transfer.stop(self._transfers, key)
+        if entry.task is not None:
+            entry.task.cancel()
+
     def _resume(self, connection, sequence):
         key = (*connection.peer, sequence)
         self._orphaned_at.pop(key, None)
@@ -372,6 +391,8 @@
         sequence = key[-1]
         entry.task = None
         entry.body = None
+        if self._offers.get(key) is not entry:
+            return
         transfer.stop(self._transfers, key)
         self._request_parts()
         entry.finished_at = self._clock.monotonic()
--- a/tests/test_peerserver.py
+++ b/tests/test_peerserver.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from jujubefold import calls
 from jujubefold import clock
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import frames
@@ -52,8 +53,7 @@
         self.requests.append(attempt.request)
         waiter = asyncio.get_running_loop().create_future()
         self.waiters.append(waiter)
-        await waiter
-        return attempts.Outcome()
+        return await waiter
 
 
 def hello(*resume):
@@ -139,6 +139,41 @@
 
         self.run_scenario(scenario)
 
+    def test_offers_that_a_hello_does_not_resume_are_forgotten(self):
+        """Guards against results of an earlier link that used a number."""
+
+        async def scenario(server, egress, _):
+            old = self.link(server)
+            server._handle_message(old, offer(1, 'earlier'))
+            egress.waiters[0].set_result(
+                attempts.unknown_outcome(calls.Reason.UPSTREAM_CUT)
+            )
+            await asyncio.sleep(0)
+            self.assertEqual(1, old.sent[-1].sequence)
+            server._handle_disconnect(old)
+            reopened = self.link(server)
+            server._handle_message(reopened, offer(1, 'later'))
+            self.assertEqual(['earlier', 'later'], egress.requests)
+            server._handle_disconnect(reopened)
+            resumed = self.link(server, 1)
+            self.assertEqual([frames.Hello], [type(m) for m in resumed.sent])
+
+        self.run_scenario(scenario)
+
+    def test_running_offer_that_a_hello_does_not_resume_is_cancelled(self):
+        """Guards against work for a sender that no longer awaits it."""
+
+        async def scenario(server, egress, _):
+            old = self.link(server)
+            server._handle_message(old, offer(1))
+            server._handle_disconnect(old)
+            self.link(server)
+            await asyncio.sleep(0)
+            self.assertFalse(server.busy)
+            self.assertTrue(egress.waiters[0].cancelled())
+
+        self.run_scenario(scenario)
+
     def test_resumed_offers_are_logged_with_the_request_they_find(self):
         async def scenario(server, egress, _):
             old = self.link(server)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -9,6 +9,7 @@
 from jujubefold import clock
 from jujubefold.sidecar import balancer
 from jujubefold.sidecar import egress
+from jujubefold.sidecar import frames
 from jujubefold.sidecar import options
 from jujubefold.sidecar import roster
 from tests import sidecars
@@ -491,6 +492,80 @@
 
         sidecars.run_scenario(scenario)
 
+    def test_reopened_link_does_not_deliver_results_of_the_closed_one(self):
+        """Guards against answers to requests of an earlier link."""
+
+        async def scenario(fleet):
+            await self.link_to_remote(fleet, 0.3)
+            first = fleet.daemons['vm-1'].fleet
+            upstream = fleet.upstreams['vm-2']
+
+            async def echo(request, writer):
+                await asyncio.sleep(0.3)
+                await upstream.answer(
+                    request, writer, body=request.target.encode()
+                )
+
+            upstream.handler = echo
+            response = await fleet.call('vm-1', '/write/a', 'POST', b'b')
+            self.assertEqual(b'/write/a', response.body)
+            first._remove_peer('vm-2')
+            first._open_link(first.roster.members['vm-2'])
+            await fleet.wait_until_linked()
+            call = asyncio.ensure_future(
+                fleet.call('vm-1', '/write/b', 'POST', b'b')
+            )
+            await asyncio.sleep(0.1)
+            first._peers['vm-2'].link._connection.abort()
+            response = await call
+            self.assertEqual(
+                (200, b'/write/b'), (response.status, response.body)
+            )
+            self.assertEqual(1, request_count(fleet, '/write/b'))
+
+        sidecars.run_scenario(scenario)
+
+    def test_offer_numbers_are_unique_among_links(self):
+        """Guards against a number that names two requests of one start."""
+
+        async def scenario(fleet):
+            await self.link_to_remote(fleet, 0.0)
+            await fleet.add('vm-3')
+            await fleet.wait_until_linked()
+            first = fleet.daemons['vm-1'].fleet
+            numbers = []
+            for _ in range(3):
+                for vm in ('vm-2', 'vm-3'):
+                    numbers.append(first._peers[vm].link.next_sequence())
+                    first._remove_peer(vm)
+                    first._open_link(first.roster.members[vm])
+            self.assertEqual(sorted(set(numbers)), numbers)
+
+        sidecars.run_scenario(scenario)
+
+    def test_answer_to_another_request_is_not_delivered(self):
+        """Guards against an answer whose number alone is right."""
+
+        async def scenario(fleet):
+            link = await self.link_to_remote(fleet, 0.0)
+            handle_message = link._handle_message
+
+            def swap(connection, message):
+                if isinstance(message, frames.Answered):
+                    headers = [
+                        (name, b'f' * 16 if name == b'x-request-id' else value)
+                        for name, value in message.headers
+                    ]
+                    message = msgspec.structs.replace(message, headers=headers)
+                handle_message(connection, message)
+
+            link._connection._on_message = swap
+            response = await fleet.call('vm-1', '/write/x', 'POST', b'b')
+            self.assertEqual(502, response.status)
+            self.assertIn('call.foreign_answer', fleet.events('vm-1'))
+
+        sidecars.run_scenario(scenario)
+
     def test_write_at_lost_daemon_has_unknown_outcome(self):
         async def scenario(fleet):
             await self.link_to_remote(fleet, 1.0)
