Keep a result until its sender confirms it

Cause: a gate dropped a result 2.0 s after its end, and reported an offer without an entry as not received. A sender that is cut off resumes 2.3 to 2.65 s after the last data.

Change: the next offer lists the results that arrived, a greeting the offers that are awaited, and nothing else drops a result before its caller's deadline. The gate keeps the highest number received from each start of a daemon; "not received" is said above it only, so it can't follow from a record that was deleted. These rules are in receivedoffers, without a network. A cancelled offer is forgotten at once.

Ruled out: offers made again after a doubt (requests that may run once are not); offers that arrive after the cut (both had run before).

Five tests failed before.

--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -378,6 +378,7 @@
             body,
             len(fetched),
             attempt.call,
+            peer.link.take_received(),
         )
         result = await peer.link.offer(offer, fetched)
         return self._outcome_of(candidate, result)
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -95,6 +95,8 @@
             admitted the request; 0 if `body` is whole.
         call: Whether a request that runs at the sender made it; `rank` is
             then that of the running request.
+        received: Sequence numbers of offers whose results the sender has
+            received since its last offer or greeting.
     """
 
     sequence: int
@@ -113,6 +115,7 @@
     body: bytes
     body_size: int = 0
     call: bool = False
+    received: tuple[int, ...] = ()
 
 
 class PartRequest(Message):
--- a/jujubefold/sidecar/link.py
+++ b/jujubefold/sidecar/link.py
@@ -214,6 +214,7 @@
         self._connection = None
         self._pending = {}
         self._sequences = sequences
+        self._received = []
         self._task = None
         self._reconnect = asyncio.Event()
         self._received_at = 0.0
@@ -252,13 +253,19 @@
         """Return the sequence number for the next offer."""
         return next(self._sequences)
 
+    def take_received(self):
+        """Return the numbers of received results, to confirm them."""
+        received, self._received = self._received, []
+        return tuple(received)
+
     async def offer(self, offer, body=b''):
         """Send an offer and wait for its result.
 
         If the waiting task is cancelled, so is the offer.
 
         Args:
-            offer: A `frames.Offer` with a sequence from `next_sequence`.
+            offer: A `frames.Offer` with a sequence from `next_sequence` and
+                the results from `take_received`.
             body: Body that the other daemon fetches, as bytes.
 
         Returns:
@@ -353,6 +360,8 @@
         self._connection = connection
         self._received_at = now
         self._pinged_at = None
+        # What the hello does not resume needs no confirmation.
+        self._received.clear()
         connection.send(self._make_hello(tuple(self._pending)))
 
     def _handle_disconnected(self):
@@ -377,6 +386,7 @@
                 self._handle_part(message)
                 return
             case frames.Answered() | frames.Refused():
+                self._received.append(message.sequence)
                 self._resolve(message.sequence, OfferResult(message))
             case frames.NotReceived() if self._answers.awaits(
                 self, message.sequence
--- a/jujubefold/sidecar/peerserver.py
+++ b/jujubefold/sidecar/peerserver.py
@@ -1,11 +1,10 @@
 """Peer server: accepts links from other daemons and runs their offers.
 
-An offer survives the loss of its connection for a short time, so that its
-sender can reconnect and still receive the result.
+An offer survives the loss of its connection, so that its sender can reconnect
+and still receive the result; `receivedoffers` decides what is known of it.
 """
 
 import asyncio
-import dataclasses
 import functools
 
 from jujubefold import backgroundtasks
@@ -17,13 +16,12 @@
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import frames
 from jujubefold.sidecar import link
+from jujubefold.sidecar import receivedoffers
 from jujubefold.sidecar import transfer
 
 # Seconds for which an offer without a connection waits for its sender to
 # reconnect; slightly longer than the sender tries to.
 ORPHAN_TIMEOUT_S = link.RESUME_TIMEOUT_S + 0.3
-# Seconds for which a result is kept, in case its frame was lost.
-RESULT_RETENTION_S = 2.0
 
 _MS = 1000
 # A sender whose body found no memory may retry soon: most are fetched within
@@ -39,27 +37,14 @@
     calls.Reason.DRAINING,
     detail='the daemon is stopping',
 )
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class _ReceivedOffer:
-    """An offer received from another daemon.
-
-    Args:
-        connection: Connection over which the result is sent.
-        request: The caller's request id; empty if it was not received.
-        task: The running request; None when it has ended.
-        result: Message that was sent as the result; None while it runs.
-        finished_at: Monotonic seconds at which it ended.
-        body: The request's `transfer.Body`, while it runs.
-    """
-
-    connection: link.Connection
-    request: str = ''
-    task: eagertask.EagerTask | None = None
-    result: object = None
-    finished_at: float = 0.0
-    body: transfer.Body | None = None
+_FORGOTTEN = attempts.Outcome(
+    refusal=calls.Refusal(
+        errors.Outcome.UNKNOWN,
+        calls.Reason.PEER_LOST,
+        detail='the other daemon does not hold the result any more',
+    ),
+    sent=True,
+)
 
 
 class PeerServer:
@@ -100,7 +85,7 @@
         self._on_message = on_message
         self._server = None
         self._connections = set()
-        self._offers = {}
+        self._offers = receivedoffers.OfferTable()
         self._orphaned_at = {}
         self._transfers = transfers
         self._answers = answertransfer.HeldAnswers()
@@ -115,7 +100,8 @@
     def busy(self):
         """Whether an offer is running or queued, or an answer is fetched."""
         return bool(self._answers) or any(
-            entry.task is not None for entry in self._offers.values()
+            entry.task is not None
+            for _, entry in receivedoffers.items(self._offers)
         )
 
     async def start(self, bind, listener=None):
@@ -170,16 +156,10 @@
         for key, orphaned_at in tuple(self._orphaned_at.items()):
             if now - orphaned_at > ORPHAN_TIMEOUT_S:
                 del self._orphaned_at[key]
-                entry = self._offers.get(key)
-                if entry is not None and entry.task is not None:
+                entry = receivedoffers.find(self._offers, key)
+                if _is_running(entry):
                     entry.task.cancel()
-        expired = [
-            key
-            for key, entry in self._offers.items()
-            if entry.result is not None
-            and now - entry.finished_at > RESULT_RETENTION_S
-        ]
-        for key in expired:
+        for key in receivedoffers.expired(self._offers, now):
             self._forget(key)
 
     def _accept(self):
@@ -192,7 +172,7 @@
     def _handle_disconnect(self, connection):
         self._connections.discard(connection)
         now = self._clock.monotonic()
-        for key, entry in self._offers.items():
+        for key, entry in receivedoffers.items(self._offers):
             if entry.connection is connection and entry.task is not None:
                 self._orphaned_at[key] = now
                 transfer.suspend(self._transfers, key)
@@ -214,7 +194,7 @@
                 )
                 return
             case frames.Cancel() if connection.peer is not None:
-                self._cancel((*connection.peer, message.sequence))
+                self._forget((*connection.peer, message.sequence))
                 return
             case frames.AnswerRequest() if connection.peer is not None:
                 self._send_answer_part(connection, message)
@@ -240,23 +220,19 @@
         connection.send(self._make_hello())
         if self._stopping:
             connection.send(frames.ShutdownNotice())
-        self._forget_all_but(connection.peer, hello.resume)
+        receivedoffers.greet(self._offers, connection.peer, hello.resume)
+        for key in receivedoffers.unawaited(
+            self._offers, connection.peer, hello.resume
+        ):
+            self._forget(key)
         for sequence in hello.resume:
             self._resume(connection, sequence)
 
-    def _forget_all_but(self, peer, awaited):
-        """Forget the offers of a daemon that it no longer awaits.
-
-        Args:
-            peer: VM and incarnation of the daemon.
-            awaited: Sequence numbers of the offers that it awaits.
-        """
-        for key in tuple(self._offers):
-            if key[:-1] == peer and key[-1] not in awaited:
-                self._forget(key)
-
     def _forget(self, key):
-        entry = self._offers.pop(key)
+        """Forget an offer whose result is not needed; cancel it if it runs."""
+        entry = receivedoffers.remove(self._offers, key)
+        if entry is None:
+            return
         self._orphaned_at.pop(key, None)
         self._answers.release(key)
         transfer.stop(self._transfers, key)
@@ -264,16 +240,13 @@
             entry.task.cancel()
 
     def _resume(self, connection, sequence):
+        """Report what is known of an offer to a sender that reconnected."""
         key = (*connection.peer, sequence)
         self._orphaned_at.pop(key, None)
-        entry = self._offers.get(key)
-        if entry is None:
-            result = frames.NotReceived(sequence)
-            self._offers[key] = _ReceivedOffer(
-                connection, result=result, finished_at=self._clock.monotonic()
-            )
-            connection.send(result)
-            self._log_resumed(key, 'not-received')
+        entry = receivedoffers.find(self._offers, key)
+        if isinstance(entry, receivedoffers.Missing):
+            self._log_resumed(key, entry)
+            self._report_missing(connection, key, entry)
             return
         state = 'running' if entry.result is None else 'ended'
         self._log_resumed(key, state, entry.request)
@@ -284,6 +257,20 @@
             transfer.resume(self._transfers, key)
             self._request_parts()
 
+    def _report_missing(self, connection, key, missing):
+        sequence = key[-1]
+        if missing is receivedoffers.Missing.FORGOTTEN:
+            connection.send(result_message(sequence, _FORGOTTEN, self._egress))
+            return
+        # Added, so that it is not run if it arrives after all.
+        entry = receivedoffers.ReceivedOffer(
+            connection,
+            result=frames.NotReceived(sequence),
+            finished_at=self._clock.monotonic(),
+        )
+        receivedoffers.add(self._offers, key, entry)
+        connection.send(entry.result)
+
     def _log_resumed(self, key, state, request=''):
         vm, incarnation, sequence = key
         self._event_log.record_request(
@@ -295,27 +282,26 @@
             request=request,
         )
 
-    def _cancel(self, key):
-        entry = self._offers.get(key)
-        if entry is not None and entry.task is not None:
-            entry.task.cancel()
-        self._answers.release(key)
-
     def _send_answer_part(self, connection, request):
         key = (*connection.peer, request.sequence)
-        entry = self._offers.get(key)
-        if entry is not None:
+        entry = receivedoffers.find(self._offers, key)
+        if isinstance(entry, receivedoffers.ReceivedOffer):
             # Held for as long as it is being fetched.
             entry.finished_at = self._clock.monotonic()
         connection.send(self._answers.part(key, request))
 
     def _handle_offer(self, connection, offer):
+        for sequence in offer.received:
+            self._forget((*connection.peer, sequence))
         key = (*connection.peer, offer.sequence)
-        if key in self._offers:
+        now = self._clock.monotonic()
+        deadline = now + offer.remaining_ms / _MS
+        entry = receivedoffers.ReceivedOffer(
+            connection, offer.request, deadline
+        )
+        if not receivedoffers.add(self._offers, key, entry):
             # It is running, has ended, or was reported as not received.
             return
-        now = self._clock.monotonic()
-        entry = self._offers[key] = _ReceivedOffer(connection, offer.request)
         if self.closing:
             # The process would exit before the request has ended.
             self._refuse(entry, offer, _STOPPING)
@@ -342,7 +328,7 @@
             idempotent=offer.idempotent,
             arrived_at=now - offer.elapsed_ms / _MS,
             objective_at=now + offer.until_objective_ms / _MS,
-            deadline=now + offer.remaining_ms / _MS,
+            deadline=deadline,
             method=offer.method,
             target=offer.target,
             headers=offer.headers,
@@ -366,7 +352,8 @@
 
     def _fetch(self, key, size):
         transfer.start(self._transfers, key, size)
-        if not self._offers[key].connection.open:
+        entry = receivedoffers.find(self._offers, key)
+        if not entry.connection.open:
             transfer.suspend(self._transfers, key)
         self._request_parts()
 
@@ -377,13 +364,15 @@
             self._transfers, key, message.offset, size, now
         ):
             self._request_parts()
-            self._offers[key].body.add(message.data)
+            entry = receivedoffers.find(self._offers, key)
+            entry.body.add(message.data)
 
     def _request_parts(self):
         self._egress.fetch_backlog = transfer.backlog_seconds(self._transfers)
         now = self._clock.monotonic()
         for part in transfer.next_parts(self._transfers, now):
-            self._offers[part.key].connection.send(
+            entry = receivedoffers.find(self._offers, part.key)
+            entry.connection.send(
                 frames.BodyRequest(part.key[-1], part.offset, part.size)
             )
 
@@ -391,7 +380,7 @@
         sequence = key[-1]
         entry.task = None
         entry.body = None
-        if self._offers.get(key) is not entry:
+        if receivedoffers.find(self._offers, key) is not entry:
             return
         transfer.stop(self._transfers, key)
         self._request_parts()
@@ -413,6 +402,13 @@
         entry.connection.send(entry.result)
 
 
+def _is_running(entry):
+    return (
+        isinstance(entry, receivedoffers.ReceivedOffer)
+        and entry.task is not None
+    )
+
+
 def result_message(sequence, outcome, egress):
     """Return the message that reports an offer's outcome to its sender.
 
--- a/tests/test_answertransfer.py
+++ b/tests/test_answertransfer.py
@@ -192,7 +192,7 @@
             for forget in (
                 server._answers._bodies.clear,
                 lambda: (
-                    server._offers.clear(),
+                    server._offers.senders.clear(),
                     asker._peers['vm-2'].link._connection.abort(),
                 ),
             ):
--- a/tests/test_peerserver.py
+++ b/tests/test_peerserver.py
@@ -61,7 +61,7 @@
     return frames.Hello(member, 1, LOAD, resume)
 
 
-def offer(sequence, request='a'):
+def offer(sequence, request='a', remaining_ms=900, received=()):
     return frames.Offer(
         sequence,
         request,
@@ -69,7 +69,7 @@
         1,
         0,
         True,
-        900,
+        remaining_ms,
         90,
         0,
         True,
@@ -77,6 +77,7 @@
         b'/',
         [],
         b'',
+        received=received,
     )
 
 
@@ -174,6 +175,79 @@
 
         self.run_scenario(scenario)
 
+    async def finish(self, egress, number):
+        """End a request of the egress, with an unknown outcome."""
+        egress.waiters[number].set_result(
+            attempts.unknown_outcome(calls.Reason.UPSTREAM_CUT)
+        )
+        await asyncio.sleep(0)
+
+    def results(self, connection):
+        """Return number, outcome and reason of the results that were sent."""
+        return [
+            (message.sequence, message.ran, message.reason)
+            for message in connection.sent
+            if isinstance(message, frames.Refused)
+        ]
+
+    def test_result_is_kept_until_its_caller_stops_waiting(self):
+        """Guards against a result that is gone when its sender resumes."""
+
+        async def scenario(server, egress, paused_clock):
+            old = self.link(server)
+            server._handle_message(old, offer(5, remaining_ms=3600))
+            await self.finish(egress, 0)
+            paused_clock.advance(3.5)
+            server.sweep(paused_clock.monotonic())
+            new = self.link(server, 5)
+            self.assertEqual(
+                [(5, 'unknown', 'upstream-cut')], self.results(new)
+            )
+
+        self.run_scenario(scenario)
+
+    def test_dropped_result_is_not_reported_as_not_received(self):
+        """Guards against a request that ran and is said not to have."""
+
+        async def scenario(server, egress, paused_clock):
+            old = self.link(server)
+            server._handle_message(old, offer(5))
+            await self.finish(egress, 0)
+            paused_clock.advance(60.0)
+            server.sweep(paused_clock.monotonic())
+            new = self.link(server, 5, 6)
+            self.assertEqual([(5, 'unknown', 'peer-lost')], self.results(new))
+            self.assertEqual(frames.NotReceived(6), new.sent[-1])
+
+        self.run_scenario(scenario)
+
+    def test_received_results_are_dropped(self):
+        async def scenario(server, egress, _):
+            connection = self.link(server)
+            server._handle_message(connection, offer(5))
+            server._handle_message(connection, offer(6))
+            await self.finish(egress, 0)
+            await self.finish(egress, 1)
+            server._handle_message(connection, offer(7, received=(6,)))
+            new = self.link(server, 5, 6)
+            self.assertEqual(
+                [(5, 'unknown', 'upstream-cut'), (6, 'unknown', 'peer-lost')],
+                self.results(new),
+            )
+
+        self.run_scenario(scenario)
+
+    def test_unknown_daemon_that_resumes_is_told_a_doubt(self):
+        """Guards against a record of a daemon that was dropped."""
+
+        async def scenario(server, egress, _):
+            connection = self.link(server, 5)
+            self.assertEqual(
+                [(5, 'unknown', 'peer-lost')], self.results(connection)
+            )
+
+        self.run_scenario(scenario)
+
     def test_resumed_offers_are_logged_with_the_request_they_find(self):
         async def scenario(server, egress, _):
             old = self.link(server)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -525,6 +525,47 @@
 
         sidecars.run_scenario(scenario)
 
+    def test_write_that_ended_in_a_silent_cut_is_answered(self):
+        """Guards against a result dropped before its sender can resume."""
+
+        async def scenario(fleet):
+            await fleet.configure(
+                sidecars.document(
+                    2,
+                    [
+                        sidecars.route(
+                            'write', '/write/', 'non_idempotent', timeout_s=4.0
+                        )
+                    ],
+                )
+            )
+            link = await self.link_to_remote(fleet, 0.2)
+            call = asyncio.ensure_future(
+                fleet.call(
+                    'vm-1',
+                    '/write/x',
+                    'POST',
+                    b'b',
+                    **{'X-Deadline-Ms': '4000'},
+                )
+            )
+            await asyncio.sleep(0.1)
+            # Nothing arrives until the link's probe times out, and the first
+            # connection after that takes most of a second.
+            link._connection.data_received = lambda data: None
+            handle_connected = link._handle_connected
+            link._handle_connected = lambda connection: (
+                asyncio.get_running_loop().call_later(
+                    0.9, handle_connected, connection
+                )
+            )
+            response = await call
+            self.assertEqual(
+                (200, 1), (response.status, request_count(fleet, '/write/x'))
+            )
+
+        sidecars.run_scenario(scenario)
+
     def test_offer_numbers_are_unique_among_links(self):
         """Guards against a number that names two requests of one start."""
 
