Log where an unexpected error was raised

Cause: daemon.error had the error and not its place.

Change: the field at has the four innermost frames, without reading source files.

Result: a test; no change of behaviour.

--- a/jujubefold/backgroundtasks.py
+++ b/jujubefold/backgroundtasks.py
@@ -1,6 +1,11 @@
 """Background tasks, whose exceptions go to the event loop's handler."""
 
 import asyncio
+import os
+import traceback
+
+# Frames of an exception's traceback that are logged.
+LOGGED_FRAMES = 4
 
 _tasks = set()
 
@@ -50,6 +55,27 @@
     )
 
 
+def raised_at(error):
+    """Return where an exception was raised, innermost frame first.
+
+    No source file is read, so that logging never waits for a disk.
+
+    Args:
+        error: The exception, or None.
+
+    Returns:
+        List of texts such as `link.py:198 data_received`.
+    """
+    if error is None:
+        return []
+    places = [
+        f'{os.path.basename(frame.f_code.co_filename)}:{line} '
+        f'{frame.f_code.co_name}'
+        for frame, line in traceback.walk_tb(error.__traceback__)
+    ]
+    return places[::-1][:LOGGED_FRAMES]
+
+
 def run_guarded(function, *args):
     """Call a function; an exception is reported and does not propagate.
 
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -668,6 +668,7 @@
             'daemon.error',
             detail=context['message'],
             error=repr(context.get('exception')),
+            at=backgroundtasks.raised_at(context.get('exception')),
         )
     )
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/test_backgroundtasks.py
+++ b/tests/test_backgroundtasks.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import testtools
+from testtools import matchers
 
 from jujubefold import backgroundtasks
 from tests import sidecars
@@ -24,6 +25,22 @@
         asyncio.run(main())
 
 
+class TestPlaces(testtools.TestCase):
+    def test_innermost_frames_of_an_error_are_named(self):
+        def divide():
+            return 1 / 0
+
+        try:
+            divide()
+        except ZeroDivisionError as error:
+            places = backgroundtasks.raised_at(error)
+        self.assertEqual(2, len(places))
+        self.assertThat(
+            places[0], matchers.MatchesRegex(r'test_background.*:\d+ divide$')
+        )
+        self.assertEqual([], backgroundtasks.raised_at(None))
+
+
 class TestSweep(testtools.TestCase):
     def test_a_daemon_sweeps_on_after_an_error(self):
         """Guards against one error that ends all periodic work for good."""
