Accept the statuses that HTTP has from upstreams, and no others

Cause: the client took any status from 200 on as final, and encode_head raised KeyError for 600 after the pipeline had removed the request's entry, so the next answer was sent in its place.

Change: another status ends the exchange as bytes that are no answer do; ingress checks what other daemons report; an answer that can't be written ends its connection, so no answer can take the place of another whatever fails.

--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -303,6 +303,9 @@
             self._skipping_answer = True
             self._must_close = True
             return
+        if status not in httpheads.FINAL_STATUSES:
+            self._error = FailureKind.CUT, f'bad answer: status {status}'
+            return
         self._read_idle_timeout(fields)
         length = int(fields.get(b'content-length', 0))
         headers = httpheads.end_to_end_headers(self._headers)
--- a/jujubefold/callpipeline.py
+++ b/jujubefold/callpipeline.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+from jujubefold import backgroundtasks
 from jujubefold import callexchange
 from jujubefold import httpheads
 
@@ -193,7 +194,14 @@
                 return
             entry = self._started.popleft()
             self._held_bytes -= entry.answer.size
-            self._send(entry.request, entry.answer)
+            try:
+                self._send(entry.request, entry.answer)
+            except Exception as error:
+                # The next answer would be taken for the one that is missing.
+                backgroundtasks.report_exception(error, 'sending an answer')
+                self._server.answer_memory.release(entry.answer.memory)
+                self.drop()
+                self._connection.abort()
 
     def _send(self, request, answer):
         keep_alive = request is not None and request.keep_alive
--- a/jujubefold/httpheads.py
+++ b/jujubefold/httpheads.py
@@ -4,6 +4,8 @@
 from jujubefold import problems
 
 MAX_HEADERS = 100
+# Statuses of an answer that ends an exchange.
+FINAL_STATUSES = range(200, 600)
 
 _METHODS = frozenset(
     {b'GET', b'HEAD', b'OPTIONS', b'POST', b'PUT', b'PATCH', b'DELETE'}
@@ -133,7 +135,7 @@
 
 _STATUS_LINES = {
     code: f'HTTP/1.1 {code} {problems.title_of(code)}\r\n'.encode()
-    for code in range(200, 600)
+    for code in FINAL_STATUSES
 }
 
 
@@ -141,7 +143,7 @@
     """Return the status line and headers of an answer as bytes.
 
     Args:
-        answer: A `callserver.Answer`.
+        answer: A `callserver.Answer` with one of `FINAL_STATUSES`.
         method: Method of the request.
         keep_alive: Whether the connection stays open.
     """
--- a/jujubefold/sidecar/ingress.py
+++ b/jujubefold/sidecar/ingress.py
@@ -412,13 +412,20 @@
         return outcome
 
     def _checked(self, attempt, outcome):
-        """Return an outcome, or a doubt if its answer is not the request's.
+        """Return an outcome, or a doubt if its answer can't be the request's.
 
-        Answers repeat the id of their request.
+        Answers repeat the id of their request. One of another daemon was not
+        read by this daemon's client.
         """
         answer = outcome.answer
+        if answer is None:
+            return outcome
+        if answer.status not in httpheads.FINAL_STATUSES:
+            return attempts.unknown_outcome(
+                calls.Reason.UPSTREAM_GARBLED, f'status {answer.status}'
+            )
         expected = self._names.request, attempt.request.encode('latin-1')
-        if answer is None or expected in answer.headers:
+        if expected in answer.headers:
             return outcome
         self._event_log.record_request(
             'call.foreign_answer',
--- a/tests/test_callclient.py
+++ b/tests/test_callclient.py
@@ -40,6 +40,11 @@
         callclient.FailureKind.TOO_LARGE,
     ),
     (b'HTTP/1.1 101 Switching Protocols\r\n\r\n', callclient.FailureKind.CUT),
+    # Statuses that HTTP does not have.
+    (COMPLETE.replace(b'200', b'600'), callclient.FailureKind.CUT),
+    (COMPLETE.replace(b'200', b'999'), callclient.FailureKind.CUT),
+    (COMPLETE.replace(b'200', b'099'), callclient.FailureKind.CUT),
+    (COMPLETE.replace(b'200', b'000'), callclient.FailureKind.CUT),
     (COMPLETE, None),
     (OK + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n', None),
     (b'HTTP/1.1 102 Processing\r\n\r\n' + COMPLETE, None),
--- a/tests/test_callserver.py
+++ b/tests/test_callserver.py
@@ -480,6 +480,21 @@
 
         self.run_with(scenario)
 
+    def test_answer_that_cannot_be_sent_ends_its_connection(self):
+        """Guards against the next answer being taken for a missing one."""
+
+        async def scenario(running):
+            reader, writer = await self.start(running, get('/1'), get('/2'))
+            first, second = running.handler.held
+            running.handler.answer(second)
+            running.handler.status = 600
+            running.handler.answer(first)
+            received = await asyncio.wait_for(reader.read(), 5)
+            self.assertEqual(b'', received)
+            writer.close()
+
+        self.run_with(scenario)
+
     def test_request_that_must_not_repeat_waits_for_those_before_it(self):
         async def scenario(running):
             post = b'POST /w HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx'
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -210,6 +210,44 @@
             )
             self.assertNotIn('x-server-seal', response.headers)
 
+    def test_answer_with_an_invalid_status_holds_back_no_other(self):
+        """Guards against the next request's answer in its place."""
+
+        async def scenario(fleet):
+            await fleet.configure(
+                sidecars.document(
+                    2, [sidecars.route('read', '/read/', max_attempts=1)]
+                )
+            )
+            await add_pair(fleet)
+            for upstream in fleet.upstreams.values():
+
+                async def spoil(request, writer, upstream=upstream):
+                    status = '600 OK' if '1' in request.target else '200 OK'
+                    await upstream.answer(
+                        request, writer, status, request.target.encode()
+                    )
+
+                upstream.handler = spoil
+            address = fleet.daemons['vm-1'].options.listen.callers
+            host, _, port = address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            for number in range(3):
+                writer.write(
+                    f'GET /read/{number} HTTP/1.1\r\nHost: {sidecars.HOST}'
+                    f'\r\nX-Request-Id: {number:016x}\r\n\r\n'.encode()
+                )
+            found = [await sidecars.read_response(reader) for _ in range(3)]
+            self.assertEqual(
+                [200, 502, 200], [response.status for response in found]
+            )
+            self.assertEqual(
+                (b'/read/0', b'/read/2'), (found[0].body, found[2].body)
+            )
+            writer.close()
+
+        sidecars.run_scenario(scenario)
+
     def test_write_shed_by_one_upstream_runs_on_another(self):
         rejected = []
 
@@ -607,6 +645,25 @@
 
         sidecars.run_scenario(scenario)
 
+    def test_invalid_status_from_another_daemon_is_not_delivered(self):
+        """Guards against a daemon of a release that passes it on."""
+
+        async def scenario(fleet):
+            link = await self.link_to_remote(fleet, 0.0)
+            handle_message = link._handle_message
+
+            def spoil(connection, message):
+                if isinstance(message, frames.Answered):
+                    message = msgspec.structs.replace(message, status=600)
+                handle_message(connection, message)
+
+            link._connection._on_message = spoil
+            response = await fleet.call('vm-1', '/write/x', 'POST', b'b')
+            self.assertEqual(502, response.status)
+            self.assertTrue(link.up)
+
+        sidecars.run_scenario(scenario)
+
     def test_write_at_lost_daemon_has_unknown_outcome(self):
         async def scenario(fleet):
             await self.link_to_remote(fleet, 1.0)
