Log which departures a daemon reads at its start

Cause: after a start, nothing told a departure that was never written from one that was read and not matched with the upstream's announcement.

Change: event departures.read with the ids of the upstreams that left.

Result: checked in test_departure_survives_daemon_restart; no change of behaviour.

--- a/jujubefold/sidecar/departures.py
+++ b/jujubefold/sidecar/departures.py
@@ -60,6 +60,9 @@
             result = await self._feed.get(TABLE, self._vm)
             if result.is_ok():
                 self._merge(result.ok.rows)
+                self._event_log.record(
+                    'departures.read', upstreams=sorted(self._departed)
+                )
                 break
             if self._clock.monotonic() >= deadline:
                 self._event_log.record(
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -783,6 +783,10 @@
                 await fleet.daemons['vm-1'].close()
                 await fleet.restart('vm-1', daemon_options)
                 await fleet.wait_until_linked()
+                self.assertIn(
+                    ('departures.read', {'upstreams': ['i-vm-1']}),
+                    fleet.event_logs['vm-1'].records,
+                )
                 # An announcement sent before it left arrives late.
                 self.assertEqual(200, await fleet.announce('vm-1'))
                 for number in range(6):
