Write an acknowledged departure once the store can be written to

Cause: a departure was written for 0.7 s, then acknowledged whether it was written or not, and never tried again; after a kill nothing knew of it.

Change: departures are written until the row is known to hold them, and a stop waits for that within its grace period. Writes are conditional on the row that was read: a lost one that is carried out late took a later departure back, a fault of the same kind found on the way.

Ruled out: written and not read (no departures.unknown); read and not matched with the announcement (departures.read was empty).

--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -199,7 +199,7 @@
             ),
             self._store_era,
         )
-        departed = departures.Departures(
+        self._departures = departures.Departures(
             self._feed,
             location.vm,
             time_source,
@@ -207,12 +207,12 @@
             location.bootstrap,
         )
         self._receiver = announcements.AnnouncementReceiver(
-            self.egress, departed
+            self.egress, self._departures
         )
         self._enlistment = enlistment.Enlistment(
             self._feed,
             self._own_member,
-            departed,
+            self._departures,
             self._rng,
             self._event_log,
         )
@@ -603,6 +603,7 @@
             or self.egress.busy
             or self.fleet.peer_server.busy
             or self._caller_server.busy
+            or self._departures.unwritten
         )
 
     async def close(self):
--- a/jujubefold/sidecar/departures.py
+++ b/jujubefold/sidecar/departures.py
@@ -3,7 +3,8 @@
 Once a daemon has acknowledged an upstream's departure, it must send it no
 more requests, even if the daemon crashes and then receives a late
 announcement that the upstream is ready. So each departure is written to the
-platform before it is acknowledged.
+platform before it is acknowledged or, if that takes too long, as soon as the
+platform can be written to.
 """
 
 import asyncio
@@ -11,7 +12,9 @@
 import expression
 import msgspec
 
+from jujubefold import backgroundtasks
 from jujubefold import errors
+from jujubefold.sidecar import rowfeed
 
 TABLE = 'jujubefold-departures'
 # Seconds after which a departure is acknowledged even if it could not be
@@ -20,7 +23,13 @@
 # Seconds for which a starting daemon tries to read earlier departures.
 READ_TIMEOUT_S = 1.0
 RETRY_INTERVAL_S = 0.1
-# The same for departures that the platform lost; all daemons may try.
+# Seconds between two attempts to write a departure that was acknowledged. A
+# crash soon after the platform is back must not find it unwritten.
+LATE_RETRY_INTERVAL_S = 0.2
+# Seconds after which an attempt to write is given up.
+ATTEMPT_TIMEOUT_S = 0.7
+# Seconds between two attempts to restore departures that the platform lost;
+# all daemons may try.
 RESTORE_INTERVAL_S = 0.5
 # Departures kept in the row of a VM.
 MAX_DEPARTURES = 8
@@ -46,7 +55,16 @@
         self._clock = clock
         self._event_log = event_log
         self._departed = {}
+        # What the platform's row is known to hold.
+        self._written = {}
         self._loaded = bootstrap
+        self._writer = None
+        self._write_error = ''
+
+    @property
+    def unwritten(self):
+        """Whether a departure is not known to be written."""
+        return not self._departed.items() <= self._written.items()
 
     async def load(self):
         """Read the recorded departures.
@@ -75,8 +93,7 @@
     async def record(self, id_, started_ms):
         """Write a departure; return whether it was written in time.
 
-        The row is read first if it has not been, so that departures from
-        before this start of the daemon stay in it.
+        If it was not, it is still written as soon as that is possible.
 
         Args:
             id_: Id of the upstream.
@@ -84,48 +101,56 @@
         """
         self._departed[id_] = started_ms
         self._drop_oldest()
-        deadline = self._clock.monotonic() + WRITE_TIMEOUT_S
-        while True:
-            left = deadline - self._clock.monotonic()
-            result = await self._put(max(0.0, left))
-            if result.is_ok():
-                return True
-            if self._clock.monotonic() + RETRY_INTERVAL_S >= deadline:
-                self._event_log.record(
-                    'departures.unwritten',
-                    upstream=id_,
-                    detail=result.error.reason,
-                )
-                return False
-            await asyncio.sleep(RETRY_INTERVAL_S)
+        if self._writer is None:
+            self._writer = backgroundtasks.spawn(self._write())
+        try:
+            async with asyncio.timeout(WRITE_TIMEOUT_S):
+                await asyncio.shield(self._writer)
+        except TimeoutError:
+            self._event_log.record(
+                'departures.unwritten',
+                upstream=id_,
+                detail=self._write_error or 'no answer',
+            )
+            return False
+        return True
 
     async def restore(self):
         """Write the departures again if the platform has lost any."""
+        self._written = {}
         while self._departed:
-            found = await self._feed.get(TABLE, self._vm)
-            if found.is_ok():
-                kept = self._decode(found.ok.rows)
-                if self._departed.items() <= kept.items():
-                    return
-                result = await self._feed.put(
-                    TABLE, self._vm, _encoder.encode(self._departed)
-                )
-                if result.is_ok():
+            result = await self._write_missing()
+            if result.is_ok():
+                if result.ok:
                     self._event_log.record('departures.restored')
-                    return
+                return
             await asyncio.sleep(RESTORE_INTERVAL_S)
 
-    async def _put(self, timeout):
+    async def _write(self):
+        """Write the departures until the platform's row holds all of them."""
+        started_at = self._clock.monotonic()
         try:
-            async with asyncio.timeout(timeout):
-                if not self._loaded:
-                    found = await self._feed.get(TABLE, self._vm)
-                    if found.is_error():
-                        return found
-                    self._merge(found.ok.rows)
-                return await self._feed.put(
-                    TABLE, self._vm, _encoder.encode(self._departed)
-                )
+            while self.unwritten:
+                result = await self._write_in_time()
+                if result.is_error():
+                    self._write_error = result.error.reason
+                    await asyncio.sleep(self._retry_interval(started_at))
+        finally:
+            self._writer = None
+        if self._clock.monotonic() - started_at > WRITE_TIMEOUT_S:
+            self._event_log.record(
+                'departures.written', upstreams=sorted(self._departed)
+            )
+
+    def _retry_interval(self, started_at):
+        if self._clock.monotonic() - started_at < WRITE_TIMEOUT_S:
+            return RETRY_INTERVAL_S
+        return LATE_RETRY_INTERVAL_S
+
+    async def _write_in_time(self):
+        try:
+            async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
+                return await self._write_missing()
         except TimeoutError:
             return expression.Error(
                 errors.StoreOutcomeUnknown(
@@ -133,6 +158,35 @@
                 )
             )
 
+    async def _write_missing(self):
+        """Write the departures that the platform's row lacks.
+
+        The row is read first, so that departures from before this start of
+        the daemon stay in it, and written on the condition that it is still
+        the same: a write without an answer may be carried out late, and must
+        not replace a later one.
+
+        Returns:
+            `Ok` with whether it was written, or the `Error` of a call.
+        """
+        found = await self._feed.get(TABLE, self._vm)
+        if found.is_error():
+            return found
+        rows = found.ok.rows
+        self._merge(rows)
+        departed = dict(self._departed)
+        if departed.items() <= self._decode(rows).items():
+            self._written = departed
+            return expression.Ok(False)
+        version = rows[0].version if rows else 0
+        result = await self._feed.transact(
+            [rowfeed.Condition(TABLE, self._vm, version)],
+            [rowfeed.Put(TABLE, self._vm, _encoder.encode(departed))],
+        )
+        if result.is_ok():
+            self._written = departed
+        return result.map(lambda _: True)
+
     def _merge(self, rows):
         """Add the departures of a row to those recorded meanwhile."""
         self._loaded = True
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -8,6 +8,8 @@
 
 from jujubefold import clock
 from jujubefold.sidecar import balancer
+from jujubefold.sidecar import daemon
+from jujubefold.sidecar import departures
 from jujubefold.sidecar import egress
 from jujubefold.sidecar import frames
 from jujubefold.sidecar import options
@@ -796,6 +798,55 @@
 
             sidecars.run_scenario(scenario)
 
+    def test_departure_acknowledged_in_an_outage_survives_a_restart(self):
+        """Guards against a departure that is never written."""
+        for call in ('draining', 'deregister', 'answer'):
+
+            async def scenario(fleet, call=call):
+                await add_pair(fleet)
+                fleet.feed.fault = sidecars.store_unavailable()
+                if call == 'draining':
+                    self.assertEqual(200, await fleet.announce('vm-1', call))
+                elif call == 'deregister':
+                    response = await fleet.call_lifecycle_api('vm-1', call)
+                    self.assertEqual(200, response.status)
+                else:
+                    fleet.upstreams['vm-1'].leaving = True
+                    await fleet.call('vm-1', '/read/leaving')
+                await asyncio.sleep(1.0)
+                fleet.feed.fault = None
+                await asyncio.sleep(0.3)
+                daemon_options = fleet.daemons['vm-1'].options
+                await fleet.daemons['vm-1'].close()
+                await fleet.restart('vm-1', daemon_options)
+                await fleet.wait_until_linked()
+                fleet.upstreams['vm-1'].requests.clear()
+                # An announcement sent before it left arrives late.
+                self.assertEqual(200, await fleet.announce('vm-1'))
+                for number in range(6):
+                    response = await fleet.call('vm-1', f'/read/{number}')
+                    self.assertEqual(200, response.status)
+                self.assertEqual([], fleet.upstreams['vm-1'].requests)
+
+            sidecars.run_scenario(scenario)
+
+    def test_stop_waits_for_a_departure_to_be_written(self):
+        """Guards against a restart during an outage of the store."""
+
+        async def scenario(fleet):
+            sidecar = await fleet.add('vm-1')
+            await fleet.wait_until_linked()
+            fleet.feed.fault = sidecars.store_unavailable()
+            await fleet.call_lifecycle_api('vm-1', 'deregister')
+            stopping = asyncio.ensure_future(sidecar.stop())
+            await asyncio.sleep(daemon.CALLERS_STOPPED_S + 0.5)
+            fleet.feed.fault = None
+            await stopping
+            found = await fleet.feed.get(departures.TABLE, 'vm-1')
+            self.assertEqual(1, len(found.ok.rows))
+
+        sidecars.run_scenario(scenario)
+
     def test_late_announcement_after_deregistration_is_ignored(self):
         for body in ('{"born": 1}', ''):
 
@@ -1259,16 +1310,16 @@
             fleet.feed.fault = sidecars.store_unavailable()
             await fleet.add('vm-1')
             await fleet.add('vm-2')
-            for daemon in fleet.daemons.values():
-                daemon.versions.apply(sidecars.document(1), 'test')
+            for sidecar in fleet.daemons.values():
+                sidecar.versions.apply(sidecars.document(1), 'test')
             for first, second in (('vm-1', 'vm-2'), ('vm-2', 'vm-1')):
                 fleet.daemons[first].fleet.add_member(
                     fleet.daemons[second].fleet.roster.local
                 )
             await fleet.wait_until_linked()
-            for vm, daemon in fleet.daemons.items():
+            for vm, sidecar in fleet.daemons.items():
                 await fleet.announce(vm)
-                slots = daemon.egress.slot_table
+                slots = sidecar.egress.slot_table
                 await sidecars.wait_until(lambda slots=slots: slots.slots, 3.0)
 
             async def cut(request, writer):
