Reject odd entries by themselves, wherever input is read

Here, nesting raised a RecursionError in each read of the members, an incarnation of 10^30 could not be encoded for the other daemons, and port 99999 ended a link's task: members that joined later were never linked. A heartbeat with such a number of slots was accepted, and no greeting could be encoded any more.

Change: decoding.decode is the way in for input from outside and returns each failure as a value; types bound their numbers; members are checked on both ways in, rows and messages; a row names its own key, and an id fits a header. test_style refuses a handler of decoding errors that leaves nesting out.

Ruled out: ended processes. The feeds' guard kept them alive, and lost the other entries.

--- a/jujubefold/callkeys.py
+++ b/jujubefold/callkeys.py
@@ -7,6 +7,7 @@
 from jujubefold import calls
 from jujubefold import callserver
 from jujubefold import claimoutcome
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold import events
 
@@ -143,10 +144,10 @@
 
 
 def _decode_answer(encoded):
-    try:
-        recorded = _decoder.decode(encoded)
-    except msgspec.DecodeError:
+    decoded = decoding.decode(_decoder, encoded, 'answer')
+    if decoded.is_error():
         return _ANSWER_UNREADABLE
+    recorded = decoded.ok
     body = recorded.body
     return callserver.Answer(
         recorded.status, list(recorded.headers), [body], len(body)
--- a/jujubefold/contacts.py
+++ b/jujubefold/contacts.py
@@ -60,4 +60,4 @@
 
 
 def _address(row):
-    return '' if row is None else str(row.values[_ADDRESS])
+    return '' if row is None else str(row.values.get(_ADDRESS, ''))
--- a/jujubefold/hophandler.py
+++ b/jujubefold/hophandler.py
@@ -10,6 +10,7 @@
 from jujubefold import callhandler
 from jujubefold import calls
 from jujubefold import callserver
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold import gate
 from jujubefold import hops
@@ -236,6 +237,6 @@
         problem = msgspec.json.decode(
             b''.join(answer.chunks), type=problems.Problem
         )
-    except (ValueError, msgspec.DecodeError):
+    except (ValueError, *decoding.FAULTS):
         return _INVALID_ANSWER
     return calls.Refusal(ran, reason, problem.retry_after, problem.detail)
--- a/jujubefold/hops.py
+++ b/jujubefold/hops.py
@@ -2,11 +2,10 @@
 
 import typing
 
-import expression
 import msgspec
 
 from jujubefold import calls
-from jujubefold import errors
+from jujubefold import decoding
 from jujubefold import mesh
 
 HOP_HEADER = b'jujubefold-hop'
@@ -115,10 +114,7 @@
     Returns:
         `Ok(Hop)` or `Error(errors.Invalid)`.
     """
-    try:
-        return expression.Ok(_decoder.decode(value))
-    except (msgspec.DecodeError, UnicodeError) as error:
-        return expression.Error(errors.Invalid(str(error), 'hop'))
+    return decoding.decode(_decoder, value, 'hop')
 
 
 def to_attempt(hop, request, routes, now):
--- a/jujubefold/platform/announcements.py
+++ b/jujubefold/platform/announcements.py
@@ -1,11 +1,14 @@
 """Request handlers for announcements, readiness checks and metrics."""
 
+import re
+import typing
 import urllib.parse
 
 import msgspec
 
 from jujubefold import callhandler
 from jujubefold import callserver
+from jujubefold import decoding
 from jujubefold.sidecar import instance
 
 PATH = '/api/rpc'
@@ -14,19 +17,24 @@
 HEARTBEAT = 'instances.heartbeat'
 DEREGISTER = 'instances.deregister'
 _MAX_BODY_BYTES = 64 * 1024
+# An id is sent to its instance in a header.
+_ID = re.compile(r'[!-~]{1,200}')
+
+_Slots = typing.Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+_ColdSeconds = typing.Annotated[float, msgspec.Meta(le=86_400.0)]
 
 
 class _Info(msgspec.Struct):
     service: str
-    slots: int
+    slots: _Slots
     # Version of the software; heartbeats of old instances have none.
     version: str = ''
 
 
 class _Status(msgspec.Struct):
     state: instance.State
-    sequence: int
-    cold_remaining_s: float = 0.0
+    sequence: decoding.Count
+    cold_remaining_s: _ColdSeconds = 0.0
 
 
 class _Heartbeat(msgspec.Struct):
@@ -34,11 +42,11 @@
     info: _Info
     status: _Status
     # Unix milliseconds of the instance's start; 0 if not sent.
-    born: int = 0
+    born: decoding.UnixMilliseconds = 0
 
 
 class _Deregistration(msgspec.Struct):
-    born: int | None = None
+    born: decoding.UnixMilliseconds | None = None
 
 
 _heartbeat_decoder = msgspec.json.Decoder(_Heartbeat)
@@ -75,6 +83,8 @@
         call = query.get('call')
         if request.path != PATH or not upstream_id:
             exchange.reply(_empty_json(404))
+        elif not _ID.fullmatch(upstream_id):
+            exchange.reply(_empty_json(400))
         elif call == HEARTBEAT:
             self._handle_heartbeat(
                 exchange, upstream_id, b''.join(request.chunks)
@@ -111,12 +121,10 @@
 
 def _decode_heartbeat(upstream_id, body):
     """Return the `instance.Announcement` in a body; None if it is invalid."""
-    try:
-        heartbeat = _heartbeat_decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeError):
-        return None
-    if heartbeat.info.slots < 1:
+    found = decoding.decode(_heartbeat_decoder, body, HEARTBEAT)
+    if found.is_error():
         return None
+    heartbeat = found.ok
     return instance.Announcement(
         upstream_id,
         heartbeat.address,
@@ -134,10 +142,8 @@
     """Return the `_Deregistration` in a body; None if it is invalid."""
     if not body:
         return _Deregistration()
-    try:
-        return _deregistration_decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeError):
-        return None
+    found = decoding.decode(_deregistration_decoder, body, DEREGISTER)
+    return found.ok if found.is_ok() else None
 
 
 def _acknowledger(exchange):
--- a/jujubefold/platform/configuration.py
+++ b/jujubefold/platform/configuration.py
@@ -11,6 +11,7 @@
 import expression
 import msgspec
 
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold import mesh
 from jujubefold.platform import tenantrows
@@ -19,6 +20,13 @@
 TABLE = 'op'
 KEY = 'config'
 
+# A version and a rank are sent to other daemons as numbers of 64 bits at most,
+# and a timeout as milliseconds.
+MAX_PRIORITY = 2**31 - 1
+MAX_ATTEMPTS = 2**31 - 1
+MAX_SECONDS = 86_400.0
+MAX_BYTES = 2**40
+
 _DOWNLOAD = 'download'
 _IDEMPOTENT = {
     'idempotent': True,
@@ -157,7 +165,7 @@
                 if row not in known
             }
             tenants = self._tenants.decode(bytes(document.tenants))
-        except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        except decoding.FAULTS as error:
             return expression.Error(errors.Invalid(str(error), KEY))
         if tenants.is_error():
             return tenants
@@ -223,12 +231,18 @@
 
 def _faults(document, routes, services):
     """Yield an `errors.Invalid` for each wrong value of a document."""
-    if document.version < 1:
-        yield errors.Invalid('the version must be positive', 'version')
+    if not 1 <= document.version <= decoding.MAX_COUNT:
+        yield errors.Invalid(
+            'the version must be a positive number of 63 bits', 'version'
+        )
     limits = document.limits
     for name in limits.__struct_fields__:
-        if not _is_positive(getattr(limits, name)):
-            yield errors.Invalid('a limit must be positive', f'limits.{name}')
+        most = MAX_SECONDS if name.endswith('_s') else MAX_BYTES
+        if not 0 < getattr(limits, name) <= most:
+            yield errors.Invalid(
+                f'a limit must be positive and at most {most}',
+                f'limits.{name}',
+            )
     for route in routes:
         for column, reason in _route_faults(route, services):
             yield errors.Invalid(reason, f'routes.{route.name}.{column}')
@@ -240,8 +254,12 @@
         yield 'host', 'a route needs a host'
     if not (route.prefix.startswith('/') and route.prefix.endswith('/')):
         yield 'prefix', 'a prefix must begin and end with a slash'
-    if not _is_positive(route.timeout_s):
-        yield 'timeout_s', 'a timeout must be positive'
+    if not 0 < route.timeout_s <= MAX_SECONDS:
+        yield 'timeout_s', f'a timeout is at most {MAX_SECONDS} s, above 0'
+    if not -MAX_PRIORITY <= route.priority <= MAX_PRIORITY:
+        yield 'priority', f'a priority is at most {MAX_PRIORITY}'
+    if not -MAX_ATTEMPTS <= route.max_attempts <= MAX_ATTEMPTS:
+        yield 'max_attempts', f'at most {MAX_ATTEMPTS} attempts are made'
     if not 0 <= route.target_latency_s < math.inf:
         yield 'target_latency_s', 'an objective must not be negative'
     for share in _shares(route):
@@ -253,10 +271,6 @@
         yield 'traffic_split', 'no service has a weight above 0'
 
 
-def _is_positive(value):
-    return 0 < value < math.inf
-
-
 def _unknown_values(route):
     """Yield a `versions.UnknownValue` for each value not known here."""
     if route.kind not in _IDEMPOTENT:
--- a/jujubefold/platform/rollouts.py
+++ b/jujubefold/platform/rollouts.py
@@ -1,10 +1,9 @@
 """Rollouts: the platform's orders for a new version, and their status."""
 
-import math
-
 import expression
 import msgspec
 
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold.sidecar import rollout
 from jujubefold.sidecar import rolloutcontroller
@@ -12,6 +11,7 @@
 ORDERS_TABLE = 'op'
 STATUS_TABLE = 'status'
 KEY_PREFIX = 'rollout/'
+MAX_DURATION_S = 30 * 86_400.0
 
 
 class _Order(msgspec.Struct):
@@ -55,16 +55,18 @@
     Returns:
         `Ok(rollout.Order)` or `Error(errors.Invalid)`.
     """
-    try:
-        found = _order_decoder.decode(row.value)
-    except (msgspec.DecodeError, UnicodeError) as error:
-        return _invalid(row, str(error))
+    decoded = decoding.decode(_order_decoder, row.value, row.key)
+    if decoded.is_error():
+        return decoded
+    found = decoded.ok
     if found.service != service_of(row.key):
         return _invalid(row, 'the key names another service')
     if not found.to:
         return _invalid(row, 'the version is empty')
-    if not (math.isfinite(found.duration_s) and found.duration_s > 0):
-        return _invalid(row, 'the duration is not a positive number')
+    if not 0 < found.duration_s <= MAX_DURATION_S:
+        return _invalid(
+            row, f'the duration is not between 0 and {MAX_DURATION_S} seconds'
+        )
     return expression.Ok(
         rollout.Order(
             rollout.OrderId(era, row.version),
--- a/jujubefold/platform/store.py
+++ b/jujubefold/platform/store.py
@@ -10,6 +10,7 @@
 
 from jujubefold import bodymemory
 from jujubefold import callclient
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold.sidecar import rowfeed
 
@@ -35,12 +36,12 @@
     # Missing on deleted rows.
     value: str = ''
     deleted: bool = False
-    row_version: int = 0
+    row_version: decoding.Count = 0
 
 
 class _Rows(msgspec.Struct):
     rows: list[_Row]
-    row_version: int
+    row_version: decoding.Count
     has_more: bool = False
     # The store's steady clock; missing in answers of older stores.
     now_s: float = 0.0
@@ -149,11 +150,10 @@
             )
         if answer.ok.status != 200:
             return expression.Error(_not_run(f'status {answer.ok.status}'))
-        try:
-            page = _decoder.decode(b''.join(answer.ok.chunks))
-        except (msgspec.DecodeError, UnicodeError) as error:
-            return expression.Error(_not_run(str(error)))
-        return expression.Ok((page, self._era(answer.ok)))
+        page = decoding.decode(_decoder, b''.join(answer.ok.chunks), 'answer')
+        if page.is_error():
+            return expression.Error(_not_run(page.error.reason))
+        return expression.Ok((page.ok, self._era(answer.ok)))
 
     def _page_rows(self, page, era):
         """Return the `rowfeed.Rows` of a page and its era."""
--- a/jujubefold/sidecar/departures.py
+++ b/jujubefold/sidecar/departures.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from jujubefold import backgroundtasks
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold.sidecar import rowfeed
 
@@ -35,7 +36,7 @@
 MAX_DEPARTURES = 8
 
 _encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(dict[str, int])
+_decoder = msgspec.json.Decoder(dict[str, decoding.Count])
 
 
 class Departures:
@@ -196,10 +197,12 @@
     def _decode(self, rows):
         """Return the departures in at most one row."""
         for row in rows:
-            try:
-                return _decoder.decode(row.value)
-            except (msgspec.DecodeError, UnicodeError) as error:
-                self._event_log.record('departures.invalid', detail=str(error))
+            found = decoding.decode(_decoder, row.value, TABLE)
+            if found.is_ok():
+                return found.ok
+            self._event_log.record(
+                'departures.invalid', detail=found.error.reason
+            )
         return {}
 
     def _drop_oldest(self):
--- a/jujubefold/sidecar/explain.py
+++ b/jujubefold/sidecar/explain.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from jujubefold import decoding
+
 # Other events of the VMs involved are included from this many seconds before
 # the request's first line.
 LOOK_BACK_S = 10.0
@@ -131,7 +133,7 @@
         fields = {k: v for k, v in entry.items() if k not in _COMMON}
         fields['request'] = entry.get('request')
         return Line(at, entry['vm'], entry['event'], fields)
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+    except (*decoding.FAULTS, KeyError, TypeError, ValueError):
         return None
 
 
--- a/jujubefold/sidecar/fleet.py
+++ b/jujubefold/sidecar/fleet.py
@@ -156,7 +156,17 @@
     # Members
 
     def add_member(self, member):
-        """Add or update a `roster.Member` and open a link to its daemon."""
+        """Add or update a `roster.Member` and open a link to its daemon.
+
+        An invalid one, which a daemon of another release may pass on, is
+        ignored.
+        """
+        checked = roster.check(member)
+        if checked.is_error():
+            self._event_log.record(
+                'member.invalid', peer=member.vm, detail=checked.error.reason
+            )
+            return
         if not roster.update(self.roster, member):
             return
         self._event_log.record(
--- a/jujubefold/sidecar/frames.py
+++ b/jujubefold/sidecar/frames.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold.sidecar import roster
 
@@ -483,14 +484,19 @@
 
 def _decode(body):
     """Return a message, or None if its type is unknown."""
+    try:
+        return _decode_known(body)
+    except decoding.FAULTS as error:
+        raise ValueError(str(error)) from error
+
+
+def _decode_known(body):
     try:
         return _decoder.decode(body)
-    except msgspec.ValidationError as error:
+    except msgspec.ValidationError:
         if _is_unknown(body):
             return None
-        raise ValueError(str(error)) from error
-    except msgspec.DecodeError as error:
-        raise ValueError(str(error)) from error
+        raise
 
 
 def _is_unknown(body):
--- a/jujubefold/sidecar/memberrows.py
+++ b/jujubefold/sidecar/memberrows.py
@@ -99,9 +99,12 @@
             if row.value is None:
                 continue
             member = roster.decode(row.value)
-            if member.is_ok():
-                yield member.ok
+            if member.is_error():
+                self._log_invalid(row, member.error.reason)
+            elif member.ok.vm != row.key:
+                self._log_invalid(row, f'it names {member.ok.vm!r}')
             else:
-                self._event_log.record(
-                    'member.invalid', peer=row.key, detail=member.error.reason
-                )
+                yield member.ok
+
+    def _log_invalid(self, row, reason):
+        self._event_log.record('member.invalid', peer=row.key, detail=reason)
--- a/jujubefold/sidecar/options.py
+++ b/jujubefold/sidecar/options.py
@@ -211,7 +211,7 @@
         return expression.Ok(msgspec.convert(tomllib.loads(text), Options))
     except OSError as error:
         return _invalid(f'cannot be read: {error.strerror}', path)
-    except (tomllib.TOMLDecodeError, UnicodeError) as error:
+    except (tomllib.TOMLDecodeError, UnicodeError, RecursionError) as error:
         return _invalid(f'is not valid TOML: {error}', path)
     except msgspec.ValidationError as error:
         reason, _, where = str(error).partition(' - at `$.')
--- a/jujubefold/sidecar/rolloutcontroller.py
+++ b/jujubefold/sidecar/rolloutcontroller.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold.sidecar import rollout
 from jujubefold.sidecar import rolloutevidence
@@ -217,13 +218,12 @@
             service = self._services.setdefault(name, _Service())
             if service.version == row.version and service.record:
                 continue
-            try:
-                record = _record_decoder.decode(row.value)
-            except (msgspec.DecodeError, UnicodeError) as error:
+            decoded = decoding.decode(_record_decoder, row.value, RECORD_TABLE)
+            if decoded.is_error():
                 # Nobody else writes this table, so the row is replaced.
-                self._log_invalid(RECORD_TABLE, row, error)
-                record = None
-            service.record, service.version = record, row.version
+                self._log_invalid(RECORD_TABLE, row, decoded.error)
+            service.record = decoded.ok if decoded.is_ok() else None
+            service.version = row.version
             service.seen_at = now
         for name, service in list(self._services.items()):
             if name not in found:
@@ -248,19 +248,23 @@
         found = {}
         for row in rows:
             name, _, domain = row.key.partition('/')
-            try:
-                evidence = _evidence_decoder.decode(row.value)
-            except (msgspec.DecodeError, UnicodeError) as error:
-                self._log_invalid(EVIDENCE_TABLE, row, error)
+            evidence = decoding.decode(
+                _evidence_decoder, row.value, EVIDENCE_TABLE
+            )
+            if evidence.is_error():
+                self._log_invalid(EVIDENCE_TABLE, row, evidence.error)
                 continue
-            found.setdefault(name, {})[domain] = evidence
+            found.setdefault(name, {})[domain] = evidence.ok
         return found
 
     def _log_invalid(self, table, row, error):
         if (table, row.key, row.version) not in self._invalid_logged:
             self._invalid_logged.add((table, row.key, row.version))
             self._event_log.record(
-                'rollout.invalid', table=table, key=row.key, detail=str(error)
+                'rollout.invalid',
+                table=table,
+                key=row.key,
+                detail=error.reason,
             )
 
     def _is_newer(self, name, record):
--- a/jujubefold/sidecar/rolloutmessages.py
+++ b/jujubefold/sidecar/rolloutmessages.py
@@ -6,6 +6,7 @@
 import expression
 import msgspec
 
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold.sidecar import distribution
 from jujubefold.sidecar import rollout
@@ -79,6 +80,6 @@
 def _decode(decoder, body):
     try:
         plain = distribution.decompress(body)
-        return expression.Ok(decoder.decode(plain))
-    except (msgspec.DecodeError, ValueError) as error:
+    except ValueError as error:
         return expression.Error(errors.Invalid(str(error), 'body'))
+    return decoding.decode(decoder, plain, 'body')
--- a/jujubefold/sidecar/roster.py
+++ b/jujubefold/sidecar/roster.py
@@ -1,12 +1,13 @@
 """Roster: the daemons of the fleet and their addresses and locations."""
 
 import dataclasses
+import ipaddress
 import math
-import re
 
 import expression
 import msgspec
 
+from jujubefold import decoding
 from jujubefold import errors
 
 
@@ -32,7 +33,8 @@
     capacity: float = 0.0
 
 
-_ADDRESS = re.compile(r'[0-9.]+:[0-9]{1,5}')
+_PORTS = range(1, 65536)
+_MAX_PORT_DIGITS = 5
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(Member)
 
@@ -48,21 +50,42 @@
     Returns:
         `Ok(Member)` or `Error(errors.Invalid)`.
     """
-    try:
-        member = _decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeError) as error:
-        return _invalid(str(error))
+    return decoding.decode(_decoder, value, 'member').bind(check)
+
+
+def check(member):
+    """Check a member, whose row or message may come from another writer.
+
+    Returns:
+        `Ok(Member)` or `Error(errors.Invalid)`.
+    """
+    reason = next(_faults(member), None)
+    if reason is None:
+        return expression.Ok(member)
+    return expression.Error(errors.Invalid(reason, 'member'))
+
+
+def _faults(member):
+    """Yield the reason for each wrong value of a member."""
     if not member.vm:
-        return _invalid('a member needs a VM name')
-    if not _ADDRESS.fullmatch(member.address):
-        return _invalid(f'{member.address!r} is not an `ip:port`')
+        yield 'a member needs a VM name'
+    if not 0 <= member.incarnation <= decoding.MAX_COUNT:
+        yield 'an incarnation must be a number of 63 bits'
+    if not _is_address(member.address):
+        yield f'{member.address!r} is not an `ip:port`'
     if not 0 <= member.capacity < math.inf:
-        return _invalid('a capacity must not be negative')
-    return expression.Ok(member)
+        yield 'a capacity must not be negative'
 
 
-def _invalid(reason):
-    return expression.Error(errors.Invalid(reason, 'member'))
+def _is_address(text):
+    host, _, port = text.rpartition(':')
+    if not (port.isdecimal() and len(port) <= _MAX_PORT_DIGITS):
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return int(port) in _PORTS
 
 
 def distance(local, other):
--- a/jujubefold/standin.py
+++ b/jujubefold/standin.py
@@ -20,6 +20,7 @@
 import typer
 
 from jujubefold import clock
+from jujubefold import decoding
 from jujubefold import objectserver
 from jujubefold import storelimit
 from jujubefold import storereply
@@ -276,7 +277,7 @@
     def _put_fault(self, body):
         try:
             fault = msgspec.json.decode(body or b'', type=Fault)
-        except msgspec.DecodeError as error:
+        except decoding.FAULTS as error:
             return _json_reply(400, {'message': str(error)})
         with self._lock:
             self._faults[fault.service] = fault
--- a/jujubefold/tableserver.py
+++ b/jujubefold/tableserver.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from jujubefold import decoding
 from jujubefold import storelimit
 from jujubefold import storereply
 from jujubefold import table
@@ -58,7 +59,7 @@
             return operation(body)
         except _RequestError as error:
             return _reply(error.failure, error.status)
-        except msgspec.DecodeError as error:
+        except decoding.FAULTS as error:
             failure = _failure('SerializationException', str(error))
             return _reply(failure, 400)
         except ValueError as error:
--- a/jujubefold/tableservice.py
+++ b/jujubefold/tableservice.py
@@ -5,6 +5,7 @@
 import expression
 import msgspec
 
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold import storeclient
 from jujubefold import storelimit
@@ -29,6 +30,10 @@
 )
 _TOKEN_HEX_DIGITS = 32
 
+_READ_DECODER = msgspec.json.Decoder(tableprotocol.TransactGetResponse)
+_QUERY_DECODER = msgspec.json.Decoder(tableprotocol.QueryResponse)
+_FAILURE_DECODER = msgspec.json.Decoder(tableprotocol.Failure)
+
 
 class TableService(table.Table):
     """Rows in the platform's table service.
@@ -163,37 +168,52 @@
 def _read_result(response):
     if response.status != 200:
         return expression.Error(_failure(response))
-    found = msgspec.json.decode(
-        response.body, type=tableprotocol.TransactGetResponse
-    )
-    return expression.Ok(
-        tuple(
-            None if item.item is None else tableprotocol.decode_row(item.item)
-            for item in found.responses
-        )
-    )
+    found = decoding.decode(_READ_DECODER, response.body, 'answer')
+    return found.bind(
+        lambda answer: _rows(item.item for item in answer.responses)
+    ).map_error(_unreadable)
 
 
 def _query_result(response):
     if response.status != 200:
         return expression.Error(_failure(response))
-    found = msgspec.json.decode(
-        response.body, type=tableprotocol.QueryResponse
-    )
-    rows = tuple(tableprotocol.decode_row(item) for item in found.items)
-    return expression.Ok((rows, bool(found.last_evaluated_key)))
+    found = decoding.decode(_QUERY_DECODER, response.body, 'answer')
+    return found.bind(
+        lambda answer: _rows(answer.items).map(
+            lambda rows: (rows, bool(answer.last_evaluated_key))
+        )
+    ).map_error(_unreadable)
 
 
-def _failure(response):
+def _rows(items):
+    """Return `Ok` of a `table.Row` or None for each item.
+
+    A row of another writer may have attributes that this product never
+    writes; then the result is `Error(errors.Invalid)`.
+    """
     try:
-        failure = msgspec.json.decode(
-            response.body, type=tableprotocol.Failure
+        return expression.Ok(
+            tuple(
+                None if item is None else tableprotocol.decode_row(item)
+                for item in items
+            )
         )
-    except msgspec.DecodeError:
+    except ValueError as error:
+        return expression.Error(errors.Invalid(str(error), 'row'))
+
+
+def _unreadable(invalid):
+    return errors.StoreNotRun(f'{invalid.where}: {invalid.reason}')
+
+
+def _failure(response):
+    decoded = decoding.decode(_FAILURE_DECODER, response.body, 'answer')
+    if decoded.is_error():
         # A proxy in between responded instead of the service.
         return errors.StoreOutcomeUnknown(
             f'HTTP {response.status} without an error document'
         )
+    failure = decoded.ok
     reason = f'{failure.name}: {failure.message}'
     if failure.name == tableprotocol.CANCELED:
         return _cancellation(failure, reason)
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -51,6 +51,18 @@
         ]
         self.assertEqual([], found)
 
+    def test_handlers_of_decoding_errors_handle_deep_nesting(self):
+        found = [
+            f'{path.name}:{handler.lineno}'
+            for path in SOURCES
+            for handler in ast.walk(ast.parse(path.read_text()))
+            if isinstance(handler, ast.ExceptHandler)
+            and handler.type is not None
+            and {'DecodeError', 'TOMLDecodeError'} & names_in(handler.type)
+            and 'RecursionError' not in names_in(handler.type)
+        ]
+        self.assertEqual([], found)
+
     def test_no_machine_paths_or_registries(self):
         self.assertGreater(len(TEXT_FILES), 100)
         found = [
@@ -136,6 +148,14 @@
         self.assertEqual(['c.md', 'e/f.md'], list(links(text)))
 
 
+def names_in(node):
+    """Return the names and attributes in an expression."""
+    return {
+        getattr(item, 'attr', getattr(item, 'id', ''))
+        for item in ast.walk(node)
+    }
+
+
 def names_imported(source):
     """Yield the imported names of a source that are not modules."""
     for node in ast.walk(ast.parse(source)):
