Take no earlier refusal for this request's

Cause: another operator reported that a faulty instance wrote an earlier refusal once more on a kept connection. Here, a copy that named no request was taken for the answer of the next one: its caller got 503, or it was offered to another upstream, while the first one ran it. The fleet that holds its own configuration compared no ids at all.

Change: on a connection that carried another request before, an answer without an id leaves the outcome in doubt. The first answer of a connection can't be a copy, so refusals without an id are understood there. The gates of the other fleet compare ids, and the example upstream repeats them. An empty id is compared like any other.

Ruled out: copies that name the earlier request (skipped before, and tested); an id that is sent to an upstream twice.

Result: two tests failed before, a write that ran was refused with 503; now 502 without an id, and 200 where the copy names the earlier request.

--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -94,7 +94,7 @@
         chunks: Body as a list of bytes, in order.
         size: Body length in bytes.
         echo_id: Request id that the answer is expected to repeat in the
-            header `Pool.id_field`; b'' when that is not checked.
+            header `Pool.id_field`; None when that is not checked.
     """
 
     method: str
@@ -102,7 +102,7 @@
     headers: list
     chunks: list
     size: int
-    echo_id: bytes = b''
+    echo_id: bytes | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,7 +168,7 @@
         self._error = None
         self._must_close = False
         self._closed = False
-        self._echo_id = b''
+        self._echo_id = None
         self._skipping_answer = False
         self._read_until_close = False
         self.idle_timeout = IDLE_TIMEOUT_S
@@ -186,6 +186,11 @@
         """Whether an exchange is in progress."""
         return self._waiter is not None
 
+    @property
+    def reused(self):
+        """Whether it has carried an exchange before."""
+        return self._reused
+
     @property
     def waits_for_memory(self):
         """Whether reading is paused until the answer's memory is granted."""
@@ -325,7 +330,7 @@
 
     def _is_stale(self, fields):
         """Return whether an answer belongs to an earlier request."""
-        if not self._echo_id or self._pool.id_field is None:
+        if self._echo_id is None or self._pool.id_field is None:
             return False
         return fields.get(self._pool.id_field, self._echo_id) != self._echo_id
 
--- a/jujubefold/callflow.py
+++ b/jujubefold/callflow.py
@@ -285,9 +285,13 @@
         )
 
     def _new_upstream_pool(self, address):
-        return self._new_pool(address, self._limits.upstream_connections)
+        return self._new_pool(
+            address,
+            self._limits.upstream_connections,
+            id_field=calls.REQUEST_ID.encode(),
+        )
 
-    def _new_pool(self, address, max_connections, tls=None):
+    def _new_pool(self, address, max_connections, tls=None, id_field=None):
         return callclient.Pool(
             address,
             max_connections,
@@ -295,6 +299,7 @@
             self._answer_memory,
             self._limits.body_bytes,
             tls,
+            id_field,
         )
 
     def _peer_pool(self, address):
--- a/jujubefold/example.py
+++ b/jujubefold/example.py
@@ -271,7 +271,10 @@
 
 
 def _reply(exchange, status, body, headers=()):
-    exchange.reply(_response(status, body, headers))
+    name = calls.REQUEST_ID.encode()
+    request_id = exchange.request.fields.get(name)
+    identity = () if request_id is None else ((name, request_id),)
+    exchange.reply(_response(status, body, (*identity, *headers)))
 
 
 class Announcer:
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -493,12 +493,13 @@
         # Silence is no reason to end a request before its deadline.
         bounds = callclient.ExchangeLimits(answer_deadline, math.inf)
         sent_at = self._clock.boottime()
+        reused = connection.reused
         result = await callclient.exchange(connection, message, head, bounds)
         if isinstance(result, callclient.Failure):
             return self._interpret_failure(result)
         self._answers.release(result.memory)
         outcome = self._interpret_answer(
-            attempt, result, self._clock.monotonic() - now
+            attempt, result, self._clock.monotonic() - now, reused
         )
         fields = dict(result.headers)
         if self._names.request in fields and outcome.refusal != _UNREACHABLE:
@@ -519,16 +520,22 @@
         timeout = min(CONNECT_TIMEOUT_S, attempt.deadline - now)
         return await self._pool.acquire(max(0.0, timeout))
 
-    def _interpret_answer(self, attempt, answer, upstream_time):
+    def _interpret_answer(self, attempt, answer, upstream_time, reused):
         """Return the `attempt.Outcome` for an answer from the upstream.
 
         Args:
             attempt: The `attempt.Attempt` that was sent.
             answer: What was received on its connection.
             upstream_time: Seconds between sending and receiving.
+            reused: Whether the connection carried another request before.
         """
         names = self._names
         fields = dict(answer.headers)
+        if reused and names.request not in fields:
+            # It may be another copy of an earlier answer.
+            return attempts.unknown_outcome(
+                calls.Reason.UPSTREAM_GARBLED, 'an answer without an id'
+            )
         if answer.status == 421 and names.seal not in fields:
             instance.mark_unreachable(self.instance_table)
             self.update_slots()
--- a/tests/test_callflow.py
+++ b/tests/test_callflow.py
@@ -26,6 +26,7 @@
 from jujubefold import objectstore
 from jujubefold import table
 from tests import callnodes
+from tests import sidecars
 
 SHORT_PEER_SILENCE = callflow.Limits(peer_silence=1.2)
 
@@ -189,6 +190,44 @@
         for upstreams in ((True, True), (False, True, True)):
             self.run_scenario(scenario, *upstreams)
 
+    def test_earlier_shed_is_no_proof_that_a_request_did_not_run(self):
+        """Guards against a refusal that is written once more."""
+        for with_id, expected in (
+            (False, (502, 'unknown', 'upstream-garbled')),
+            (True, (200, 'ran', 'none')),
+        ):
+
+            async def scenario(fleet, with_id=with_id, expected=expected):
+                upstream = sidecars.Upstream()
+                await upstream.start()
+                fleet.nodes[0].flow.upstream_address = upstream.address
+                first = 'jujubefold-request-id: first\r\n' if with_id else ''
+                shed = (
+                    'HTTP/1.1 503 Full\r\njujubefold-shed: 1\r\n'
+                    f'{first}Content-Length: 0\r\n\r\n'
+                ).encode()
+
+                async def answer(request, writer):
+                    if len(upstream.requests) > 1:
+                        writer.write(shed)
+                        await writer.drain()
+                        await asyncio.sleep(0.05)
+                    await upstream.answer(request, writer)
+
+                upstream.handler = answer
+                caller = callnodes.Caller(fleet.nodes[0].caller_address)
+                for name in ('first', 'second'):
+                    found = await caller.send(
+                        'POST', '/x', (b'b',), jujubefold_request_id=name
+                    )
+                self.assertEqual(
+                    expected, (found.status, *callnodes.outcome(found))
+                )
+                self.assertEqual(2, len(upstream.requests))
+                await upstream.stop()
+
+            self.run_scenario(scenario, True)
+
     async def restart_upstreams(self, fleet):
         for node in fleet.nodes:
             if node.upstream is None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -369,6 +369,50 @@
 
         sidecars.run_scenario(scenario)
 
+    def test_earlier_refusal_is_no_proof_that_a_request_did_not_run(self):
+        """Guards against a refusal that is written once more."""
+        for status in ('503 Full', '421 Misdirected'):
+            for with_id, expected in ((False, 502), (True, 200)):
+
+                async def scenario(
+                    fleet, status=status, with_id=with_id, expected=expected
+                ):
+                    await fleet.add('vm-1')
+                    await fleet.wait_until_linked()
+                    refusals = []
+
+                    async def refuse_again(request, writer):
+                        if refusals:
+                            writer.write(refusals[0])
+                            await writer.drain()
+                            await asyncio.sleep(0.05)
+                            await fleet.upstreams['vm-1'].answer(
+                                request, writer
+                            )
+                            return
+                        field = f'X-Request-Id: {request.id}\r\n'
+                        head = (
+                            f'HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\n'
+                            f'{field if with_id else ""}'
+                            'Content-Length: 0\r\n\r\n'
+                        )
+                        refusals.append(head.encode())
+                        # The first one is an answer like any other.
+                        await fleet.upstreams['vm-1'].answer(request, writer)
+
+                    fleet.upstreams['vm-1'].handler = refuse_again
+                    for number in range(2):
+                        response = await fleet.call(
+                            'vm-1', f'/write/{number}', 'POST', b'b'
+                        )
+                    self.assertEqual(
+                        (expected, 1),
+                        (response.status, request_count(fleet, '/write/1')),
+                        (status, with_id),
+                    )
+
+                sidecars.run_scenario(scenario)
+
     def test_misdirected_answer_closes_the_gate(self):
         async def scenario(fleet):
             await fleet.add('vm-1')
