--- a/jujubefold/objectservice.py
+++ b/jujubefold/objectservice.py
@@ -131,7 +131,7 @@
     if response.status != 200:
         return expression.Error(_failure(response))
     root = _parse_xml(response.body)
-    now = email.utils.parsedate_to_datetime(response.headers['Date'])
+    now = email.utils.parsedate_to_datetime(response.headers.get('Date', ''))
     names = tuple(
         _name_and_age(item, now) for item in root.iter(f'{NAMESPACE}Contents')
     )
