Read departures after a start in an outage of the store

Cause: a starting daemon tried to read the departures for 1.0 s and never again; from then on two announcements were enough.

Change: it goes on reading until it has the row, and closes the gate to an upstream that is in it. Writes are tried ten times a second instead of five after the acknowledgement, so that a kill soon after the store is back finds them written.

Ruled out: a row that is read and not matched with the announcement.

--- a/jujubefold/sidecar/announcements.py
+++ b/jujubefold/sidecar/announcements.py
@@ -23,7 +23,11 @@
 
     async def load_departures(self):
         """Load which upstreams left before this start of the daemon."""
-        self._egress.restore_departures(await self._departures.load())
+        departed = await self._departures.load()
+        self._egress.restore_departures(departed)
+        if departed is None:
+            departed = await self._departures.load_late()
+            self._egress.restore_departures(departed)
 
     def handle_announcement(self, announcement, acknowledge):
         """Apply an announcement.
--- a/jujubefold/sidecar/departures.py
+++ b/jujubefold/sidecar/departures.py
@@ -21,12 +21,13 @@
 # Seconds after which a departure is acknowledged even if it could not be
 # written: the upstream waits a few seconds for the acknowledgement at most.
 WRITE_TIMEOUT_S = 0.7
-# Seconds for which a starting daemon tries to read earlier departures.
+# Seconds after which a starting daemon goes on without earlier departures, and
+# between two attempts to read them after that.
 READ_TIMEOUT_S = 1.0
+LATE_READ_INTERVAL_S = 0.3
+# Seconds between two attempts. A crash soon after the platform is back must
+# not find a departure unwritten.
 RETRY_INTERVAL_S = 0.1
-# Seconds between two attempts to write a departure that was acknowledged. A
-# crash soon after the platform is back must not find it unwritten.
-LATE_RETRY_INTERVAL_S = 0.2
 # Seconds after which an attempt to write is given up.
 ATTEMPT_TIMEOUT_S = 0.7
 # Seconds between two attempts to restore departures that the platform lost;
@@ -76,12 +77,8 @@
         """
         deadline = self._clock.monotonic() + READ_TIMEOUT_S
         while not self._loaded:
-            result = await self._feed.get(TABLE, self._vm)
+            result = await self._read()
             if result.is_ok():
-                self._merge(result.ok.rows)
-                self._event_log.record(
-                    'departures.read', upstreams=sorted(self._departed)
-                )
                 break
             if self._clock.monotonic() >= deadline:
                 self._event_log.record(
@@ -91,6 +88,26 @@
             await asyncio.sleep(RETRY_INTERVAL_S)
         return dict(self._departed)
 
+    async def load_late(self):
+        """Read the recorded departures after `load` could not.
+
+        Returns:
+            As `load`, never None: it tries until they are read.
+        """
+        while not self._loaded:
+            await asyncio.sleep(LATE_READ_INTERVAL_S)
+            await self._read()
+        return dict(self._departed)
+
+    async def _read(self):
+        result = await self._feed.get(TABLE, self._vm)
+        if result.is_ok():
+            self._merge(result.ok.rows)
+            self._event_log.record(
+                'departures.read', upstreams=sorted(self._departed)
+            )
+        return result
+
     async def record(self, id_, started_ms):
         """Write a departure; return whether it was written in time.
 
@@ -135,7 +152,7 @@
                 result = await self._write_in_time()
                 if result.is_error():
                     self._write_error = result.error.reason
-                    await asyncio.sleep(self._retry_interval(started_at))
+                    await asyncio.sleep(RETRY_INTERVAL_S)
         finally:
             self._writer = None
         if self._clock.monotonic() - started_at > WRITE_TIMEOUT_S:
@@ -143,11 +160,6 @@
                 'departures.written', upstreams=sorted(self._departed)
             )
 
-    def _retry_interval(self, started_at):
-        if self._clock.monotonic() - started_at < WRITE_TIMEOUT_S:
-            return RETRY_INTERVAL_S
-        return LATE_RETRY_INTERVAL_S
-
     async def _write_in_time(self):
         try:
             async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
--- a/jujubefold/sidecar/instance.py
+++ b/jujubefold/sidecar/instance.py
@@ -23,9 +23,9 @@
 # Start recorded for a departed upstream that did not report its start: later
 # than any.
 UNKNOWN_START_MS = 2**62
-# Announcements of one start after which the upstream is known to run, while
-# earlier departures are unknown. An announcement sent before a departure may
-# arrive late, but not two in a row.
+# Announcements of one start after which the upstream is taken to run, while
+# earlier departures are unknown. One that was sent before a departure may arrive
+# late.
 MIN_ANNOUNCEMENTS = 2
 # Seconds without an announcement after which another upstream with the same
 # start replaces the current one. Upstreams that report no start would replace
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -110,7 +110,7 @@
                 await asyncio.sleep(0.5)
                 self.assertTrue(daemon.unwritten)
                 feed.fault = None
-                await asyncio.sleep(departures.LATE_RETRY_INTERVAL_S + 0.05)
+                await asyncio.sleep(departures.RETRY_INTERVAL_S + 0.05)
                 self.assertFalse(daemon.unwritten)
                 self.assertIn(name, await stored(feed))
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -874,6 +874,59 @@
 
             sidecars.run_scenario(scenario)
 
+    def test_departures_are_read_when_the_store_is_back(self):
+        """Guards against a start in an outage that never reads them."""
+        for late in (1, 3):
+
+            async def scenario(fleet, late=late):
+                await add_pair(fleet)
+                await fleet.call_lifecycle_api('vm-1', 'deregister')
+                daemon_options = fleet.daemons['vm-1'].options
+                await fleet.daemons['vm-1'].close()
+                fleet.feed.fault = sidecars.store_unavailable()
+                await fleet.restart('vm-1', daemon_options)
+                await fleet.wait_until_linked()
+                await asyncio.sleep(departures.READ_TIMEOUT_S + 0.5)
+                self.assertIn('departures.unknown', fleet.events('vm-1'))
+                fleet.feed.fault = None
+                await sidecars.wait_until(
+                    lambda: 'departures.read' in fleet.events('vm-1'), 1.0
+                )
+                for _ in range(late):
+                    self.assertEqual(200, await fleet.announce('vm-1'))
+                for number in range(6):
+                    response = await fleet.call('vm-1', f'/read/{number}')
+                    self.assertEqual(200, response.status)
+                self.assertEqual([], fleet.upstreams['vm-1'].requests)
+
+            sidecars.run_scenario(scenario)
+
+    def test_departure_that_is_read_late_closes_the_gate(self):
+        """Guards against announcements that arrived in the outage."""
+
+        async def scenario(fleet):
+            await add_pair(fleet)
+            await fleet.call_lifecycle_api('vm-1', 'deregister')
+            daemon_options = fleet.daemons['vm-1'].options
+            await fleet.daemons['vm-1'].close()
+            fleet.feed.fault = sidecars.store_unavailable()
+            restarted = await fleet.restart('vm-1', daemon_options)
+            await fleet.wait_until_linked()
+            for _ in range(3):
+                await fleet.announce('vm-1')
+            await asyncio.sleep(departures.READ_TIMEOUT_S + 0.5)
+            fleet.feed.fault = None
+            await sidecars.wait_until(
+                lambda: not restarted.egress.slot_table.slots, 1.0
+            )
+            fleet.upstreams['vm-1'].requests.clear()
+            for number in range(6):
+                response = await fleet.call('vm-1', f'/read/{number}')
+                self.assertEqual(200, response.status)
+            self.assertEqual([], fleet.upstreams['vm-1'].requests)
+
+        sidecars.run_scenario(scenario)
+
     def test_stop_waits_for_a_departure_to_be_written(self):
         """Guards against a restart during an outage of the store."""
 
