Ask an upstream whether it leaves after a start in an outage

Change: such a daemon asks the upstream at the health path of its service. One that leaves, or names another, gets nothing until a later announcement, when it is asked again; one that serves is used at once. Without an answer two announcements are needed as before, and departures that are read later close the gate.

Changed test: test_second_announcement_is_required_if_departures_are_unknown and its unit test now have an upstream that tells nothing when it is asked, which is the case that they are about; what they check is the same.

Ruled out: asking at each start; health checks are priced, and the record is read then.

Result: test_upstream_that_leaves_says_so_after_a_start_in_an_outage and two more failed before the check was in place.

--- a/jujubefold/platform/headers.py
+++ b/jujubefold/platform/headers.py
@@ -13,4 +13,5 @@
     limit=b'server-limit',
     leaving=b'server-leaving',
     tenant=b'x-tenant',
+    upstream=b'x-instance-id',
 )
--- a/jujubefold/sidecar/announcements.py
+++ b/jujubefold/sidecar/announcements.py
@@ -14,17 +14,23 @@
     Args:
         egress: The `egress.Egress`.
         departures: The `departures.Departures`.
+        leaving_check: The `leavingcheck.LeavingCheck` of the upstream.
+        event_log: An `eventlog.EventLog`.
     """
 
-    def __init__(self, egress, departures):
+    def __init__(self, egress, departures, leaving_check, event_log):
         self._egress = egress
         self._departures = departures
+        self._leaving_check = leaving_check
+        self._event_log = event_log
         self._writes = {}
+        self._question = None
 
     async def load_departures(self):
         """Load which upstreams left before this start of the daemon."""
         departed = await self._departures.load()
         self._egress.restore_departures(departed)
+        self._ask_if_pending()
         if departed is None:
             departed = await self._departures.load_late()
             self._egress.restore_departures(departed)
@@ -41,6 +47,28 @@
         self._acknowledge(
             change, announcement.id, announcement.started_ms, acknowledge
         )
+        self._ask_if_pending()
+
+    def _ask_if_pending(self):
+        table = self._egress.instance_table
+        if (
+            table.confirmation is instance.Confirmation.PENDING
+            and self._question is None
+        ):
+            self._question = backgroundtasks.spawn(self._ask(table.current))
+
+    async def _ask(self, upstream):
+        """Ask the upstream whether it serves, and apply its answer."""
+        found = instance.Confirmation.UNKNOWN
+        try:
+            found = await self._leaving_check.ask(upstream.id)
+        finally:
+            self._question = None
+            if instance.confirm(self._egress.instance_table, upstream, found):
+                self._event_log.record(
+                    'upstream.asked', upstream=upstream.id, answer=found
+                )
+                self._egress.update_slots()
 
     def handle_deregistration(self, upstream_id, started_ms, acknowledge):
         """Apply an upstream's deregistration.
--- a/jujubefold/sidecar/attempt.py
+++ b/jujubefold/sidecar/attempt.py
@@ -27,6 +27,7 @@
             together.
         leaving: Present in the answers of an upstream that is leaving.
         tenant: Name of the tenant that sent the request.
+        upstream: Id of the upstream that answers at its health path.
     """
 
     request: bytes = b'jujubefold-request-id'
@@ -39,6 +40,7 @@
     limit: bytes = b'jujubefold-limit'
     leaving: bytes = b'jujubefold-leaving'
     tenant: bytes = b'jujubefold-tenant'
+    upstream: bytes = b'jujubefold-upstream'
 
     @property
     def reserved(self):
--- a/jujubefold/sidecar/daemon.py
+++ b/jujubefold/sidecar/daemon.py
@@ -23,6 +23,7 @@
 from jujubefold.sidecar import fleet
 from jujubefold.sidecar import freshness
 from jujubefold.sidecar import ingress
+from jujubefold.sidecar import leavingcheck
 from jujubefold.sidecar import memberrows
 from jujubefold.sidecar import metrics
 from jujubefold.sidecar import options as settings
@@ -207,7 +208,16 @@
             location.bootstrap,
         )
         self._receiver = announcements.AnnouncementReceiver(
-            self.egress, self._departures
+            self.egress,
+            self._departures,
+            leavingcheck.LeavingCheck(
+                self.egress,
+                self.versions,
+                options.upstream.service,
+                platform.names,
+                time_source,
+            ),
+            self._event_log,
         )
         self._enlistment = enlistment.Enlistment(
             self._feed,
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -17,6 +17,7 @@
 from jujubefold import crashes
 from jujubefold import eagertask
 from jujubefold import errors
+from jujubefold.sidecar import answers
 from jujubefold.sidecar import attempt as attempts
 from jujubefold.sidecar import balancer
 from jujubefold.sidecar import calldemand
@@ -44,20 +45,6 @@
 
 _LEAVING = b'1'
 _MS = 1000
-_SUCCESS = range(200, 300)
-_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-_SHED = calls.Refusal(
-    errors.Outcome.DID_NOT_RUN,
-    calls.Reason.UPSTREAM_SHED,
-    limiter.MIN_RETRY_AFTER_S,
-    'the upstream rejected the request without running it',
-)
-_UNREACHABLE = calls.Refusal(
-    errors.Outcome.DID_NOT_RUN,
-    calls.Reason.NO_UPSTREAM,
-    limiter.MIN_RETRY_AFTER_S,
-    'the upstream is not accepting connections',
-)
 _DEADLINE_PASSED = calls.Refusal(
     errors.Outcome.DID_NOT_RUN,
     calls.Reason.DEADLINE,
@@ -134,6 +121,11 @@
         self._cut_fingerprints = []
         self._request_keys = itertools.count(1)
 
+    @property
+    def pool(self):
+        """The `callclient.Pool` of the current upstream, or None."""
+        return self._pool
+
     @property
     def busy(self):
         """Whether any request is running or queued."""
@@ -439,7 +431,7 @@
         now = self._clock.monotonic()
         upstream = self.instance_table.current
         if not self.offered_slots:
-            return attempts.Outcome(refusal=_UNREACHABLE)
+            return attempts.Outcome(refusal=answers.UNREACHABLE)
         connection = await self._take_connection(attempt, now)
         if isinstance(connection, callclient.Failure):
             return self._interpret_failure(connection)
@@ -449,14 +441,14 @@
             or not self.offered_slots
         ):
             self._pool.release(connection)
-            return attempts.Outcome(refusal=_UNREACHABLE)
+            return attempts.Outcome(refusal=answers.UNREACHABLE)
         if now >= attempt.deadline:
             self._pool.release(connection)
             return attempts.Outcome(refusal=_DEADLINE_PASSED)
         closed = self._rollout_closed()
         if closed:
             self._pool.release(connection)
-            refusal = dataclasses.replace(_UNREACHABLE, detail=closed)
+            refusal = dataclasses.replace(answers.UNREACHABLE, detail=closed)
             return attempts.Outcome(refusal=refusal)
         remaining_ms = max(1, int((attempt.deadline - now) * _MS))
         names = self._names
@@ -498,11 +490,21 @@
         if isinstance(result, callclient.Failure):
             return self._interpret_failure(result)
         self._answers.release(result.memory)
-        outcome = self._interpret_answer(
-            attempt, result, self._clock.monotonic() - now, reused
+        outcome = answers.interpret(
+            result,
+            attempt,
+            self._names,
+            self._clock.monotonic() - now,
+            reused,
         )
+        if outcome.refusal is answers.UNREACHABLE:
+            instance.mark_unreachable(self.instance_table)
+            self.update_slots()
         fields = dict(result.headers)
-        if self._names.request in fields and outcome.refusal != _UNREACHABLE:
+        if (
+            self._names.request in fields
+            and outcome.refusal != answers.UNREACHABLE
+        ):
             self._read_limit(upstream, fields, sent_at)
             if fields.get(self._names.leaving) == _LEAVING:
                 self._upstream_leaves(upstream)
@@ -520,40 +522,6 @@
         timeout = min(CONNECT_TIMEOUT_S, attempt.deadline - now)
         return await self._pool.acquire(max(0.0, timeout))
 
-    def _interpret_answer(self, attempt, answer, upstream_time, reused):
-        """Return the `attempt.Outcome` for an answer from the upstream.
-
-        Args:
-            attempt: The `attempt.Attempt` that was sent.
-            answer: What was received on its connection.
-            upstream_time: Seconds between sending and receiving.
-            reused: Whether the connection carried another request before.
-        """
-        names = self._names
-        fields = dict(answer.headers)
-        if reused and names.request not in fields:
-            # It may be another copy of an earlier answer.
-            return attempts.unknown_outcome(
-                calls.Reason.UPSTREAM_GARBLED, 'an answer without an id'
-            )
-        if answer.status == 421 and names.seal not in fields:
-            instance.mark_unreachable(self.instance_table)
-            self.update_slots()
-            return attempts.Outcome(refusal=_UNREACHABLE, sent=True)
-        if names.not_run in fields:
-            return attempts.Outcome(refusal=_SHED, sent=True)
-        is_valid = names.request in fields and (
-            names.seal in fields or answer.status not in _SUCCESS
-        )
-        if not is_valid or b'content-encoding' in fields:
-            return attempts.unknown_outcome(calls.Reason.UPSTREAM_GARBLED)
-        if answer.status in _NOT_RUN_STATUSES and not attempt.idempotent:
-            # To the caller these statuses mean that it did not run.
-            return attempts.unknown_outcome(calls.Reason.UPSTREAM_FAILED)
-        return attempts.Outcome(
-            answer=answer, sent=True, upstream_time=upstream_time
-        )
-
     def _upstream_leaves(self, upstream):
         change = instance.handle_leaving(
             self.instance_table, upstream, self._clock.boottime()
@@ -627,7 +595,7 @@
             instance.mark_unreachable(self.instance_table)
             self.update_slots()
         if not failure.sent:
-            return attempts.Outcome(refusal=_UNREACHABLE)
+            return attempts.Outcome(refusal=answers.UNREACHABLE)
         return attempts.unknown_outcome(
             callclient.UNKNOWN_OUTCOME_REASONS[failure.kind], failure.detail
         )
--- a/jujubefold/sidecar/instance.py
+++ b/jujubefold/sidecar/instance.py
@@ -24,8 +24,7 @@
 # than any.
 UNKNOWN_START_MS = 2**62
 # Announcements of one start after which the upstream is taken to run, while
-# earlier departures are unknown. One that was sent before a departure may arrive
-# late.
+# neither it nor the record of departures tells. Each may arrive late.
 MIN_ANNOUNCEMENTS = 2
 # Seconds without an announcement after which another upstream with the same
 # start replaces the current one. Upstreams that report no start would replace
@@ -57,6 +56,19 @@
     LIMITED = 'limited'
 
 
+class Confirmation(enum.StrEnum):
+    """What the current upstream said when it was asked whether it serves.
+
+    PENDING means that it has to be asked. UNKNOWN means that it need not be,
+    or that it gave no answer; then its announcements count.
+    """
+
+    PENDING = 'pending'
+    SERVES = 'serves'
+    LEAVES = 'leaves'
+    UNKNOWN = 'unknown'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
     """One announcement of an upstream.
@@ -103,6 +115,10 @@
             the attempt has ended.
         announcements: Announcements received from the current start.
         announced_at: Boottime seconds of the last one.
+        asks: Whether an upstream is asked whether it serves, because
+            departures could not be read when the daemon started. One that
+            could not be written then is lost for good.
+        confirmation: The `Confirmation` of the current upstream.
         limit: Requests a second that the current upstream takes, as its
             answers say; None without a limit.
         limit_named_at: Boottime seconds at which an answer last named one.
@@ -116,6 +132,8 @@
     departures_known: bool | None = None
     announcements: int = 0
     announced_at: float = 0.0
+    asks: bool = False
+    confirmation: Confirmation = Confirmation.UNKNOWN
     limit: float | None = None
     limit_named_at: float = 0.0
 
@@ -131,6 +149,10 @@
     table.departures_known = departed is not None
     table.departed.update(departed or {})
     current = table.current
+    if departed is None:
+        table.asks = True
+        if current is not None:
+            table.confirmation = _initial_confirmation(table, current)
     if current is not None and current.started_ms <= table.departed.get(
         current.id, -1
     ):
@@ -167,6 +189,10 @@
     if is_new_start:
         table.draining_since = None
         table.limit = None
+        table.confirmation = _initial_confirmation(table, received)
+    elif table.confirmation is Confirmation.LEAVES:
+        # It may only have failed, and serve again.
+        table.confirmation = Confirmation.PENDING
     was_unreachable, table.unreachable = table.unreachable, False
     if received.state is State.DRAINING:
         # If this is the first announcement of a start, an earlier start of
@@ -260,6 +286,23 @@
     return _start_draining(table, now)
 
 
+def confirm(table, asked, confirmation):
+    """Note what an upstream said when it was asked whether it serves.
+
+    Args:
+        table: An `InstanceTable`.
+        asked: Its `Announcement`.
+        confirmation: A `Confirmation`.
+
+    Returns:
+        Whether it is still the current one.
+    """
+    if not _is_current(table, asked):
+        return False
+    table.confirmation = confirmation
+    return True
+
+
 def mark_unreachable(table):
     """Send nothing to the current upstream until its next announcement.
 
@@ -294,7 +337,13 @@
         or table.departures_known is None
     ):
         return 0
-    if not table.departures_known and table.announcements < MIN_ANNOUNCEMENTS:
+    if table.confirmation in (Confirmation.PENDING, Confirmation.LEAVES):
+        return 0
+    if (
+        not table.departures_known
+        and table.confirmation is not Confirmation.SERVES
+        and table.announcements < MIN_ANNOUNCEMENTS
+    ):
         return 0
     deadline = sending_deadline(table, drain)
     if deadline is not None and now >= deadline:
@@ -307,6 +356,13 @@
     return WARMUP_FACTOR if now < table.warm_at else 1.0
 
 
+def _initial_confirmation(table, announcement):
+    """Return the `Confirmation` after an upstream's first announcement."""
+    if table.asks and announcement.state is State.READY:
+        return Confirmation.PENDING
+    return Confirmation.UNKNOWN
+
+
 def _start_draining(table, now):
     if table.draining_since is not None:
         return Change.NOTHING
--- a/tests/sidecars.py
+++ b/tests/sidecars.py
@@ -30,6 +30,7 @@
 # to those for which it waits for changes.
 STORE_TIMEOUT_S = 1.0
 SEAL = 'X-Server-Seal: s\r\n'
+HEALTH_PATH = '/health'
 ROUTE_COLUMNS = [
     'name',
     'host',
@@ -145,7 +146,7 @@
             'routes': {'columns': ROUTE_COLUMNS, 'rows': list(routes)},
             'services': {
                 'columns': ['name', 'health_path', 'max_connections'],
-                'rows': [[name, '/health', 110] for name in services],
+                'rows': [[name, HEALTH_PATH, 110] for name in services],
             },
             'limits': {
                 'max_header_bytes': 16384,
@@ -181,6 +182,9 @@
         limit: Text of the limit that its answers name; '' for none.
         leaving: Whether its answers say that it leaves.
         version: Version of its software in its announcements.
+        health: Status at its health path.
+        health_id: Id that it tells there.
+        health_checks: Number of requests for it.
     """
 
     def __init__(self, name='i-1', slots=4):
@@ -189,6 +193,9 @@
         self.limit = ''
         self.leaving = False
         self.version = 'v1'
+        self.health = 200
+        self.health_id = name
+        self.health_checks = 0
         self.requests = []
         self.handler = self.answer
         self.sequence = 0
@@ -235,13 +242,24 @@
         try:
             while True:
                 request = await self._read(reader)
-                self.requests.append(request)
-                await self.handler(request, writer)
+                if request.target == HEALTH_PATH:
+                    self._answer_health(writer)
+                else:
+                    self.requests.append(request)
+                    await self.handler(request, writer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed_connections.append(number)
             writer.close()
 
+    def _answer_health(self, writer):
+        self.health_checks += 1
+        writer.write(
+            f'HTTP/1.1 {self.health} Health\r\n'
+            f'X-Instance-Id: {self.health_id}\r\n'
+            'Content-Length: 0\r\n\r\n'.encode()
+        )
+
     async def _read(self, reader):
         head = (await reader.readuntil(b'\r\n\r\n')).decode()
         first, *lines = head.strip().split('\r\n')
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -18,6 +18,7 @@
 
     def __init__(self, *changes):
         self._changes = list(changes)
+        self.instance_table = instance.InstanceTable()
 
     def handle_announcement(self, announcement):
         return self._changes.pop(0)
@@ -40,7 +41,10 @@
         async def main():
             departures = Departures()
             receiver = announcements.AnnouncementReceiver(
-                Egress(*changes), departures
+                Egress(*changes),
+                departures,
+                None,
+                sidecars.RecordingEventLog(),
             )
             await scenario(receiver, departures)
 
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -195,13 +195,55 @@
             )
             self.assertEqual(6, instance.usable_slots(table, 0.2, 2.0))
 
-    def test_unknown_departures_require_a_second_announcement(self):
+    def usable_after(self, confirmation, *announced):
+        """Return the slots after a start in which departures are unknown.
+
+        Args:
+            confirmation: What the upstream said when it was asked, or None.
+            announced: Each `Announcement`.
+        """
         table = table_of(departures_known=None)
         instance.restore_departures(table, None)
+        for item in announced:
+            instance.handle_announcement(table, item, 0.0)
+            if confirmation is not None:
+                instance.confirm(table, item, confirmation)
+        return instance.usable_slots(table, 0.0, 2.0)
+
+    def test_unknown_departures_require_a_second_announcement(self):
+        once, again = announcement(), announcement(sequence=2)
+        unknown = instance.Confirmation.UNKNOWN
+        self.assertEqual(0, self.usable_after(unknown, once))
+        self.assertEqual(6, self.usable_after(unknown, once, again))
+
+    def test_upstream_is_asked_while_departures_are_unknown(self):
+        once, again = announcement(), announcement(sequence=2)
+        for confirmation, slots in (
+            (None, 0),
+            (instance.Confirmation.SERVES, 6),
+            (instance.Confirmation.LEAVES, 0),
+        ):
+            for announced in ((once,), (once, again)):
+                self.assertEqual(
+                    slots, self.usable_after(confirmation, *announced)
+                )
+
+    def test_upstream_that_failed_is_asked_again(self):
+        table = table_of(departures_known=None)
         instance.handle_announcement(table, announcement(), 0.0)
-        self.assertEqual(0, instance.usable_slots(table, 0.0, 2.0))
+        instance.restore_departures(table, None)
+        self.assertEqual(instance.Confirmation.PENDING, table.confirmation)
+        instance.confirm(table, announcement(), instance.Confirmation.LEAVES)
         instance.handle_announcement(table, announcement(sequence=2), 1.5)
-        self.assertEqual(6, instance.usable_slots(table, 1.5, 2.0))
+        self.assertEqual(instance.Confirmation.PENDING, table.confirmation)
+        # An answer about an earlier start says nothing of this one.
+        instance.handle_announcement(table, announcement(started_ms=11), 1.6)
+        self.assertFalse(
+            instance.confirm(
+                table, announcement(), instance.Confirmation.SERVES
+            )
+        )
+        self.assertEqual(0, instance.usable_slots(table, 1.6, 2.0))
 
     @hypothesis.given(
         strategies.permutations(
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -901,6 +901,91 @@
 
             sidecars.run_scenario(scenario)
 
+    async def restart_in_outage(self, fleet, health):
+        """Restart the daemon of `vm-1` while the store is down.
+
+        Its upstream's departure was acknowledged and could not be written.
+
+        Args:
+            health: Status at the upstream's health path.
+
+        Returns:
+            The daemon, once it goes on without departures.
+        """
+        await add_pair(fleet)
+        fleet.feed.fault = sidecars.store_unavailable()
+        await fleet.call_lifecycle_api('vm-1', 'deregister')
+        fleet.upstreams['vm-1'].health = health
+        daemon_options = fleet.daemons['vm-1'].options
+        await fleet.daemons['vm-1'].close()
+        restarted = await fleet.restart('vm-1', daemon_options)
+        await fleet.wait_until_linked()
+        await sidecars.wait_until(
+            lambda: 'departures.unknown' in fleet.events('vm-1'), 3.0
+        )
+        return restarted
+
+    def test_upstream_that_leaves_says_so_after_a_start_in_an_outage(self):
+        """Guards against late announcements of one that nobody recorded."""
+
+        async def scenario(fleet):
+            await self.restart_in_outage(fleet, 503)
+            upstream = fleet.upstreams['vm-1']
+            for _ in range(3):
+                await fleet.announce('vm-1')
+                await asyncio.sleep(0.1)
+            fleet.feed.fault = None
+            await sidecars.wait_until(
+                lambda: 'departures.read' in fleet.events('vm-1'), 1.0
+            )
+            await fleet.announce('vm-1')
+            for number in range(6):
+                response = await fleet.call('vm-1', f'/read/{number}')
+                self.assertEqual(200, response.status)
+            self.assertEqual([], upstream.requests)
+            self.assertGreater(upstream.health_checks, 1)
+
+        sidecars.run_scenario(scenario)
+
+    def test_upstream_that_serves_is_used_at_once_in_an_outage(self):
+        async def scenario(fleet):
+            restarted = await self.restart_in_outage(fleet, 200)
+            await fleet.announce('vm-1')
+            await sidecars.wait_until(
+                lambda: restarted.egress.slot_table.slots, 0.5
+            )
+            self.assertEqual(1, fleet.upstreams['vm-1'].health_checks)
+            # One that fails and recovers is asked again.
+            upstream = fleet.upstreams['vm-1']
+            for health, expected in ((503, (2, 0)), (200, (3, 4))):
+                upstream.health = health
+                await fleet.announce('vm-1', born=2)
+                await sidecars.wait_until(
+                    lambda expected=expected: (
+                        expected
+                        == (
+                            upstream.health_checks,
+                            restarted.egress.slot_table.slots,
+                        )
+                    ),
+                    0.5,
+                )
+
+        sidecars.run_scenario(scenario)
+
+    def test_upstream_that_names_another_is_not_used(self):
+        async def scenario(fleet):
+            restarted = await self.restart_in_outage(fleet, 200)
+            upstream = fleet.upstreams['vm-1']
+            upstream.health_id = 'i-other'
+            for _ in range(3):
+                await fleet.announce('vm-1')
+                await asyncio.sleep(0.1)
+            self.assertEqual(0, restarted.egress.slot_table.slots)
+            self.assertEqual(3, upstream.health_checks)
+
+        sidecars.run_scenario(scenario)
+
     def test_departure_that_is_read_late_closes_the_gate(self):
         """Guards against announcements that arrived in the outage."""
 
@@ -981,6 +1066,8 @@
     def test_second_announcement_is_required_if_departures_are_unknown(self):
         async def scenario(fleet):
             await add_pair(fleet)
+            # It tells nothing when it is asked whether it serves.
+            fleet.upstreams['vm-1'].health = 404
             daemon_options = fleet.daemons['vm-1'].options
             await fleet.daemons['vm-1'].close()
             fleet.feed.fault = sidecars.store_unavailable()
