Resume admitted requests one after the other

What callers saw: no answer, when an upstream's time for sending ended while 90 or more requests waited at its gate, and one slot fewer from then on.

Cause: a request that frees its slot resumed the next one within its own end. One that may not be sent ends at once, and so on through the queue, until the stack was full.

Change: admitted requests wait in a queue of their own, and who resumes already goes on with them, so the depth is that of one.

Ruled out: the gate of the other fleet, which resumes through the event loop.

Result: with 200 in the queue, RecursionError and a lost slot before, now one answer and 199 refusals.

--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import functools
 import itertools
@@ -116,6 +117,9 @@
         # has ended.
         self._retired_pools = []
         self._waiters = {}
+        # Requests that hold a slot and were not resumed yet.
+        self._admitted = collections.deque()
+        self._resuming = False
         self._timer = None
         self._paced_timer = None
         self._cut_fingerprints = []
@@ -610,10 +614,22 @@
             self._schedule_paced_start()
 
     def _wake(self, keys):
-        for key in keys:
-            waiter = self._waiters.pop(key, None)
-            if waiter is not None:
-                waiter.set_result(None)
+        """Resume requests that were admitted, one after the other.
+
+        One that ends at once frees its slot for the next one, which is resumed
+        here and not within it: the queue may be longer than the stack.
+        """
+        self._admitted.extend(keys)
+        if self._resuming:
+            return
+        self._resuming = True
+        try:
+            while self._admitted:
+                waiter = self._waiters.pop(self._admitted.popleft(), None)
+                if waiter is not None:
+                    waiter.set_result(None)
+        finally:
+            self._resuming = False
 
     def _evict(self, refusals):
         for key, refusal in refusals:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,6 +1,7 @@
 """Tests of requests through several sidecars, with and without faults."""
 
 import asyncio
+import math
 
 import expression
 import msgspec
@@ -21,6 +22,9 @@
 # Seconds within which daemons that can read the feed have a new version: the
 # interval between two reads, and the time to pass it on.
 FEED_TIMEOUT_S = 0.8
+# Requests in a queue, more than the interpreter's stack would hold if each was
+# refused within the refusal of the one before.
+QUEUED = 200
 
 
 def request_count(fleet, target):
@@ -816,6 +820,51 @@
 
         sidecars.run_scenario(scenario)
 
+    def test_many_queued_requests_are_refused_as_sending_ends(self):
+        """Guards against refusals within refusals, and a slot that is lost."""
+
+        async def scenario(fleet):
+            rows = [sidecars.route('read', '/read/', timeout_s=60.0)]
+            await fleet.configure(sidecars.document(2, rows))
+            sidecar = await fleet.add('vm-1', slots=1)
+            await fleet.wait_until_linked()
+            gate = sidecar.egress
+            may_end = asyncio.Event()
+            upstream = fleet.upstreams['vm-1']
+
+            async def answer(request, writer):
+                await may_end.wait()
+                await upstream.answer(request, writer)
+
+            upstream.handler = answer
+            headers = {'X-Deadline-Ms': '60000'}
+            calls = [
+                asyncio.ensure_future(
+                    fleet.call('vm-1', f'/read/{number}', **headers)
+                )
+                for number in range(QUEUED)
+            ]
+            await sidecars.wait_until(
+                lambda: (
+                    len(gate.slot_table.waiting) == QUEUED - 1
+                    and upstream.requests
+                ),
+                5.0,
+            )
+            # Sending ends between two updates of the slots.
+            gate.update_slots = lambda: None
+            gate.instance_table.draining_since = -math.inf
+            may_end.set()
+            responses = await asyncio.gather(*calls)
+            self.assertEqual(
+                [200] + [503] * (QUEUED - 1),
+                sorted(response.status for response in responses),
+            )
+            self.assertEqual({}, gate.slot_table.running)
+            self.assertEqual(1, len(upstream.requests))
+
+        sidecars.run_scenario(scenario)
+
     def test_departure_survives_daemon_restart(self):
         for call in ('draining', 'deregister'):
 
