Ask only at paths that a request line can carry

Cause: reading the change again: a health path of the configuration went into a request line unchecked, and a start that announced itself while another one was being asked waited for its next announcement.

Change: other paths are not asked; a pending question follows the one that ends. The leaving check has tests of its own.

Result: test_leavingcheck passes.

--- a/jujubefold/sidecar/announcements.py
+++ b/jujubefold/sidecar/announcements.py
@@ -69,6 +69,8 @@
                     'upstream.asked', upstream=upstream.id, answer=found
                 )
                 self._egress.update_slots()
+        # Another start may have announced itself meanwhile.
+        self._ask_if_pending()
 
     def handle_deregistration(self, upstream_id, started_ms, acknowledge):
         """Apply an upstream's deregistration.
--- a/jujubefold/sidecar/leavingcheck.py
+++ b/jujubefold/sidecar/leavingcheck.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import re
 
 from jujubefold import callclient
 from jujubefold.sidecar import instance
@@ -17,6 +18,8 @@
 RETRY_INTERVAL_S = 0.1
 MAX_QUESTIONS = 5
 
+# What a request line can carry.
+_PATH = re.compile(r'/[!-~]*')
 _SERVING = 200
 _NOT_SERVING = 503
 
@@ -58,7 +61,7 @@
     async def _exchange(self):
         """Return an answer that was given by the upstream itself, or None."""
         service = self._versions.current.mesh.services.get(self._service)
-        if service is None or not service.health_path:
+        if service is None or not _PATH.fullmatch(service.health_path):
             return None
         pool = self._egress.pool
         connection = await pool.acquire(TIMEOUT_S)
@@ -66,7 +69,7 @@
             return None
         message = callclient.ClientRequest(
             'GET',
-            service.health_path.encode('latin-1', 'replace'),
+            service.health_path.encode(),
             [(b'host', pool.address.encode())],
             [],
             0,
