--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -542,6 +542,22 @@
         upstream.handler = slow
         return fleet.daemons['vm-1'].fleet._peers['vm-2'].link
 
+    def alter_answers(self, link, alter):
+        """Alter the answers that arrive over a link's connection.
+
+        Args:
+            link: The `link.OutgoingLink`.
+            alter: Called with each `frames.Answered`; returns the changed
+                fields.
+        """
+
+        def handle(connection, message):
+            if isinstance(message, frames.Answered):
+                message = msgspec.structs.replace(message, **alter(message))
+            link._handle_message(connection, message)
+
+        link._connection._on_message = handle
+
     def test_write_survives_loss_of_link_connection(self):
         async def scenario(fleet):
             link = await self.link_to_remote(fleet, 0.4)
@@ -677,18 +693,15 @@
 
         async def scenario(fleet):
             link = await self.link_to_remote(fleet, 0.0)
-            handle_message = link._handle_message
-
-            def swap(connection, message):
-                if isinstance(message, frames.Answered):
-                    headers = [
+            self.alter_answers(
+                link,
+                lambda answer: {
+                    'headers': [
                         (name, b'f' * 16 if name == b'x-request-id' else value)
-                        for name, value in message.headers
+                        for name, value in answer.headers
                     ]
-                    message = msgspec.structs.replace(message, headers=headers)
-                handle_message(connection, message)
-
-            link._connection._on_message = swap
+                },
+            )
             response = await fleet.call('vm-1', '/write/x', 'POST', b'b')
             self.assertEqual(502, response.status)
             self.assertIn('call.foreign_answer', fleet.events('vm-1'))
@@ -700,14 +713,7 @@
 
         async def scenario(fleet):
             link = await self.link_to_remote(fleet, 0.0)
-            handle_message = link._handle_message
-
-            def spoil(connection, message):
-                if isinstance(message, frames.Answered):
-                    message = msgspec.structs.replace(message, status=600)
-                handle_message(connection, message)
-
-            link._connection._on_message = spoil
+            self.alter_answers(link, lambda answer: {'status': 600})
             response = await fleet.call('vm-1', '/write/x', 'POST', b'b')
             self.assertEqual(502, response.status)
             self.assertTrue(link.up)
