Name what decoders raise, and the bound of ranks, in one place each

Cause: reading the change again: decoding.FAULTS repeated what four modules already listed in their handlers, and the bound of a route's priority that of a tenant's.

Change: patches, messages, declarations and adminmodels use decoding.FAULTS, and configurations the bound of tenantrows. Behaviour is the same.

--- a/jujubefold/adminmodels.py
+++ b/jujubefold/adminmodels.py
@@ -3,6 +3,7 @@
 import expression
 import msgspec
 
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold import events
 from jujubefold import hlc
@@ -194,7 +195,7 @@
     """
     try:
         return expression.Ok(msgspec.json.decode(data, type=model_type))
-    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+    except decoding.FAULTS as error:
         return expression.Error(
             errors.Invalid(str(error), model_type.__name__)
         )
--- a/jujubefold/declarations.py
+++ b/jujubefold/declarations.py
@@ -9,6 +9,7 @@
 import msgspec
 import pydantic
 
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold import mesh
 from jujubefold import settings
@@ -210,7 +211,7 @@
     """
     try:
         raw = msgspec.json.decode(document)
-    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+    except decoding.FAULTS as error:
         return _error(errors.Invalid(str(error), ''))
     return compile_mesh(raw, number)
 
--- a/jujubefold/messages.py
+++ b/jujubefold/messages.py
@@ -11,6 +11,7 @@
 import expression
 import msgspec
 
+from jujubefold import decoding
 from jujubefold import errors
 
 SCHEMA = 1
@@ -465,7 +466,7 @@
         return _invalid('envelope larger than the size limit')
     try:
         return expression.Ok(_decode_envelope(data))
-    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+    except decoding.FAULTS as error:
         return _invalid(str(error))
 
 
--- a/jujubefold/patches.py
+++ b/jujubefold/patches.py
@@ -5,6 +5,7 @@
 import jsonpointer
 import msgspec
 
+from jujubefold import decoding
 from jujubefold import errors
 from jujubefold import versions
 
@@ -95,7 +96,7 @@
         return _invalid(f'larger than {MAX_PATCH_BYTES} bytes')
     try:
         operations = msgspec.json.decode(patch, type=list[dict])
-    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+    except decoding.FAULTS as error:
         return _invalid(str(error))
     if len(operations) > MAX_OPERATIONS:
         return _invalid(f'more than {MAX_OPERATIONS} operations')
--- a/jujubefold/platform/configuration.py
+++ b/jujubefold/platform/configuration.py
@@ -20,9 +20,7 @@
 TABLE = 'op'
 KEY = 'config'
 
-# A version and a rank are sent to other daemons as numbers of 64 bits at most,
-# and a timeout as milliseconds.
-MAX_PRIORITY = 2**31 - 1
+# Timeouts are sent to other daemons as milliseconds.
 MAX_ATTEMPTS = 2**31 - 1
 MAX_SECONDS = 86_400.0
 MAX_BYTES = 2**40
@@ -256,8 +254,8 @@
         yield 'prefix', 'a prefix must begin and end with a slash'
     if not 0 < route.timeout_s <= MAX_SECONDS:
         yield 'timeout_s', f'a timeout is at most {MAX_SECONDS} s, above 0'
-    if not -MAX_PRIORITY <= route.priority <= MAX_PRIORITY:
-        yield 'priority', f'a priority is at most {MAX_PRIORITY}'
+    if abs(route.priority) > tenantrows.MAX_PRIORITY:
+        yield 'priority', f'a priority is at most {tenantrows.MAX_PRIORITY}'
     if not -MAX_ATTEMPTS <= route.max_attempts <= MAX_ATTEMPTS:
         yield 'max_attempts', f'at most {MAX_ATTEMPTS} attempts are made'
     if not 0 <= route.target_latency_s < math.inf:
