Let an answer say whether its connection was used before

Cause: a failure of an exchange already told that its connection had carried another one. For answers, both gates asked the connection beforehand and passed the fact on through four functions.

Change: callserver.Answer has the field that callclient.Failure has, set where the answer is made; the detour is gone. Behaviour is the same.

--- a/jujubefold/callclient.py
+++ b/jujubefold/callclient.py
@@ -186,11 +186,6 @@
         """Whether an exchange is in progress."""
         return self._waiter is not None
 
-    @property
-    def reused(self):
-        """Whether it has carried an exchange before."""
-        return self._reused
-
     @property
     def waits_for_memory(self):
         """Whether reading is paused until the answer's memory is granted."""
@@ -314,7 +309,7 @@
         self._read_idle_timeout(fields)
         length = int(fields.get(b'content-length', 0))
         headers = httpheads.end_to_end_headers(self._headers)
-        answer = callserver.Answer(status, headers, [], 0)
+        answer = callserver.Answer(status, headers, [], 0, reused=self._reused)
         self._answer = answer
         if self._method == 'HEAD':
             answer.size = length
--- a/jujubefold/callgate.py
+++ b/jujubefold/callgate.py
@@ -459,16 +459,12 @@
         Returns:
             An `Outcome` and its `calls.Ending`.
         """
-        result, reused = await self._exchange(
-            call, message, allowance, may_send
-        )
+        result = await self._exchange(call, message, allowance, may_send)
         if not (_is_stale_connection(result) and call.idempotent):
-            return self._classify(result, reused)
+            return self._classify(result)
         self.pool.close_idle()
-        second, reused = await self._exchange(
-            call, message, allowance, may_send
-        )
-        outcome, ending = self._classify(second, reused)
+        second = await self._exchange(call, message, allowance, may_send)
+        outcome, ending = self._classify(second)
         if isinstance(outcome, callserver.Answer):
             return outcome, ending
         if outcome.ran is errors.Outcome.DID_NOT_RUN:
@@ -476,55 +472,41 @@
             return self._classify_failure(result)
         return outcome, ending
 
-    def _classify(self, result, reused):
+    def _classify(self, result):
         if isinstance(result, callserver.Answer):
-            return self._classify_answer(result, reused)
+            return self._classify_answer(result)
         return self._classify_failure(result)
 
     async def _exchange(self, call, message, allowance, may_send):
-        """Send a request to the upstream.
-
-        Returns:
-            A `callserver.Answer` or `callclient.Failure`, and whether the
-                connection carried another request before.
-        """
         pool = self.pool
         if pool is None:
-            return (
-                callclient.Failure(callclient.FailureKind.REFUSED, False),
-                False,
-            )
+            return callclient.Failure(callclient.FailureKind.REFUSED, False)
         connection = pool.take_idle()
         if connection is None:
             left = call.deadline - self._clock.monotonic()
             connection = await pool.acquire(max(0.0, left))
             if isinstance(connection, callclient.Failure):
-                return connection, False
+                return connection
         now = self._clock.monotonic()
         if now >= call.deadline or (may_send is not None and not may_send()):
             pool.release(connection)
-            return (
-                callclient.Failure(callclient.FailureKind.DEADLINE, False),
-                False,
-            )
+            return callclient.Failure(callclient.FailureKind.DEADLINE, False)
         message = dataclasses.replace(
             message, echo_id=call.request.encode('latin-1')
         )
-        reused = connection.reused
         head = callclient.encode_head(
             message, hops.context_headers(call, allowance, now)
         )
         bounds = callclient.ExchangeLimits(
             call.deadline, call.route.timeout.attempt
         )
-        result = await callclient.exchange(connection, message, head, bounds)
-        return result, reused
+        return await callclient.exchange(connection, message, head, bounds)
 
-    def _classify_answer(self, answer, reused):
+    def _classify_answer(self, answer):
         fields = dict(answer.headers)
         if answer.status == 503 and SHED_HEADER in fields:
             self.pool.answer_memory.release(answer.memory)
-            if reused and calls.REQUEST_ID.encode() not in fields:
+            if answer.reused and calls.REQUEST_ID.encode() not in fields:
                 return _UNIDENTIFIED_SHED, calls.Ending.CANCELLED
             return _UPSTREAM_SHED, calls.Ending.SHED
         answer.headers = hops.public_headers(answer.headers)
--- a/jujubefold/callserver.py
+++ b/jujubefold/callserver.py
@@ -109,6 +109,8 @@
         chunks: Body as a list of bytes, in order.
         size: Body length in bytes; for HEAD, that of the answer to GET.
         close: Whether the connection is closed after it.
+        reused: Whether the connection that it was received on had carried an
+            exchange before.
     """
 
     status: int
@@ -119,6 +121,7 @@
     memory: bodymemory.Reservation = dataclasses.field(
         default_factory=bodymemory.Reservation
     )
+    reused: bool = False
 
 
 def refusal_answer(refusal, context=None, status=None, close=False):
--- a/jujubefold/sidecar/answers.py
+++ b/jujubefold/sidecar/answers.py
@@ -25,7 +25,7 @@
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
-def interpret(answer, attempt, names, upstream_time, reused):
+def interpret(answer, attempt, names, upstream_time):
     """Return the `attempt.Outcome` for an answer.
 
     Args:
@@ -33,10 +33,9 @@
         attempt: The `attempt.Attempt` that was sent.
         names: `attempt.HeaderNames`.
         upstream_time: Seconds between sending and receiving.
-        reused: Whether the connection carried another request before.
     """
     fields = dict(answer.headers)
-    if reused and names.request not in fields:
+    if answer.reused and names.request not in fields:
         # It may be another copy of an earlier answer.
         return attempts.unknown_outcome(
             calls.Reason.UPSTREAM_GARBLED, 'an answer without an id'
--- a/jujubefold/sidecar/egress.py
+++ b/jujubefold/sidecar/egress.py
@@ -489,7 +489,6 @@
         # Silence is no reason to end a request before its deadline.
         bounds = callclient.ExchangeLimits(answer_deadline, math.inf)
         sent_at = self._clock.boottime()
-        reused = connection.reused
         result = await callclient.exchange(connection, message, head, bounds)
         if isinstance(result, callclient.Failure):
             return self._interpret_failure(result)
@@ -499,7 +498,6 @@
             attempt,
             self._names,
             self._clock.monotonic() - now,
-            reused,
         )
         if outcome.refusal is answers.UNREACHABLE:
             instance.mark_unreachable(self.instance_table)
