Look received offers up without telling why one is missing

Cause: six of seven look-ups in the peer server only needed an entry or none, and took the reason for a missing one apart by its type.

Change: receivedoffers.get returns an entry or None; find, for offers that are resumed, is built on it. Behaviour is the same.

--- a/jujubefold/sidecar/peerserver.py
+++ b/jujubefold/sidecar/peerserver.py
@@ -156,8 +156,8 @@
         for key, orphaned_at in tuple(self._orphaned_at.items()):
             if now - orphaned_at > ORPHAN_TIMEOUT_S:
                 del self._orphaned_at[key]
-                entry = receivedoffers.find(self._offers, key)
-                if _is_running(entry):
+                entry = receivedoffers.get(self._offers, key)
+                if entry is not None and entry.task is not None:
                     entry.task.cancel()
         for key in receivedoffers.expired(self._offers, now):
             self._forget(key)
@@ -284,8 +284,8 @@
 
     def _send_answer_part(self, connection, request):
         key = (*connection.peer, request.sequence)
-        entry = receivedoffers.find(self._offers, key)
-        if isinstance(entry, receivedoffers.ReceivedOffer):
+        entry = receivedoffers.get(self._offers, key)
+        if entry is not None:
             # Held for as long as it is being fetched.
             entry.finished_at = self._clock.monotonic()
         connection.send(self._answers.part(key, request))
@@ -352,7 +352,7 @@
 
     def _fetch(self, key, size):
         transfer.start(self._transfers, key, size)
-        entry = receivedoffers.find(self._offers, key)
+        entry = receivedoffers.get(self._offers, key)
         if not entry.connection.open:
             transfer.suspend(self._transfers, key)
         self._request_parts()
@@ -364,14 +364,14 @@
             self._transfers, key, message.offset, size, now
         ):
             self._request_parts()
-            entry = receivedoffers.find(self._offers, key)
+            entry = receivedoffers.get(self._offers, key)
             entry.body.add(message.data)
 
     def _request_parts(self):
         self._egress.fetch_backlog = transfer.backlog_seconds(self._transfers)
         now = self._clock.monotonic()
         for part in transfer.next_parts(self._transfers, now):
-            entry = receivedoffers.find(self._offers, part.key)
+            entry = receivedoffers.get(self._offers, part.key)
             entry.connection.send(
                 frames.BodyRequest(part.key[-1], part.offset, part.size)
             )
@@ -380,7 +380,7 @@
         sequence = key[-1]
         entry.task = None
         entry.body = None
-        if receivedoffers.find(self._offers, key) is not entry:
+        if receivedoffers.get(self._offers, key) is not entry:
             return
         transfer.stop(self._transfers, key)
         self._request_parts()
@@ -402,13 +402,6 @@
         entry.connection.send(entry.result)
 
 
-def _is_running(entry):
-    return (
-        isinstance(entry, receivedoffers.ReceivedOffer)
-        and entry.task is not None
-    )
-
-
 def result_message(sequence, outcome, egress):
     """Return the message that reports an offer's outcome to its sender.
 
--- a/jujubefold/sidecar/receivedoffers.py
+++ b/jujubefold/sidecar/receivedoffers.py
@@ -125,8 +125,8 @@
     return True
 
 
-def find(table, key):
-    """Return the `ReceivedOffer` of a key, or a `Missing`.
+def get(table, key):
+    """Return the `ReceivedOffer` of a key, or None.
 
     Args:
         table: An `OfferTable`.
@@ -134,12 +134,25 @@
     """
     *peer, sequence = key
     sender = table.senders.get(tuple(peer))
-    if sender is None:
-        return Missing.FORGOTTEN
-    entry = sender.offers.get(sequence)
+    return None if sender is None else sender.offers.get(sequence)
+
+
+def find(table, key):
+    """Return the `ReceivedOffer` of a key, or why there is none.
+
+    Args:
+        table: An `OfferTable`.
+        key: As in `add`.
+
+    Returns:
+        A `ReceivedOffer` or a `Missing`.
+    """
+    entry = get(table, key)
     if entry is not None:
         return entry
-    if sequence <= sender.newest:
+    *peer, sequence = key
+    sender = table.senders.get(tuple(peer))
+    if sender is None or sequence <= sender.newest:
         return Missing.FORGOTTEN
     return Missing.NOT_RECEIVED
 
